--- /dev/null
+++ b/cmd/baobabctl/main.go
@@ -0,0 +1,4 @@
+// Command baobabctl is part of baobabfield.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/baobabd/main.go
@@ -0,0 +1,4 @@
+// Command baobabd is part of baobabfield.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/routing/owner.go
@@ -0,0 +1,55 @@
+package routing
+
+import "baobabfield.example/core/types"
+
+// FNV-1a parameters for 64-bit hashes.
+const (
+	fnvOffset uint64 = 14695981039346656037
+	fnvPrime  uint64 = 1099511628211
+)
+
+// Owners returns the owner and the stand-by of an endpoint: the first and the
+// second of the live hosts of the endpoint's data centre by rendezvous hashing.
+// Either is empty where there are too few hosts.
+func Owners(e types.Endpoint, live []types.Host) (owner, standby types.Host) {
+	return HighestTwo(string(e), live)
+}
+
+// HighestTwo returns the two hosts with the highest rendezvous weight for key.
+func HighestTwo(key string, hosts []types.Host) (first, second types.Host) {
+	var w1, w2 uint64
+	for _, h := range hosts {
+		w := weight(key, h)
+		switch {
+		case first == "" || w > w1 || (w == w1 && h > first):
+			second, w2 = first, w1
+			first, w1 = h, w
+		case second == "" || w > w2 || (w == w2 && h > second):
+			second, w2 = h, w
+		}
+	}
+	return first, second
+}
+
+// weight hashes the key and the host with FNV-1a and a final mixing step.
+func weight(key string, h types.Host) uint64 {
+	x := fnvOffset
+	for i := range len(key) {
+		x = (x ^ uint64(key[i])) * fnvPrime
+	}
+	x *= fnvPrime
+	for i := range len(h) {
+		x = (x ^ uint64(h[i])) * fnvPrime
+	}
+	return mix(x)
+}
+
+// mix spreads the bits of x so that similar inputs give unrelated weights.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
