--- /dev/null
+++ b/core/attributes/attributes.go
@@ -0,0 +1,120 @@
+// Package attributes holds what a caller states about its requests: rank,
+// feature, job, accepted age, whether a request may be repeated, and its key.
+package attributes
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// The names of the attributes, as startup parameters and in SET statements.
+const (
+	Rank       = "baobab.rank"
+	Feature    = "baobab.feature"
+	Job        = "baobab.job"
+	MaxAge     = "baobab.max_age"
+	Repeatable = "baobab.repeatable"
+	RequestKey = "baobab.request_key"
+	Session    = "baobab.session"
+	Trace      = "baobab.trace"
+	ReadOnly   = "default_transaction_read_only"
+
+	// Prefix starts the names of all attributes that only baobabfield knows.
+	Prefix = "baobab."
+)
+
+// maxValueLength is the longest value of an attribute in bytes; session
+// tokens have their own limit.
+const maxValueLength = 256
+
+// Attributes are the current attributes of a caller's session.
+type Attributes struct {
+	Rank       types.Rank
+	Feature    types.Feature
+	Job        types.Job
+	MaxAge     time.Duration
+	AcceptsAge bool
+	Repeatable bool
+	// RequestKey applies to the next request only.
+	RequestKey string
+	Trace      bool
+	ReadOnly   bool
+	// Token is the session token's text as last given by the caller.
+	Token string
+}
+
+// Known reports whether name is an attribute.
+func Known(name string) bool {
+	switch strings.ToLower(name) {
+	case Rank, Feature, Job, MaxAge, Repeatable, RequestKey, Session, Trace, ReadOnly:
+		return true
+	}
+	return false
+}
+
+// Set changes one attribute. The error names the attribute, the value and what
+// is allowed; the attributes are then unchanged.
+func (a *Attributes) Set(name, value string) error {
+	name = strings.ToLower(name)
+	if name != Session && len(value) > maxValueLength {
+		return fmt.Errorf("%s has a value of %d bytes, the limit is %d", name, len(value), maxValueLength)
+	}
+	switch name {
+	case Rank:
+		a.Rank = types.Rank(value)
+	case Feature:
+		a.Feature = types.Feature(value)
+	case Job:
+		a.Job = types.Job(value)
+	case RequestKey:
+		a.RequestKey = value
+	case Session:
+		a.Token = value
+	case MaxAge:
+		return a.setMaxAge(value)
+	case Repeatable:
+		return setBool(&a.Repeatable, name, value)
+	case Trace:
+		return setBool(&a.Trace, name, value)
+	case ReadOnly:
+		return setBool(&a.ReadOnly, name, value)
+	default:
+		return fmt.Errorf("attribute %q does not exist", name)
+	}
+	return nil
+}
+
+// setMaxAge accepts a duration such as "1500ms" or "30s", a plain number of
+// milliseconds, or an empty value, which accepts no age.
+func (a *Attributes) setMaxAge(value string) error {
+	if value == "" {
+		a.MaxAge, a.AcceptsAge = 0, false
+		return nil
+	}
+	d, err := time.ParseDuration(value)
+	if ms, numErr := strconv.ParseUint(value, 10, 32); numErr == nil {
+		d, err = time.Duration(ms)*time.Millisecond, nil
+	}
+	if err != nil || d < 0 {
+		return fmt.Errorf("%s is %q, not a duration such as \"500ms\" or \"30s\"", MaxAge, value)
+	}
+	a.MaxAge, a.AcceptsAge = d, true
+	return nil
+}
+
+// setBool parses a boolean as PostgreSQL writes it.
+func setBool(dst *bool, name, value string) error {
+	switch strings.ToLower(value) {
+	case "on", "true", "yes", "1":
+		*dst = true
+	case "off", "false", "no", "0", "":
+		*dst = false
+	default:
+		return fmt.Errorf("%s is %q, not \"on\" or \"off\"", name, value)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/attributes/statement.go
@@ -0,0 +1,66 @@
+package attributes
+
+import "strings"
+
+// ParseSet recognises a single SET, RESET or SHOW statement and returns its
+// verb in upper case, the variable's name in lower case and its value.
+func ParseSet(sql string) (verb, name, value string, ok bool) {
+	sql = strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(sql), ";"))
+	verb, rest := cutWord(sql)
+	verb = strings.ToUpper(verb)
+	switch verb {
+	case "SHOW", "RESET":
+		name = strings.ToLower(unquote(rest))
+		return verb, name, "", name != "" && !strings.ContainsAny(name, " \t\n;")
+	case "SET":
+		return parseAssignment(rest)
+	}
+	return "", "", "", false
+}
+
+// parseAssignment parses what follows SET: [SESSION] name {=|TO} value.
+func parseAssignment(rest string) (verb, name, value string, ok bool) {
+	name, tail := cutName(rest)
+	if strings.EqualFold(name, "SESSION") {
+		name, tail = cutName(tail)
+	}
+	tail = strings.TrimSpace(tail)
+	switch {
+	case strings.HasPrefix(tail, "="):
+		tail = tail[1:]
+	case len(tail) > 2 && strings.EqualFold(tail[:2], "TO"):
+		tail = tail[2:]
+	default:
+		return "", "", "", false
+	}
+	return "SET", strings.ToLower(unquote(name)), unquote(strings.TrimSpace(tail)), name != ""
+}
+
+// cutWord splits s after its first word.
+func cutWord(s string) (word, rest string) {
+	i := strings.IndexAny(s, " \t\r\n")
+	if i < 0 {
+		return s, ""
+	}
+	return s[:i], strings.TrimSpace(s[i:])
+}
+
+// cutName splits s after a variable name, which ends at space or "=".
+func cutName(s string) (name, rest string) {
+	s = strings.TrimSpace(s)
+	i := strings.IndexAny(s, " \t\r\n=")
+	if i < 0 {
+		return s, ""
+	}
+	return s[:i], strings.TrimSpace(s[i:])
+}
+
+// unquote removes one pair of quotes round s and undoubles those inside.
+func unquote(s string) string {
+	for _, q := range []string{"'", `"`} {
+		if len(s) >= 2 && strings.HasPrefix(s, q) && strings.HasSuffix(s, q) {
+			return strings.ReplaceAll(s[1:len(s)-1], q+q, q)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/node/endpoint/control.go
@@ -0,0 +1,148 @@
+package endpoint
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// Status is an endpoint's answer to baobab_status.
+type Status struct {
+	Primary    bool
+	Term       types.Term
+	Last       types.LogPoint
+	Replicated types.Position
+	TermStarts []types.TermStart
+}
+
+// FenceResult is an endpoint's answer to baobab_fence.
+type FenceResult struct {
+	Granted bool
+	Term    types.Term
+	Last    types.LogPoint
+}
+
+// StepResult is an endpoint's answer to baobab_promote and baobab_follow.
+type StepResult struct {
+	Done bool
+	Term types.Term
+	Last types.LogPoint
+}
+
+// Status asks the endpoint for its role, term and log position.
+func (c *Conn) Status() (Status, error) {
+	row, err := c.row("SELECT * FROM baobab_status()")
+	if err != nil {
+		return Status{}, err
+	}
+	p := rowParser{row: row}
+	s := Status{
+		Primary:    row["role"] == "primary",
+		Term:       types.Term(p.number("term")),
+		Last:       p.last(),
+		Replicated: types.Position(p.number("replicated_position")),
+		TermStarts: p.starts("term_starts"),
+	}
+	return s, p.err
+}
+
+// Fence asks the endpoint to grant a term.
+func (c *Conn) Fence(t types.Term) (FenceResult, error) {
+	row, err := c.row(fmt.Sprintf("SELECT * FROM baobab_fence(%d)", uint64(t)))
+	if err != nil {
+		return FenceResult{}, err
+	}
+	p := rowParser{row: row}
+	r := FenceResult{Granted: row["granted"] == "t", Term: types.Term(p.number("term")), Last: p.last()}
+	return r, p.err
+}
+
+// Promote asks the endpoint to become the primary of a term that it granted.
+func (c *Conn) Promote(t types.Term) (StepResult, error) {
+	row, err := c.row(fmt.Sprintf("SELECT * FROM baobab_promote(%d)", uint64(t)))
+	if err != nil {
+		return StepResult{}, err
+	}
+	p := rowParser{row: row}
+	r := StepResult{Done: row["done"] == "t", Term: types.Term(p.number("term")), Last: p.last()}
+	return r, p.err
+}
+
+// Follow asks the endpoint to replicate from the primary of a term.
+func (c *Conn) Follow(primary types.Endpoint, address string, t types.Term) (StepResult, error) {
+	row, err := c.row(fmt.Sprintf("SELECT * FROM baobab_follow('%s', '%s', %d)", primary, address, uint64(t)))
+	if err != nil {
+		return StepResult{}, err
+	}
+	p := rowParser{row: row}
+	r := StepResult{Done: row["done"] == "t", Term: types.Term(p.number("term"))}
+	return r, p.err
+}
+
+// Replicated waits at most wait for a majority of endpoints to hold pos and
+// returns the primary's term and the position that a majority holds.
+func (c *Conn) Replicated(pos types.Position, wait time.Duration) (types.LogPoint, error) {
+	row, err := c.row(fmt.Sprintf("SELECT * FROM baobab_replicated(%d, %d)", uint64(pos), wait.Milliseconds()))
+	if err != nil {
+		return types.LogPoint{}, err
+	}
+	p := rowParser{row: row}
+	at := types.LogPoint{
+		Term:     types.Term(p.number("term")),
+		Position: types.Position(p.number("replicated_position")),
+	}
+	return at, p.err
+}
+
+// rowParser parses columns and keeps the first error.
+type rowParser struct {
+	row map[string]string
+	err error
+}
+
+// number parses an unsigned number; an absent column is an error.
+func (p *rowParser) number(column string) uint64 {
+	n, err := strconv.ParseUint(p.row[column], 10, 64)
+	if err != nil && p.err == nil {
+		p.err = fmt.Errorf("column %q has value %q, not a number", column, p.row[column])
+	}
+	return n
+}
+
+// last parses the columns of the last log entry.
+func (p *rowParser) last() types.LogPoint {
+	return types.LogPoint{
+		Term:     types.Term(p.number("last_term")),
+		Position: types.Position(p.number("last_position")),
+	}
+}
+
+// starts parses a list of term starts.
+func (p *rowParser) starts(column string) []types.TermStart {
+	var out []types.TermStart
+	for _, field := range strings.Split(p.row[column], ",") {
+		if field == "" {
+			continue
+		}
+		at, err := parsePoint(field)
+		if err != nil && p.err == nil {
+			p.err = fmt.Errorf("column %q: %w", column, err)
+		}
+		out = append(out, types.TermStart(at))
+	}
+	return out
+}
+
+// parsePoint parses "term:position".
+func parsePoint(text string) (types.LogPoint, error) {
+	term, pos, ok := strings.Cut(text, ":")
+	t, errT := strconv.ParseUint(term, 10, 64)
+	n, errN := strconv.ParseUint(pos, 10, 64)
+	if !ok || errT != nil || errN != nil {
+		return types.LogPoint{}, fmt.Errorf("log point %q is not \"term:position\"", text)
+	}
+	return types.LogPoint{Term: types.Term(t), Position: types.Position(n)}, nil
+}
--- /dev/null
+++ b/wire/frame/frame.go
@@ -0,0 +1,78 @@
+// Package frame reads and writes the length-prefixed protobuf frames of a
+// stream between two hosts.
+package frame
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"baobabfield.example/wire/meshpb"
+)
+
+// MaxSize is the largest encoded frame in bytes.
+const MaxSize = 2 << 20
+
+// headerSize is the size of the length prefix in bytes.
+const headerSize = 4
+
+// Append appends the encoded frame to buf. It fails if the frame exceeds MaxSize.
+func Append(buf []byte, f *meshpb.Frame) ([]byte, error) {
+	start := len(buf)
+	buf = append(buf, 0, 0, 0, 0)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, f)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	size := len(buf) - start - headerSize
+	if size > MaxSize {
+		return nil, fmt.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, MaxSize)
+	}
+	binary.BigEndian.PutUint32(buf[start:], uint32(size))
+	return buf, nil
+}
+
+// Write writes one frame in a single call.
+func Write(w io.Writer, f *meshpb.Frame) error {
+	buf, err := Append(nil, f)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(buf)
+	return errors.Wrap(err, "write frame")
+}
+
+// Read reads one frame. It returns io.EOF if the stream ends before a frame.
+func Read(r io.Reader) (*meshpb.Frame, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		if err == io.EOF {
+			return nil, io.EOF
+		}
+		return nil, errors.Wrap(err, "read frame header")
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxSize {
+		return nil, fmt.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, MaxSize)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, errors.Wrap(err, "read frame body")
+	}
+	return Decode(body)
+}
+
+// Decode decodes a frame without its length prefix and checks that it has a body.
+func Decode(body []byte) (*meshpb.Frame, error) {
+	f := &meshpb.Frame{}
+	if err := proto.Unmarshal(body, f); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
+	if f.GetBody() == nil {
+		return nil, errors.New("frame has no body")
+	}
+	return f, nil
+}
--- /dev/null
+++ b/wire/pgwire/outcome.go
@@ -0,0 +1,112 @@
+package pgwire
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"baobabfield.example/core/types"
+)
+
+// SQLSTATEs that endpoints and callers see.
+const (
+	StateUnknownOutcome   = "08007"
+	StateUnavailable      = "57P03"
+	StateShutdown         = "57P01"
+	StateLimit            = "53400"
+	StateRetired          = "0A000"
+	StateBehind           = "40001"
+	StateBadValue         = "22023"
+	StateProtocol         = "08P01"
+	StateNoDatabase       = "3D000"
+	StateTooLarge         = "54000"
+	StateNotSupported     = "0A000"
+	StateReadOnly         = "25006"
+	StateTermMismatch     = "BB001"
+	StateTooManyConns     = "53300"
+	StateBadAuthorization = "28000"
+)
+
+// State returns the SQLSTATE with which a caller sees an outcome other than Done.
+func State(o types.Outcome) string {
+	if o.Kind == types.Unknown {
+		return StateUnknownOutcome
+	}
+	switch o.Reason {
+	case types.ReasonQueueFull, types.ReasonLate, types.ReasonShed:
+		return StateLimit
+	case types.ReasonRetired:
+		return StateRetired
+	case types.ReasonBehind, types.ReasonStale, types.ReasonLostWrite:
+		return StateBehind
+	case types.ReasonLeaving:
+		return StateShutdown
+	case types.ReasonBadRequest:
+		return StateBadValue
+	case types.ReasonReadOnly:
+		return StateReadOnly
+	default:
+		return StateUnavailable
+	}
+}
+
+// Text returns the error message with which a caller sees an outcome.
+func Text(o types.Outcome) string {
+	text := "not run: "
+	if o.Kind == types.Unknown {
+		text = "outcome unknown: "
+	}
+	text += o.Reason.String()
+	if o.Detail != "" {
+		text += ": " + o.Detail
+	}
+	return text
+}
+
+// AppendOutcome appends the ErrorResponse for an outcome other than Done.
+func AppendOutcome(buf []byte, o types.Outcome) []byte {
+	return AppendError(buf, "ERROR", State(o), Text(o))
+}
+
+// AppendError appends an ErrorResponse.
+func AppendError(buf []byte, severity, state, text string) []byte {
+	msg := pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: state, Message: text}
+	return appendMessage(buf, &msg)
+}
+
+// AppendReady appends ReadyForQuery with a transaction status.
+func AppendReady(buf []byte, status byte) []byte {
+	return appendMessage(buf, &pgproto3.ReadyForQuery{TxStatus: status})
+}
+
+// AppendParameter appends a ParameterStatus.
+func AppendParameter(buf []byte, name, value string) []byte {
+	return appendMessage(buf, &pgproto3.ParameterStatus{Name: name, Value: value})
+}
+
+// AppendComplete appends a CommandComplete with the tag.
+func AppendComplete(buf []byte, tag string) []byte {
+	return appendMessage(buf, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+// textOID is PostgreSQL's type number for text.
+const textOID = 25
+
+// AppendRow appends a result of one row with one text column.
+func AppendRow(buf []byte, column, value string) []byte {
+	field := pgproto3.FieldDescription{Name: []byte(column), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}
+	buf = appendMessage(buf, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}})
+	return appendMessage(buf, &pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+}
+
+// encoder is a message that pgproto3 can encode.
+type encoder interface {
+	Encode(dst []byte) ([]byte, error)
+}
+
+// appendMessage appends a message that always encodes.
+func appendMessage(buf []byte, m encoder) []byte {
+	out, err := m.Encode(buf)
+	if err != nil {
+		panic("message of a bounded size does not encode: " + err.Error())
+	}
+	return out
+}
--- /dev/null
+++ b/wire/token/token.go
@@ -0,0 +1,94 @@
+// Package token encodes session tokens as text that a caller carries between
+// hosts. A message authentication code keeps callers from making their own.
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"baobabfield.example/core/types"
+	"baobabfield.example/wire/meshpb"
+)
+
+const (
+	// MaxLength is the longest encoded token in bytes.
+	MaxLength = 4096
+
+	version   = 1
+	macLength = 16
+)
+
+// Key authenticates tokens; all hosts share one.
+type Key []byte
+
+// Points are the log points that a session must see, by database.
+type Points map[types.Database]types.LogPoint
+
+// Encode returns the token's text.
+func (k Key) Encode(points Points) string {
+	msg := &meshpb.SessionToken{Databases: make(map[string]*meshpb.LogPoint, len(points))}
+	for db, p := range points {
+		msg.Databases[string(db)] = &meshpb.LogPoint{Term: uint64(p.Term), Position: uint64(p.Position)}
+	}
+	body, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
+	if err != nil {
+		panic(fmt.Sprintf("session token does not encode: %v", err))
+	}
+	buf := append([]byte{version}, body...)
+	buf = append(buf, k.mac(buf)...)
+	return base64.RawURLEncoding.EncodeToString(buf)
+}
+
+// Decode returns the log points of a token. It fails if the text is not a
+// token that a holder of the key encoded.
+func (k Key) Decode(text string) (Points, error) {
+	if len(text) > MaxLength {
+		return nil, fmt.Errorf("session token of %d bytes exceeds the limit of %d bytes", len(text), MaxLength)
+	}
+	buf, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return nil, fmt.Errorf("session token %q is not base64url", abbreviate(text))
+	}
+	if len(buf) < 1+macLength {
+		return nil, fmt.Errorf("session token %q is too short", abbreviate(text))
+	}
+	if buf[0] != version {
+		return nil, fmt.Errorf("session token %q has version %d, not %d", abbreviate(text), buf[0], version)
+	}
+	signed, mac := buf[:len(buf)-macLength], buf[len(buf)-macLength:]
+	if !hmac.Equal(mac, k.mac(signed)) {
+		return nil, fmt.Errorf("session token %q does not match the hosts' key", abbreviate(text))
+	}
+	msg := &meshpb.SessionToken{}
+	if err := proto.Unmarshal(signed[1:], msg); err != nil {
+		return nil, fmt.Errorf("session token %q does not decode: %w", abbreviate(text), err)
+	}
+	points := make(Points, len(msg.GetDatabases()))
+	for db, p := range msg.GetDatabases() {
+		points[types.Database(db)] = types.LogPoint{
+			Term:     types.Term(p.GetTerm()),
+			Position: types.Position(p.GetPosition()),
+		}
+	}
+	return points, nil
+}
+
+// mac returns the truncated HMAC-SHA256 of buf.
+func (k Key) mac(buf []byte) []byte {
+	h := hmac.New(sha256.New, k)
+	h.Write(buf)
+	return h.Sum(nil)[:macLength]
+}
+
+// abbreviate shortens a token for an error message.
+func abbreviate(text string) string {
+	const most = 24
+	if len(text) <= most {
+		return text
+	}
+	return text[:most] + "..."
+}
