--- /dev/null
+++ b/core/session/token.go
@@ -0,0 +1,33 @@
+package session
+
+import "baobabfield.example/core/types"
+
+// Token holds, for each database that a session wrote to, the log point of
+// its last write there.
+type Token map[types.Database]types.LogPoint
+
+// Merge returns a token that covers both t and u. Neither is modified.
+func (t Token) Merge(u Token) Token {
+	merged := make(Token, len(t)+len(u))
+	for db, point := range t {
+		merged[db] = point
+	}
+	for db, point := range u {
+		if old, ok := merged[db]; !ok || old.Less(point) {
+			merged[db] = point
+		}
+	}
+	return merged
+}
+
+// Covers reports whether t names, for every database in u, the same or a later
+// log point.
+func (t Token) Covers(u Token) bool {
+	for db, point := range u {
+		own, ok := t[db]
+		if !ok || own.Less(point) {
+			return false
+		}
+	}
+	return true
+}
