--- /dev/null
+++ b/core/membership/event.go
@@ -0,0 +1,84 @@
+package membership
+
+import "baobabfield.example/core/types"
+
+// Event is an input of the machine: Tick, Message, Join, Leave or PlatformHosts.
+type Event interface{ isEvent() }
+
+// Tick tells the machine that its deadline has passed.
+type Tick struct{}
+
+// Message is a message from another host.
+type Message struct {
+	// From describes the sender as it sees itself.
+	From Member
+	Body Body
+}
+
+// Join tells the machine the gossip addresses of hosts to contact.
+type Join struct{ Seeds []string }
+
+// Leave tells the machine that its host is leaving.
+type Leave struct{}
+
+// PlatformHost is one entry of the platform's list of hosts.
+type PlatformHost struct {
+	Host          types.Host
+	DataCentre    types.DataCentre
+	MeshAddress   string
+	GossipAddress string
+	Leaving       bool
+}
+
+// PlatformHosts is the platform's list of hosts, which lags.
+type PlatformHosts struct{ Hosts []PlatformHost }
+
+func (Tick) isEvent()          {}
+func (Message) isEvent()       {}
+func (Join) isEvent()          {}
+func (Leave) isEvent()         {}
+func (PlatformHosts) isEvent() {}
+
+// Effect is an output of the machine: Send, Changed or Note.
+type Effect interface{ isEffect() }
+
+// Send asks for a message to be sent to a gossip address.
+type Send struct {
+	Address string
+	Message Message
+}
+
+// Changed reports the members whose description changed and the new snapshot.
+type Changed struct {
+	Members  []Member
+	Snapshot Snapshot
+}
+
+// NoteKind says what a Note reports.
+type NoteKind uint8
+
+// The kinds of note.
+const (
+	NoteJoined NoteKind = iota
+	NoteSuspected
+	NoteRefuted
+	NoteLeaving
+	NoteDead
+	// NoteSelfListedLeaving: the platform lists this host as leaving.
+	NoteSelfListedLeaving
+	// NoteDataCentreSilent: no host of the data centre answers its relays.
+	NoteDataCentreSilent
+	// NoteDataCentreBack: a silent data centre answers again.
+	NoteDataCentreBack
+)
+
+// Note reports a change worth an entry of the time line.
+type Note struct {
+	Kind       NoteKind
+	Host       types.Host
+	DataCentre types.DataCentre
+}
+
+func (Send) isEffect()    {}
+func (Changed) isEffect() {}
+func (Note) isEffect()    {}
--- /dev/null
+++ b/core/membership/member.go
@@ -0,0 +1,51 @@
+package membership
+
+import "baobabfield.example/core/types"
+
+// State says what is known about a host.
+type State uint8
+
+// The states of a host, in the order of precedence at equal incarnations.
+const (
+	Alive State = iota
+	Suspect
+	// Leaving hosts serve what they hold and own no endpoint.
+	Leaving
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	}
+	return "invalid"
+}
+
+// Incarnation numbers the statements of a host about itself.
+type Incarnation uint64
+
+// Member describes one host.
+type Member struct {
+	Host          types.Host
+	DataCentre    types.DataCentre
+	MeshAddress   string
+	GossipAddress string
+	Incarnation   Incarnation
+	State         State
+}
+
+// supersedes reports whether m replaces old for the same host.
+func (m Member) supersedes(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.State > old.State
+}
--- /dev/null
+++ b/core/membership/message.go
@@ -0,0 +1,64 @@
+package membership
+
+import "baobabfield.example/core/types"
+
+// Body is the content of a message between hosts: Ping, Ack, PingReq, Digest,
+// Buckets or BucketMembers.
+type Body interface{ isBody() }
+
+// Ping asks the receiver for an Ack with the same sequence number.
+type Ping struct {
+	Seq     uint64
+	Updates []Member
+}
+
+// Ack answers a Ping or a PingReq.
+type Ack struct {
+	Seq     uint64
+	Updates []Member
+}
+
+// PingReq asks the receiver to ping the target and to forward its Ack.
+type PingReq struct {
+	Seq     uint64
+	Target  types.Host
+	Address string
+	Updates []Member
+}
+
+// Digest summarises the members that the sender knows in each data centre.
+type Digest struct{ Groups []GroupDigest }
+
+// GroupDigest is the hash of the members of one data centre.
+type GroupDigest struct {
+	DataCentre types.DataCentre
+	Hash       uint64
+}
+
+// Buckets refines the digests of the data centres that differ.
+type Buckets struct{ Groups []BucketDigest }
+
+// BucketDigest holds the hashes of the members of a data centre by bucket; the
+// number of buckets is a power of two.
+type BucketDigest struct {
+	DataCentre types.DataCentre
+	Hashes     []uint32
+}
+
+// BucketMembers carries the members of one bucket.
+type BucketMembers struct {
+	DataCentre types.DataCentre
+	// Bucket of Count is the bucket that the members belong to.
+	Bucket, Count int
+	Members       []Member
+	// Whole is set if Members holds the whole bucket, so that the receiver
+	// answers with what is missing from it.
+	Whole bool
+}
+
+func (Ping) isBody()          {}
+func (Ack) isBody()           {}
+func (PingReq) isBody()       {}
+func (Digest) isBody()        {}
+func (Buckets) isBody()       {}
+func (BucketMembers) isBody() {}
--- /dev/null
+++ b/core/timeline/clock.go
@@ -0,0 +1,63 @@
+package timeline
+
+import "time"
+
+// maxDrift bounds how far an observed stamp may lead the local wall clock.
+const maxDrift = int64(time.Minute)
+
+// Stamp is a reading of a hybrid logical clock.
+type Stamp struct {
+	// Wall is the time in nanoseconds since the Unix epoch.
+	Wall int64
+	// Logical orders the stamps that share a Wall.
+	Logical uint32
+}
+
+// Less reports whether s precedes t.
+func (s Stamp) Less(t Stamp) bool {
+	if s.Wall != t.Wall {
+		return s.Wall < t.Wall
+	}
+	return s.Logical < t.Logical
+}
+
+// Clock is a hybrid logical clock: its stamps grow on each reading, follow the
+// wall clock, and exceed every stamp observed from other hosts. The zero value
+// is ready for use.
+type Clock struct {
+	last Stamp
+	wall int64
+}
+
+// Now returns the next stamp, given the wall clock in nanoseconds since the
+// Unix epoch.
+func (c *Clock) Now(wall int64) Stamp {
+	c.wall = max(c.wall, wall)
+	if wall > c.last.Wall {
+		c.last = Stamp{Wall: wall}
+		return c.last
+	}
+	c.last = next(c.last)
+	return c.last
+}
+
+// Observe records a stamp received from another host, so that later stamps
+// exceed it. A stamp more than a minute ahead of the local wall clock is
+// ignored and reported as false, so that one wrong clock cannot move the others.
+func (c *Clock) Observe(s Stamp) bool {
+	if c.wall != 0 && s.Wall-c.wall > maxDrift {
+		return false
+	}
+	if c.last.Less(s) {
+		c.last = s
+	}
+	return true
+}
+
+// next returns the smallest stamp greater than s.
+func next(s Stamp) Stamp {
+	if s.Logical == ^uint32(0) {
+		return Stamp{Wall: s.Wall + 1}
+	}
+	return Stamp{Wall: s.Wall, Logical: s.Logical + 1}
+}
--- /dev/null
+++ b/core/timeline/event.go
@@ -0,0 +1,78 @@
+package timeline
+
+import (
+	"fmt"
+
+	"baobabfield.example/core/types"
+)
+
+// EventID identifies an event among all hosts. The zero value means no event.
+type EventID struct {
+	Host types.Host
+	// Counter grows with each event of the host, also across restarts.
+	Counter uint64
+}
+
+// IsZero reports whether the id names no event.
+func (id EventID) IsZero() bool { return id == EventID{} }
+
+// String formats the id as "host/counter".
+func (id EventID) String() string { return fmt.Sprintf("%s/%d", id.Host, id.Counter) }
+
+// Kind says what an event reports.
+type Kind string
+
+// The kinds of event.
+const (
+	KindHostStarted       Kind = "host started"
+	KindHostJoined        Kind = "host joined"
+	KindHostSuspected     Kind = "host suspected"
+	KindHostLeaving       Kind = "host leaving"
+	KindHostDead          Kind = "host dead"
+	KindHostStopped       Kind = "host stopped"
+	KindConfigApplied     Kind = "configuration applied"
+	KindConfigReady       Kind = "configuration ready"
+	KindPlatformLost      Kind = "platform lost"
+	KindPlatformFound     Kind = "platform found"
+	KindPlanProposed      Kind = "plan proposed"
+	KindPlanConfirmed     Kind = "plan confirmed"
+	KindPlanWithdrawn     Kind = "plan withdrawn"
+	KindPlanStale         Kind = "plan stale"
+	KindRetirementPhase   Kind = "retirement phase"
+	KindRetiredUse        Kind = "retired use refused"
+	KindEndpointLeaving   Kind = "endpoint leaving"
+	KindEndpointSuspected Kind = "endpoint suspected"
+	KindEndpointBack      Kind = "endpoint back"
+	KindOwnerChanged      Kind = "owner changed"
+	KindCampaign          Kind = "campaign"
+	KindFenced            Kind = "fenced"
+	KindPromoted          Kind = "promoted"
+	KindAuthorityLost     Kind = "authority lost"
+	KindAuthorityGained   Kind = "authority gained"
+	KindWritesLost        Kind = "writes lost"
+	KindFloodStarted      Kind = "flood started"
+	KindFloodEnded        Kind = "flood ended"
+	KindAdminCall         Kind = "admin call"
+)
+
+// Count is a named number that belongs to an event.
+type Count struct {
+	Name  string
+	Value int64
+}
+
+// Event is one entry of the time line.
+type Event struct {
+	ID    EventID
+	Stamp Stamp
+	Host  types.Host
+	Kind  Kind
+	// Object names what the event is about, for instance an endpoint or a plan.
+	Object string
+	// Cause is the event that led to this one.
+	Cause EventID
+	// Author is the operator who asked for the action; empty for none.
+	Author string
+	Text   string
+	Counts []Count
+}
--- /dev/null
+++ b/node/events/doc.go
@@ -0,0 +1,2 @@
+// Package events is the task that owns the host's part of the time line.
+package events
--- /dev/null
+++ b/node/member/doc.go
@@ -0,0 +1,2 @@
+// Package member is the task that owns the gossip socket and the membership machine.
+package member
