--- a/wire/pgwire/batch.go
+++ b/wire/pgwire/batch.go
@@ -1,6 +1,7 @@
 package pgwire
 
 import (
+	"encoding/binary"
 	"fmt"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -196,25 +197,48 @@
 // Filter drops from an answer the completions that the caller does not expect.
 type Filter struct {
 	answers []bool
+	// partial is the beginning of a message whose rest has not come yet.
+	partial []byte
 }
 
 // NewFilter returns the filter for a batch's answer.
 func NewFilter(b *Batch) *Filter { return &Filter{answers: b.Answers} }
 
-// Append appends to dst the messages of chunk that the caller expects. The
-// chunk holds whole messages.
+// Append appends to dst the messages of the answer that the caller expects.
+// The chunk may end within a message; the rest then comes with the next one.
 func (f *Filter) Append(dst, chunk []byte) ([]byte, error) {
-	for len(chunk) > 0 {
-		m, rest, err := Next(chunk)
+	if len(f.answers) == 0 && len(f.partial) == 0 {
+		return append(dst, chunk...), nil
+	}
+	buf := append(f.partial, chunk...)
+	for {
+		size, whole, err := nextSize(buf)
 		if err != nil {
 			return dst, err
 		}
-		if f.expects(m.Type) {
-			dst = append(dst, chunk[:len(chunk)-len(rest)]...)
+		if !whole {
+			f.partial = buf
+			return dst, nil
+		}
+		if f.expects(buf[0]) {
+			dst = append(dst, buf[:size]...)
 		}
-		chunk = rest
+		buf = buf[size:]
+	}
+}
+
+// nextSize returns the size of the first message in buf and whether buf holds
+// all of it.
+func nextSize(buf []byte) (size int, whole bool, err error) {
+	if len(buf) < HeaderSize {
+		return 0, false, nil
+	}
+	n := binary.BigEndian.Uint32(buf[1:])
+	if n < lengthSize || n > MaxMessage {
+		return 0, false, fmt.Errorf("message %q has length %d, outside 4 to %d", buf[0], n, MaxMessage)
 	}
-	return dst, nil
+	size = 1 + int(n)
+	return size, len(buf) >= size, nil
 }
 
 // expects reports whether the caller expects the next message.
--- a/wire/pgwire/scan.go
+++ b/wire/pgwire/scan.go
@@ -31,7 +31,7 @@
 const HeaderSize = 5
 
 // MaxMessage is the largest message in bytes that is taken from an endpoint.
-const MaxMessage = 64 << 20
+const MaxMessage = 16 << 20
 
 // lengthSize is the size of the length field, which counts itself.
 const lengthSize = 4
@@ -61,19 +61,6 @@
 	return binary.BigEndian.AppendUint32(buf, uint32(size+lengthSize))
 }
 
-// Next splits the first message off buf, which holds whole messages.
-func Next(buf []byte) (m Message, rest []byte, err error) {
-	if len(buf) < HeaderSize {
-		return Message{}, nil, fmt.Errorf("message header of %d bytes is too short", len(buf))
-	}
-	n := binary.BigEndian.Uint32(buf[1:])
-	if n < lengthSize || uint64(n)+1 > uint64(len(buf)) {
-		return Message{}, nil, fmt.Errorf("message %q has length %d with %d bytes left", buf[0], n, len(buf)-1)
-	}
-	end := 1 + int(n)
-	return Message{Type: buf[0], Body: buf[HeaderSize:end]}, buf[end:], nil
-}
-
 // SQLState returns the SQLSTATE of an ErrorResponse body, or "".
 func SQLState(body []byte) string { return errorField(body, 'C') }
 
