--- /dev/null
+++ b/core/admission/config.go
@@ -0,0 +1,109 @@
+package admission
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// Defaults of Config's limits.
+const (
+	DefaultQueueLimit = 256 // requests waiting in one rank
+	DefaultFlowLimit  = 256 // features and jobs told apart in one rank
+)
+
+// maxRanks bounds the number of ranks of a service.
+const maxRanks = 16
+
+// percent is the whole of a share that is given in percent.
+const percent = 100
+
+// Config describes one endpoint's queue.
+type Config struct {
+	// Ranks are the service's ranks; empty for DefaultRanks.
+	Ranks []types.RankSpec
+	// Slots is the number of requests that the endpoint runs at a time.
+	Slots int
+	// Connections is the number of connections that the endpoint accepts.
+	Connections int
+	// StatedService is the time for which a request usually holds a slot; zero
+	// where unknown, and then learned.
+	StatedService time.Duration
+	// QueueLimit bounds the requests waiting in one rank; zero for the default.
+	QueueLimit int
+	// FlowLimit bounds the features and jobs that are told apart in one rank;
+	// those beyond share one queue. Zero for the default.
+	FlowLimit int
+}
+
+// DefaultRanks returns the ranks of a service that defines none.
+func DefaultRanks() []types.RankSpec {
+	return []types.RankSpec{
+		{Name: "urgent", Target: 100 * time.Millisecond, Worth: 100, Order: 0},
+		{Name: "normal", Target: 400 * time.Millisecond, Worth: 10, Floor: 25, Order: 1},
+		{Name: "background", Target: 5 * time.Second, Worth: 1, Floor: 5, Order: 2},
+	}
+}
+
+// Check reports the first fault of the configuration.
+func (c Config) Check() error {
+	if c.Slots < 1 {
+		return fmt.Errorf("slots is %d, must be at least 1", c.Slots)
+	}
+	if owner, _ := SplitConnections(c.Connections); owner < c.Slots {
+		return fmt.Errorf("connections is %d: the owner's part of %d is less than %d slots", c.Connections, owner, c.Slots)
+	}
+	if c.QueueLimit < 0 || c.FlowLimit < 0 || c.StatedService < 0 {
+		return fmt.Errorf("queue limit %d, flow limit %d and service time %v must not be negative", c.QueueLimit, c.FlowLimit, c.StatedService)
+	}
+	return checkRanks(c.Ranks)
+}
+
+func checkRanks(ranks []types.RankSpec) error {
+	if len(ranks) > maxRanks {
+		return fmt.Errorf("%d ranks are more than %d", len(ranks), maxRanks)
+	}
+	floors := 0
+	names := map[types.Rank]bool{}
+	for _, r := range ranks {
+		if r.Name == "" {
+			return fmt.Errorf("rank of order %d has no name", r.Order)
+		}
+		if names[r.Name] {
+			return fmt.Errorf("rank %q is defined twice", r.Name)
+		}
+		names[r.Name] = true
+		if r.Target <= 0 {
+			return fmt.Errorf("target of rank %q is %v, must be positive", r.Name, r.Target)
+		}
+		if r.Worth < 1 {
+			return fmt.Errorf("worth of rank %q is %d, must be at least 1", r.Name, r.Worth)
+		}
+		if r.Floor < 0 {
+			return fmt.Errorf("floor of rank %q is %d, must not be negative", r.Name, r.Floor)
+		}
+		floors += r.Floor
+	}
+	if floors >= percent {
+		return fmt.Errorf("floors of all ranks sum to %d percent, must be below %d", floors, percent)
+	}
+	return nil
+}
+
+// withDefaults fills in the defaults and sorts the ranks, most urgent first.
+func (c Config) withDefaults() Config {
+	if len(c.Ranks) == 0 {
+		c.Ranks = DefaultRanks()
+	}
+	if c.QueueLimit == 0 {
+		c.QueueLimit = DefaultQueueLimit
+	}
+	if c.FlowLimit == 0 {
+		c.FlowLimit = DefaultFlowLimit
+	}
+	c.Ranks = append([]types.RankSpec(nil), c.Ranks...)
+	sort.SliceStable(c.Ranks, func(i, j int) bool { return c.Ranks[i].Order < c.Ranks[j].Order })
+	return c
+}
--- /dev/null
+++ b/core/admission/dispatch.go
@@ -0,0 +1,174 @@
+package admission
+
+import (
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// Floors earn credit for at most this much time, or for the service of
+// minBurst requests where that is longer.
+const (
+	floorBurst = 50 * time.Millisecond
+	minBurst   = 2
+)
+
+// accrue gives each rank the slot time that its floor has earned since the
+// last call.
+func (q *Queue) accrue(now types.Time) {
+	elapsed := now.Sub(q.accrued)
+	q.accrued = now
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		share := time.Duration(q.slots * r.spec.Floor)
+		limit := max(floorBurst*share/percent, minBurst*r.service.mean)
+		r.credit = min(r.credit+elapsed*share/percent, limit)
+	}
+}
+
+// charge takes slot time from the rank's credit. The debt is bounded, so that
+// use of idle slots does not cost the rank its floor later.
+func (r *rankQueue) charge(d time.Duration) {
+	r.credit = max(r.credit-d, -minBurst*r.service.mean)
+}
+
+// dispatch starts queued requests while there are free slots.
+func (q *Queue) dispatch(now types.Time) {
+	for q.inUse < q.slots {
+		rank := q.nextRank()
+		if rank == none {
+			return
+		}
+		i := q.nextItem(rank)
+		if !q.inTime(now, i) {
+			q.dropQueued(i, types.ReasonLate)
+			continue
+		}
+		q.start(i)
+	}
+}
+
+// nextRank returns the rank to serve: the most urgent one whose floor is owed
+// at least one request, else the most urgent one with a servable request.
+func (q *Queue) nextRank() int32 {
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		if r.spec.Floor > 0 && r.credit >= r.service.mean && q.servable(r) {
+			return int32(i)
+		}
+	}
+	for i := range q.ranks {
+		if q.servable(&q.ranks[i]) {
+			return int32(i)
+		}
+	}
+	return none
+}
+
+// servable reports whether the rank has a request that may start.
+func (q *Queue) servable(r *rankQueue) bool {
+	if r.depth == 0 {
+		return false
+	}
+	if !q.holdWrites {
+		return true
+	}
+	for n, i := 0, r.cursor; n < r.active; n++ {
+		if r.flows[i].reads.head != none {
+			return true
+		}
+		i = r.flows[i].next
+	}
+	return false
+}
+
+// nextItem returns the next request of a servable rank: the flows take turns,
+// and within a flow the oldest request goes first.
+func (q *Queue) nextItem(rank int32) int32 {
+	r := &q.ranks[rank]
+	for {
+		f := &r.flows[r.cursor]
+		r.cursor = f.next
+		if i := q.oldest(f); i != none {
+			return i
+		}
+	}
+}
+
+// oldest returns the flow's oldest request that may start.
+func (q *Queue) oldest(f *flow) int32 {
+	read, write := f.reads.head, f.writes.head
+	if write == none || q.holdWrites {
+		return read
+	}
+	if read == none || q.items[write].seq < q.items[read].seq {
+		return write
+	}
+	return read
+}
+
+// start gives a slot to a queued request.
+func (q *Queue) start(i int32) {
+	q.remove(i)
+	it := &q.items[i]
+	it.started = true
+	r := &q.ranks[it.rank]
+	it.cost = r.service.mean
+	r.charge(it.cost)
+	q.inUse++
+	q.effects = append(q.effects, Effect{Kind: EffectStart, ID: it.id})
+}
+
+// inTime reports whether a request can still be served in time if it starts now.
+func (q *Queue) inTime(now types.Time, i int32) bool {
+	it := &q.items[i]
+	return q.meets(now, &q.ranks[it.rank], 0, it.due, it.deadline)
+}
+
+// meets reports whether a request that starts after wait ends before both the
+// end of its target and its deadline.
+func (q *Queue) meets(now types.Time, r *rankQueue, wait time.Duration, due, deadline types.Time) bool {
+	end := now.Add(wait + r.service.need(r.spec.Target))
+	return !end.After(due) && (deadline == 0 || !end.After(deadline))
+}
+
+// canMeet reports whether a new request of the flow is likely to be served in time.
+func (q *Queue) canMeet(now types.Time, rank int32, f *flow, due, deadline types.Time) bool {
+	return q.meets(now, &q.ranks[rank], q.expectedWait(rank, f), due, deadline)
+}
+
+// expectedWait estimates how long a new request of the flow would wait.
+func (q *Queue) expectedWait(rank int32, f *flow) time.Duration {
+	r := &q.ranks[rank]
+	if q.inUse < q.slots && r.depth == 0 {
+		return 0
+	}
+	active := r.active
+	if f.length == 0 {
+		active++
+	}
+	ahead := min(r.depth, (f.length+1)*active-1) + 1
+	perRequest := float64(r.service.mean) / (float64(q.slots) * q.share(rank))
+	return time.Duration(float64(ahead) * perRequest)
+}
+
+// minShare is the smallest share of an endpoint that a rank is expected to get.
+const minShare = 0.01
+
+// share estimates the part of the slots that a rank gets while it has waiting
+// requests: what more urgent ranks leave, less the floors of lower ranks that
+// wait, but at least its own floor.
+func (q *Queue) share(rank int32) float64 {
+	rest := 1.0
+	for i := range q.ranks {
+		r := &q.ranks[i]
+		switch {
+		case int32(i) < rank:
+			rest -= r.use
+		case int32(i) > rank && r.depth > 0:
+			rest -= float64(r.spec.Floor) / percent
+		}
+	}
+	floor := float64(q.ranks[rank].spec.Floor) / percent
+	return max(rest, floor, minShare)
+}
--- /dev/null
+++ b/core/routing/classify.go
@@ -0,0 +1,131 @@
+package routing
+
+import "strings"
+
+// Kind says what a statement does, judged by its keywords.
+type Kind uint8
+
+// The kinds of statement.
+const (
+	// KindWrite covers all statements that are not known to be of another kind.
+	KindWrite Kind = iota
+	// KindRead does not write by itself. A function that it calls may write; a
+	// replica then refuses the statement.
+	KindRead
+	KindBegin
+	KindBeginReadOnly
+	KindCommit
+	KindRollback
+	// KindSet changes a setting of the session.
+	KindSet
+	// KindOther neither reads nor writes tables.
+	KindOther
+)
+
+// maxKeyword is the length of the longest keyword that is told apart.
+const maxKeyword = 16
+
+// upper writes the word in upper case to buf. Words too long for a keyword
+// give an empty result.
+func upper(w string, buf *[maxKeyword]byte) []byte {
+	if len(w) > maxKeyword {
+		return nil
+	}
+	for i := range len(w) {
+		c := w[i]
+		if 'a' <= c && c <= 'z' {
+			c -= 'a' - 'A'
+		}
+		buf[i] = c
+	}
+	return buf[:len(w)]
+}
+
+// leadingKind returns the kind that the leading keyword suggests.
+func leadingKind(w string) Kind {
+	var buf [maxKeyword]byte
+	switch string(upper(w, &buf)) {
+	case "SELECT", "WITH", "VALUES", "TABLE", "SHOW", "EXPLAIN":
+		return KindRead
+	case "BEGIN", "START":
+		return KindBegin
+	case "COMMIT", "END":
+		return KindCommit
+	case "ROLLBACK", "ABORT":
+		return KindRollback
+	case "SET", "RESET":
+		return KindSet
+	case "SAVEPOINT", "RELEASE", "DEALLOCATE", "DISCARD", "CLOSE":
+		return KindOther
+	}
+	return KindWrite
+}
+
+// writes reports whether a word turns a statement that seems to read into a write.
+func writes(w string) bool {
+	var buf [maxKeyword]byte
+	switch string(upper(w, &buf)) {
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "INTO":
+		return true
+	}
+	return false
+}
+
+// Classify returns the kind of a statement. Several statements in one text
+// count as a write unless all of them read.
+func Classify(sql string) Kind {
+	s := scanner{text: sql}
+	kind, found := KindOther, false
+	for {
+		first := s.next()
+		for first == separator {
+			first = s.next()
+		}
+		if first == "" {
+			return kind
+		}
+		next := classifyOne(first, &s)
+		if found && (kind != KindRead || next != KindRead) {
+			return KindWrite
+		}
+		kind, found = next, true
+	}
+}
+
+// classifyOne returns the kind of the statement that begins with the word
+// first, and moves s to its end.
+func classifyOne(first string, s *scanner) Kind {
+	kind := leadingKind(first)
+	last := first
+	for w := s.next(); w != "" && w != separator; w = s.next() {
+		kind = refine(kind, last, w)
+		last = w
+	}
+	return kind
+}
+
+// refine adjusts the kind of a statement by its next word.
+func refine(kind Kind, last, w string) Kind {
+	switch kind {
+	case KindRead:
+		if writes(w) {
+			return KindWrite
+		}
+	case KindBegin, KindBeginReadOnly:
+		if !strings.EqualFold(last, "READ") {
+			return kind
+		}
+		if strings.EqualFold(w, "ONLY") {
+			return KindBeginReadOnly
+		}
+		return KindBegin
+	case KindCommit, KindRollback:
+		if strings.EqualFold(w, "PREPARED") {
+			return KindWrite
+		}
+		if strings.EqualFold(w, "TO") {
+			return KindOther
+		}
+	}
+	return kind
+}
--- /dev/null
+++ b/core/routing/read.go
@@ -0,0 +1,119 @@
+package routing
+
+import (
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// Candidate is what an entry host knows of an endpoint that may serve a read.
+type Candidate struct {
+	Endpoint   types.Endpoint
+	DataCentre types.DataCentre
+	Primary    bool
+	Reachable  bool
+	Leaving    bool
+	// Applied is the last log point that the endpoint is known to have applied.
+	Applied types.LogPoint
+	// Age bounds how far the endpoint's data is behind the primary; negative
+	// where nothing is known.
+	Age time.Duration
+	// Outstanding counts the host's own requests at the endpoint.
+	Outstanding int
+	// Excluded marks an endpoint that has refused this request already.
+	Excluded bool
+}
+
+// Read says what a read needs of the endpoint that serves it.
+type Read struct {
+	// DataCentre is that of the entry host.
+	DataCentre types.DataCentre
+	// Token is the log point that the session has seen; zero for none.
+	Token types.LogPoint
+	// MaxAge is the age of data that the caller accepts; zero if it states none.
+	MaxAge time.Duration
+	// Primary asks for the primary, for instance as the session's token is lost.
+	Primary bool
+}
+
+// remotePenalty is the number of outstanding requests that weigh as much as
+// the way to another data centre.
+const remotePenalty = 1
+
+// Eligible reports whether a replica may serve the read. The session's own
+// writes must be covered also where the caller accepts older data.
+func (c *Candidate) Eligible(read *Read) bool {
+	if !c.usable() || c.Primary || read.Primary {
+		return false
+	}
+	if c.Applied.Less(read.Token) {
+		return false
+	}
+	return read.MaxAge == 0 || (c.Age >= 0 && c.Age <= read.MaxAge)
+}
+
+func (c *Candidate) usable() bool { return c.Reachable && !c.Leaving && !c.Excluded }
+
+// ChooseRead returns the index of the endpoint to read from: of two random
+// eligible replicas the one with the fewer outstanding requests, and the
+// primary only if there is none. Without any endpoint it returns -1 and the
+// reason.
+func ChooseRead(candidates []Candidate, read *Read, rng *Rand) (int, types.Reason) {
+	eligible := 0
+	primary := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Eligible(read) {
+			eligible++
+		}
+		if c.Primary && c.usable() {
+			primary = i
+		}
+	}
+	switch {
+	case eligible > 0:
+		return chooseReplica(candidates, read, rng, eligible), types.ReasonNone
+	case primary >= 0:
+		return primary, types.ReasonNone
+	}
+	return -1, types.ReasonUnreachable
+}
+
+// chooseReplica picks the better of two random ones of the eligible replicas.
+func chooseReplica(candidates []Candidate, read *Read, rng *Rand, eligible int) int {
+	if eligible == 1 {
+		return nthEligible(candidates, read, 0)
+	}
+	n := rng.Intn(eligible)
+	m := rng.Intn(eligible - 1)
+	if m >= n {
+		m++
+	}
+	first := nthEligible(candidates, read, n)
+	second := nthEligible(candidates, read, m)
+	if cost(&candidates[second], read) < cost(&candidates[first], read) {
+		return second
+	}
+	return first
+}
+
+// nthEligible returns the index of the eligible replica number n.
+func nthEligible(candidates []Candidate, read *Read, n int) int {
+	for i := range candidates {
+		if !candidates[i].Eligible(read) {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	panic("routing: fewer eligible replicas than counted")
+}
+
+func cost(c *Candidate, read *Read) int {
+	if c.DataCentre == read.DataCentre {
+		return c.Outstanding
+	}
+	return c.Outstanding + remotePenalty
+}
--- /dev/null
+++ b/core/routing/scan.go
@@ -0,0 +1,126 @@
+package routing
+
+import "strings"
+
+// scanner walks through the words of SQL text. It skips comments, strings and
+// quoted identifiers.
+type scanner struct {
+	text string
+	pos  int
+}
+
+// separator is the token that ends a statement.
+const separator = ";"
+
+// next returns the next word or separator; empty at the end of the text.
+func (s *scanner) next() string {
+	for s.pos < len(s.text) {
+		c := s.text[s.pos]
+		switch {
+		case isWordStart(c):
+			return s.word()
+		case c == separator[0]:
+			s.pos++
+			return separator
+		case strings.HasPrefix(s.text[s.pos:], "--"):
+			s.skipPast("\n")
+		case strings.HasPrefix(s.text[s.pos:], "/*"):
+			s.skipBlockComment()
+		case c == '\'' || c == '"':
+			s.skipQuoted(c, false)
+		case c == '$':
+			s.skipDollar()
+		default:
+			s.pos++
+		}
+	}
+	return ""
+}
+
+func isWordStart(c byte) bool {
+	return c == '_' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || c >= 0x80
+}
+
+func isWordPart(c byte) bool { return isWordStart(c) || '0' <= c && c <= '9' || c == '$' }
+
+// word returns the word at the current position. The prefix of an escape
+// string, as in E'it\'s', is skipped together with the string.
+func (s *scanner) word() string {
+	start := s.pos
+	for s.pos < len(s.text) && isWordPart(s.text[s.pos]) {
+		s.pos++
+	}
+	w := s.text[start:s.pos]
+	if strings.EqualFold(w, "E") && s.pos < len(s.text) && s.text[s.pos] == '\'' {
+		s.skipQuoted('\'', true)
+		return s.next()
+	}
+	return w
+}
+
+// skipPast moves behind the next occurrence of mark, or to the end.
+func (s *scanner) skipPast(mark string) {
+	i := strings.Index(s.text[s.pos:], mark)
+	if i < 0 {
+		s.pos = len(s.text)
+		return
+	}
+	s.pos += i + len(mark)
+}
+
+// skipBlockComment skips a comment, which may hold other comments.
+func (s *scanner) skipBlockComment() {
+	depth := 0
+	for s.pos < len(s.text) {
+		switch {
+		case strings.HasPrefix(s.text[s.pos:], "/*"):
+			depth++
+			s.pos += 2
+		case strings.HasPrefix(s.text[s.pos:], "*/"):
+			depth--
+			s.pos += 2
+		default:
+			s.pos++
+		}
+		if depth == 0 {
+			return
+		}
+	}
+}
+
+// skipQuoted skips text between quotes; a doubled quote stands for itself.
+func (s *scanner) skipQuoted(quote byte, backslashes bool) {
+	s.pos++
+	for s.pos < len(s.text) {
+		c := s.text[s.pos]
+		s.pos++
+		if backslashes && c == '\\' {
+			s.pos++
+			continue
+		}
+		if c != quote {
+			continue
+		}
+		if s.pos >= len(s.text) || s.text[s.pos] != quote {
+			return
+		}
+		s.pos++
+	}
+}
+
+// skipDollar skips a dollar-quoted string or the dollar sign of a parameter.
+func (s *scanner) skipDollar() {
+	end := s.pos + 1
+	for end < len(s.text) && s.text[end] != '$' && isWordPart(s.text[end]) {
+		end++
+	}
+	isTag := end < len(s.text) && s.text[end] == '$'
+	isParameter := s.pos+1 < len(s.text) && '0' <= s.text[s.pos+1] && s.text[s.pos+1] <= '9'
+	if !isTag || isParameter {
+		s.pos++
+		return
+	}
+	tag := s.text[s.pos : end+1]
+	s.pos = end + 1
+	s.skipPast(tag)
+}
