--- /dev/null
+++ b/node/owner/endpoint.go
@@ -0,0 +1,457 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/admission"
+	"baobabfield.example/core/failover"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/clock"
+	"baobabfield.example/node/endpoint"
+	"baobabfield.example/node/watch"
+)
+
+const (
+	// endpointInbox is the number of messages that wait for an endpoint task.
+	endpointInbox = 1024
+	// controlConnections are the connections to an endpoint that the watches and
+	// the acknowledgement tasks of its database's owners may hold.
+	controlConnections = 6
+	// idleCheck is the idle time after which a connection is checked before use.
+	idleCheck = 5 * time.Second
+	// restoredLifetime is how long a level back at full is still told to entries.
+	restoredLifetime = 2 * time.Second
+)
+
+var (
+	requestsStarted = metrics.NewCounter("baobab_owner_requests_started_total")
+	requestsRefused = metrics.NewCounter("baobab_owner_requests_refused_total")
+	connsOpened     = metrics.NewCounter("baobab_owner_connections_opened_total")
+	connsBroken     = metrics.NewCounter("baobab_owner_connections_broken_total")
+)
+
+// submit asks for a connection to the endpoint.
+type submit struct {
+	id       types.RequestID
+	rank     types.Rank
+	feature  types.Feature
+	job      types.Job
+	deadline types.Time
+	write    bool
+	reply    chan grant
+}
+
+// grant hands a connection over, or refuses the request.
+type grant struct {
+	conn *endpoint.Conn
+	// check asks for a check of the connection, which has been idle, before use.
+	check   bool
+	outcome types.Outcome
+	levels  []admission.LevelNotice
+}
+
+// finish gives a connection back.
+type finish struct {
+	id      types.RequestID
+	conn    *endpoint.Conn
+	broken  bool
+	ok      bool
+	service time.Duration
+}
+
+// cancelRequest withdraws a request that has no grant yet.
+type cancelRequest struct{ id types.RequestID }
+
+// connected is the result of opening a connection.
+type connected struct {
+	conn *endpoint.Conn
+	err  error
+}
+
+// hold starts or ends the holding back of new writes.
+type hold struct{ on bool }
+
+// drainEndpoint refuses all new work from now on.
+type drainEndpoint struct{ reason types.Reason }
+
+// reconfigure replaces the queue's configuration.
+type reconfigure struct{ cfg admission.Config }
+
+// statusRequest asks for the endpoint's use.
+type statusRequest struct{ reply chan Status }
+
+// Status describes the use of an owned endpoint.
+type Status struct {
+	Endpoint   types.Endpoint
+	Database   types.Database
+	Slots      int
+	SlotsInUse int
+	Open       int
+	Draining   bool
+	Depth      []RankDepth
+	Levels     []admission.LevelNotice
+}
+
+// RankDepth is the number of requests that wait in a rank.
+type RankDepth struct {
+	Rank  types.Rank
+	Depth int
+}
+
+// idleConn is a connection that no request uses.
+type idleConn struct {
+	conn  *endpoint.Conn
+	since types.Time
+}
+
+// waiter is a request that has a slot and waits for a connection, or that
+// waits for its slot.
+type waiter struct {
+	reply chan grant
+	write bool
+}
+
+// endpointTask owns the queue and the idle connections of one endpoint.
+type endpointTask struct {
+	cfg     endpoint.Config
+	queue   *admission.Queue
+	qcfg    admission.Config
+	since   types.Time
+	watch   *watch.Task
+	log     *zap.Logger
+	inbox   chan any
+	stopped chan struct{}
+
+	waiting  map[types.RequestID]waiter
+	ready    []types.RequestID
+	running  map[types.RequestID]bool
+	idle     []idleConn
+	open     int
+	dialing  int
+	writes   int
+	holding  bool
+	refusal  types.Reason
+	levels   []admission.LevelNotice
+	restored []restoredLevel
+}
+
+// restoredLevel is a notice that a level is full again.
+type restoredLevel struct {
+	notice admission.LevelNotice
+	until  types.Time
+}
+
+func newEndpointTask(cfg endpoint.Config, qcfg admission.Config, w *watch.Task, log *zap.Logger) *endpointTask {
+	now := clock.Now()
+	return &endpointTask{
+		cfg:     cfg,
+		queue:   admission.New(qcfg, now),
+		qcfg:    qcfg,
+		since:   now,
+		watch:   w,
+		log:     log.With(zap.String("endpoint", string(cfg.Endpoint))),
+		inbox:   make(chan any, endpointInbox),
+		stopped: make(chan struct{}),
+		waiting: map[types.RequestID]waiter{},
+		running: map[types.RequestID]bool{},
+	}
+}
+
+// post sends a message unless the task has ended; it reports whether it was sent.
+func (t *endpointTask) post(msg any) bool {
+	select {
+	case t.inbox <- msg:
+		return true
+	case <-t.stopped:
+		return false
+	}
+}
+
+// run serves until the context ends and no request is running.
+func (t *endpointTask) run(ctx context.Context) {
+	defer close(t.stopped)
+	defer t.closeIdle()
+	timer := time.NewTimer(clock.Until(t.queue.NextWake()))
+	defer timer.Stop()
+	done := ctx.Done()
+	for done != nil || len(t.running) > 0 {
+		select {
+		case <-done:
+			done = nil
+			t.drain(types.ReasonLeaving)
+		case <-timer.C:
+			t.step(ctx, admission.Event{Kind: admission.EventTick})
+		case msg := <-t.inbox:
+			t.handle(ctx, msg)
+		}
+		timer.Reset(clock.Until(t.queue.NextWake()))
+	}
+}
+
+func (t *endpointTask) handle(ctx context.Context, msg any) {
+	switch m := msg.(type) {
+	case submit:
+		t.submit(ctx, m)
+	case finish:
+		t.finish(ctx, m)
+	case cancelRequest:
+		t.cancel(ctx, m.id)
+	case connected:
+		t.connected(ctx, m)
+	case hold:
+		t.hold(ctx, m.on)
+	case drainEndpoint:
+		t.drain(m.reason)
+	case reconfigure:
+		t.reconfigure(ctx, m.cfg)
+	case statusRequest:
+		m.reply <- t.status()
+	default:
+		panic(fmt.Sprintf("owner: message %T is not known", msg))
+	}
+}
+
+func (t *endpointTask) submit(ctx context.Context, m submit) {
+	t.waiting[m.id] = waiter{reply: m.reply, write: m.write}
+	t.step(ctx, admission.Event{
+		Kind: admission.EventSubmit, ID: m.id, Rank: m.rank, Feature: m.feature,
+		Job: m.job, Deadline: m.deadline, Write: m.write,
+	})
+}
+
+// step feeds the queue and performs its effects.
+func (t *endpointTask) step(ctx context.Context, ev admission.Event) {
+	t.perform(ctx, t.queue.Step(clock.Now(), ev))
+}
+
+func (t *endpointTask) perform(ctx context.Context, effects []admission.Effect) {
+	for _, e := range effects {
+		switch e.Kind {
+		case admission.EffectStart:
+			t.start(e.ID)
+		case admission.EffectRefuse:
+			t.refuse(e.ID, e.Reason)
+		case admission.EffectLevel:
+			t.noteLevel(e.Level)
+		case admission.EffectSlots:
+			t.log.Info("slots changed", zap.Int("slots", e.Slots))
+		}
+	}
+	t.hand(ctx)
+}
+
+// start marks a request as holding a slot.
+func (t *endpointTask) start(id types.RequestID) {
+	requestsStarted.Inc()
+	t.running[id] = t.waiting[id].write
+	if t.waiting[id].write {
+		t.writes++
+	}
+	t.ready = append(t.ready, id)
+}
+
+// refuse answers a request that does not run.
+func (t *endpointTask) refuse(id types.RequestID, reason types.Reason) {
+	requestsRefused.Inc()
+	w := t.waiting[id]
+	delete(t.waiting, id)
+	if reason == types.ReasonLeaving && t.refusal != types.ReasonNone {
+		reason = t.refusal
+	}
+	w.reply <- grant{outcome: types.Refused(reason, "endpoint "+string(t.cfg.Endpoint)), levels: t.currentLevels()}
+}
+
+// hand gives connections to the requests that hold a slot, and opens
+// connections where too few are idle.
+func (t *endpointTask) hand(ctx context.Context) {
+	for len(t.ready) > 0 && len(t.idle) > 0 {
+		last := len(t.idle) - 1
+		c := t.idle[last]
+		t.idle = t.idle[:last]
+		id := t.ready[0]
+		t.ready = t.ready[1:]
+		t.grant(id, c.conn, clock.Now().Sub(c.since) > idleCheck)
+	}
+	limit := admission.ConnectionLimit(clock.Now(), t.qcfg.Connections-controlConnections, t.since)
+	for t.dialing < len(t.ready) && t.open+t.dialing < max(1, limit) {
+		t.dialing++
+		go t.dial(ctx)
+	}
+}
+
+// grant hands a connection over.
+func (t *endpointTask) grant(id types.RequestID, c *endpoint.Conn, check bool) {
+	w := t.waiting[id]
+	delete(t.waiting, id)
+	w.reply <- grant{conn: c, check: check, levels: t.currentLevels()}
+}
+
+func (t *endpointTask) dial(ctx context.Context) {
+	conn, err := endpoint.Dial(ctx, t.cfg)
+	if !t.post(connected{conn: conn, err: err}) && conn != nil {
+		conn.Close()
+	}
+}
+
+// connected uses a new connection, or refuses the request that waits longest.
+func (t *endpointTask) connected(ctx context.Context, m connected) {
+	t.dialing--
+	if m.err == nil {
+		connsOpened.Inc()
+		t.open++
+		t.idle = append(t.idle, idleConn{conn: m.conn, since: clock.Now()})
+		t.hand(ctx)
+		return
+	}
+	if len(t.ready) == 0 {
+		return
+	}
+	id := t.ready[0]
+	t.ready = t.ready[1:]
+	w := t.waiting[id]
+	delete(t.waiting, id)
+	w.reply <- grant{outcome: types.Refused(types.ReasonUnreachable, m.err.Error())}
+	t.release(ctx, finish{id: id})
+}
+
+// finish takes a connection back and frees the slot.
+func (t *endpointTask) finish(ctx context.Context, m finish) {
+	if m.broken {
+		connsBroken.Inc()
+		m.conn.Close()
+		t.open--
+		t.closeIdle()
+	} else if m.conn != nil {
+		t.idle = append(t.idle, idleConn{conn: m.conn, since: clock.Now()})
+	}
+	t.release(ctx, m)
+}
+
+// release frees a request's slot.
+func (t *endpointTask) release(ctx context.Context, m finish) {
+	if t.running[m.id] {
+		t.writes--
+	}
+	delete(t.running, m.id)
+	t.step(ctx, admission.Event{Kind: admission.EventFinish, ID: m.id, OK: m.ok, Service: m.service})
+	t.reportDrained()
+}
+
+// cancel withdraws a request and answers it. One that has a slot but no
+// connection yet gives the slot back; one that has its grant goes on to its
+// finish message.
+func (t *endpointTask) cancel(ctx context.Context, id types.RequestID) {
+	w, ok := t.waiting[id]
+	if !ok {
+		return
+	}
+	delete(t.waiting, id)
+	w.reply <- grant{outcome: types.Refused(types.ReasonBroken, "request withdrawn")}
+	for i, r := range t.ready {
+		if r == id {
+			t.ready = append(t.ready[:i:i], t.ready[i+1:]...)
+			t.release(ctx, finish{id: id})
+			return
+		}
+	}
+	t.step(ctx, admission.Event{Kind: admission.EventCancel, ID: id})
+}
+
+// closeIdle closes the idle connections, which a broken one makes suspect.
+func (t *endpointTask) closeIdle() {
+	for _, c := range t.idle {
+		c.conn.Close()
+		t.open--
+	}
+	t.idle = nil
+}
+
+// hold keeps new writes queued, or lets them go on.
+func (t *endpointTask) hold(ctx context.Context, on bool) {
+	t.holding = on
+	kind := admission.EventReleaseWrites
+	if on {
+		kind = admission.EventHoldWrites
+	}
+	t.step(ctx, admission.Event{Kind: kind})
+	t.reportDrained()
+}
+
+// reportDrained tells the watch once no write is in flight while writes are held.
+func (t *endpointTask) reportDrained() {
+	if t.holding && t.writes == 0 {
+		go t.watch.Post(failover.WritesDrained{})
+	}
+}
+
+// drain refuses new and queued requests with the reason; running ones go on.
+func (t *endpointTask) drain(reason types.Reason) {
+	t.refusal = reason
+	for _, e := range t.queue.Step(clock.Now(), admission.Event{Kind: admission.EventDrain}) {
+		if e.Kind == admission.EffectRefuse {
+			t.refuse(e.ID, e.Reason)
+		}
+	}
+}
+
+func (t *endpointTask) reconfigure(ctx context.Context, cfg admission.Config) {
+	effects, err := t.queue.Reconfigure(clock.Now(), cfg)
+	if err != nil {
+		t.log.Warn("configuration refused", zap.Error(err))
+		return
+	}
+	t.qcfg = cfg
+	t.perform(ctx, effects)
+}
+
+// noteLevel keeps a level for the entries.
+func (t *endpointTask) noteLevel(n admission.LevelNotice) {
+	now := clock.Now()
+	t.restored = dropExpired(t.restored, now)
+	if n.Level == admission.LevelFull {
+		t.restored = append(t.restored, restoredLevel{notice: n, until: now.Add(restoredLifetime)})
+	}
+	t.levels = nil
+}
+
+func dropExpired(list []restoredLevel, now types.Time) []restoredLevel {
+	kept := list[:0]
+	for _, r := range list {
+		if now.Before(r.until) {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
+// currentLevels returns the notices to pass on; the result is not modified later.
+func (t *endpointTask) currentLevels() []admission.LevelNotice {
+	if t.levels == nil {
+		t.levels = t.queue.Levels(nil)
+		for _, r := range t.restored {
+			t.levels = append(t.levels, r.notice)
+		}
+	}
+	return t.levels
+}
+
+func (t *endpointTask) status() Status {
+	s := Status{
+		Endpoint:   t.cfg.Endpoint,
+		Database:   t.cfg.Database,
+		Slots:      t.queue.Slots(),
+		SlotsInUse: t.queue.SlotsInUse(),
+		Open:       t.open,
+		Draining:   t.queue.Draining(),
+		Levels:     t.currentLevels(),
+	}
+	for _, r := range t.qcfg.Ranks {
+		s.Depth = append(s.Depth, RankDepth{Rank: r.Name, Depth: t.queue.Depth(r.Name)})
+	}
+	return s
+}
--- a/wire/pgwire/outcome.go
+++ b/wire/pgwire/outcome.go
@@ -77,6 +77,13 @@
 	return appendMessage(buf, &pgproto3.ReadyForQuery{TxStatus: status})
 }
 
+// SetStatus replaces the transaction status of the ReadyForQuery at the end of
+// an answer.
+func SetStatus(answer []byte, status byte) []byte {
+	answer[len(answer)-1] = status
+	return answer
+}
+
 // AppendParameter appends a ParameterStatus.
 func AppendParameter(buf []byte, name, value string) []byte {
 	return appendMessage(buf, &pgproto3.ParameterStatus{Name: name, Value: value})
