--- a/core/attributes/attributes.go
+++ b/core/attributes/attributes.go
@@ -118,3 +118,38 @@
 	}
 	return nil
 }
+
+// Value returns the value of an attribute as SHOW writes it.
+func (a *Attributes) Value(name string) string {
+	switch name {
+	case Rank:
+		return string(a.Rank)
+	case Feature:
+		return string(a.Feature)
+	case Job:
+		return string(a.Job)
+	case MaxAge:
+		if a.AcceptsAge {
+			return a.MaxAge.String()
+		}
+	case Repeatable:
+		return onOff(a.Repeatable)
+	case RequestKey:
+		return a.RequestKey
+	case Session:
+		return a.Token
+	case Trace:
+		return onOff(a.Trace)
+	case ReadOnly:
+		return onOff(a.ReadOnly)
+	}
+	return ""
+}
+
+// onOff formats a boolean as PostgreSQL writes it.
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
--- /dev/null
+++ b/node/caller/execute.go
@@ -0,0 +1,336 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"baobabfield.example/core/attributes"
+	"baobabfield.example/core/routing"
+	"baobabfield.example/core/session"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/router"
+	"baobabfield.example/wire/meshpb"
+	"baobabfield.example/wire/pgwire"
+)
+
+const (
+	// firstPause and longestPause bound the pause before a request that waits
+	// for a change is tried again; the pause doubles each time.
+	firstPause   = 10 * time.Millisecond
+	longestPause = 160 * time.Millisecond
+	// maxRedirects is the number of tries that follow hints to another owner or
+	// primary.
+	maxRedirects = 8
+	// readyLength is the length of a ReadyForQuery message in bytes.
+	readyLength = 6
+)
+
+var (
+	requestsDone    = metrics.NewCounter(`baobab_requests_total{outcome="done"}`)
+	requestsNotRun  = metrics.NewCounter(`baobab_requests_total{outcome="not_run"}`)
+	requestsUnknown = metrics.NewCounter(`baobab_requests_total{outcome="unknown"}`)
+	retriesSent     = metrics.NewCounter("baobab_retries_total")
+	requestSeconds  = metrics.NewHistogram("baobab_request_seconds")
+)
+
+// try is one attempt to run a batch.
+type try struct {
+	outcome types.Outcome
+	status  byte
+	// forwarded is set once a part of the answer has gone to the caller.
+	forwarded bool
+	// rest is the end of the answer, which the caller has not seen.
+	rest []byte
+	// gone is set if the caller cannot be written to.
+	gone bool
+}
+
+// execute runs a batch outside of a transaction, with retries.
+func (s *sessionTask) execute(ctx context.Context, b *pgwire.Batch, p plan) bool {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.task.set.RequestTimeout)
+	defer cancel()
+	q := s.query(p)
+	r := retries{pause: firstPause}
+	for {
+		t := s.try(ctx, b, p, &q)
+		if t.gone {
+			return false
+		}
+		if t.outcome.Kind == types.Done || t.forwarded || !s.again(ctx, t.outcome, &p, &q, &r) {
+			requestSeconds.Update(time.Since(began).Seconds())
+			s.attrs.RequestKey = ""
+			return s.finish(t)
+		}
+		retriesSent.Inc()
+	}
+}
+
+// query describes the request to the router.
+func (s *sessionTask) query(p plan) router.Query {
+	return router.Query{
+		Database:   s.database,
+		Write:      p.write,
+		Primary:    s.lostToken,
+		After:      s.token[s.database],
+		MaxAge:     s.attrs.MaxAge,
+		AcceptsAge: s.attrs.AcceptsAge,
+		Rank:       s.attrs.Rank,
+		Feature:    s.attrs.Feature,
+		Job:        s.attrs.Job,
+		Caller:     callerHost(s.conn),
+	}
+}
+
+// callerHost returns the caller's address without its port.
+func callerHost(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
+// retries is what a request has used of its retries.
+type retries struct {
+	pause     time.Duration
+	redirects int
+}
+
+// again decides whether a request is tried again, and prepares the next try.
+func (s *sessionTask) again(ctx context.Context, o types.Outcome, p *plan, q *router.Query, r *retries) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	q.Again = true
+	q.Refresh = false
+	if o.Reason == types.ReasonReadOnly {
+		p.write, q.Write = true, true
+	}
+	decision := routing.Retry(o, routing.Attempt{Write: p.write, Repeatable: s.attrs.Repeatable})
+	switch decision {
+	case routing.RetryElsewhere:
+		if o.Reason == types.ReasonNotOwner {
+			return s.redirect(ctx, r)
+		}
+		q.Excluded = append(q.Excluded, s.endpoint)
+		return s.task.router.AllowRetry(ctx)
+	case routing.RetryPrimary:
+		q.Primary = true
+		return s.redirect(ctx, r)
+	case routing.WaitRetry:
+		q.Refresh = true
+		return s.wait(ctx, r)
+	}
+	return false
+}
+
+// redirect bounds the tries that follow hints, and pauses after the first.
+func (s *sessionTask) redirect(ctx context.Context, r *retries) bool {
+	r.redirects++
+	if r.redirects == 1 {
+		return true
+	}
+	return r.redirects <= maxRedirects && s.wait(ctx, r)
+}
+
+// wait pauses before the next try.
+func (s *sessionTask) wait(ctx context.Context, r *retries) bool {
+	timer := time.NewTimer(r.pause)
+	defer timer.Stop()
+	r.pause = min(2*r.pause, longestPause)
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try sends the batch to the endpoint that the router chooses.
+func (s *sessionTask) try(ctx context.Context, b *pgwire.Batch, p plan, q *router.Query) try {
+	target := s.task.router.Route(ctx, *q)
+	s.endpoint = target.Endpoint
+	if target.Outcome.Kind != types.Done {
+		return try{outcome: target.Outcome, status: pgwire.StatusIdle}
+	}
+	stream, err := s.task.mesh.Open(ctx, target.Host)
+	if err != nil {
+		s.task.router.Finished(target.Endpoint)
+		return try{outcome: types.Refused(types.ReasonUnreachable, err.Error()), status: pgwire.StatusIdle}
+	}
+	s.stream = stream
+	s.write = p.write
+	if err := stream.Send(&meshpb.Frame{Body: &meshpb.Frame_Open{Open: s.openFrame(ctx, b, p, q, target)}}); err != nil {
+		s.closeStream()
+		return try{outcome: brokenOutcome(false, err.Error()), status: pgwire.StatusIdle}
+	}
+	t := s.relay(ctx, b, false, target.Host)
+	if t.outcome.Kind != types.Done || t.status == pgwire.StatusIdle {
+		s.closeStream()
+	}
+	return t
+}
+
+// brokenOutcome is the outcome of a batch whose stream broke after it may have
+// been sent. A batch that cannot end its transaction is rolled back with it.
+func brokenOutcome(rolledBack bool, detail string) types.Outcome {
+	if rolledBack {
+		return types.Refused(types.ReasonBroken, "transaction rolled back: "+detail)
+	}
+	return types.InDoubt(types.ReasonBroken, detail)
+}
+
+// openFrame describes the request to the owner.
+func (s *sessionTask) openFrame(ctx context.Context, b *pgwire.Batch, p plan, q *router.Query, target router.Target) *meshpb.Open {
+	s.nextID++
+	deadline, _ := ctx.Deadline()
+	open := &meshpb.Open{
+		RequestId:  s.nextID,
+		Service:    string(target.Service),
+		Database:   string(s.database),
+		Endpoint:   string(target.Endpoint),
+		Rank:       string(q.Rank),
+		Feature:    string(q.Feature),
+		Job:        string(q.Job),
+		DeadlineUs: uint64(max(0, time.Until(deadline).Microseconds())),
+		Write:      p.write,
+		Repeatable: s.attrs.Repeatable,
+		RequestKey: s.attrs.RequestKey,
+		MaxAgeUs:   uint64(target.MaxAge.Microseconds()),
+		Caller:     q.Caller,
+		Batch:      &meshpb.Batch{Messages: b.Messages, CanCommit: p.canCommit, Begins: p.begins},
+	}
+	if q.After != (types.LogPoint{}) {
+		open.After = &meshpb.LogPoint{Term: uint64(q.After.Term), Position: uint64(q.After.Position)}
+	}
+	return open
+}
+
+// relay passes the answer of a batch on to the caller. The end of the answer
+// is held back until the result has come.
+func (s *sessionTask) relay(ctx context.Context, b *pgwire.Batch, rolledBack bool, host types.Host) try {
+	t := try{status: pgwire.StatusIdle}
+	filter := pgwire.NewFilter(b)
+	for {
+		select {
+		case f, ok := <-s.stream.Frames():
+			if !ok {
+				t.outcome = brokenOutcome(rolledBack, "owner "+string(host)+" is gone")
+				return t
+			}
+			if r := f.GetResult(); r != nil {
+				return s.result(t, r)
+			}
+			if !s.part(&t, filter, f.GetAnswer()) {
+				return t
+			}
+		case c := <-s.control:
+			s.controlWhileRunning(c)
+		case <-ctx.Done():
+			s.task.mesh.Suspect(host)
+			t.outcome = brokenOutcome(rolledBack, "no answer in time from owner "+string(host))
+			return t
+		}
+	}
+}
+
+// part passes on the part before and keeps the new one.
+func (s *sessionTask) part(t *try, filter *pgwire.Filter, a *meshpb.Answer) bool {
+	if len(t.rest) > 0 {
+		t.forwarded = true
+		if s.send(t.rest) != nil {
+			t.gone = true
+			return false
+		}
+	}
+	rest, err := filter.Append(t.rest[:0], a.GetMessages())
+	if err != nil {
+		t.outcome = types.InDoubt(types.ReasonBroken, err.Error())
+		return false
+	}
+	t.rest = rest
+	return true
+}
+
+// controlWhileRunning handles the listener's messages during a batch.
+func (s *sessionTask) controlWhileRunning(c control) {
+	if c == controlDrain {
+		s.draining = true
+		return
+	}
+	_ = s.stream.Send(&meshpb.Frame{Body: &meshpb.Frame_Cancel{Cancel: &meshpb.Cancel{}}})
+}
+
+// result takes the end of a batch.
+func (s *sessionTask) result(t try, r *meshpb.Result) try {
+	s.task.router.Learn(r.GetView(), r.GetState())
+	if r.GetRequestId() != s.nextID {
+		t.outcome = types.InDoubt(types.ReasonBroken, "answer of another request")
+		return t
+	}
+	t.outcome = types.Outcome{Kind: types.OutcomeKind(r.GetKind()), Reason: types.Reason(r.GetReason()), Detail: r.GetDetail()}
+	t.status = byte(r.GetTransaction())
+	if c := r.GetCommitted(); c != nil {
+		point := types.LogPoint{Term: types.Term(c.GetTerm()), Position: types.Position(c.GetPosition())}
+		s.token = s.token.Merge(session.Token{s.database: point})
+		t.rest = insertParameter(t.rest, attributes.Session, s.tokenText())
+	}
+	if s.attrs.Trace {
+		t.rest = insertParameter(t.rest, "baobab.served_by", string(s.endpoint))
+	}
+	return t
+}
+
+// insertParameter puts a ParameterStatus before the ReadyForQuery that ends an answer.
+func insertParameter(answer []byte, name, value string) []byte {
+	if len(answer) < readyLength {
+		return answer
+	}
+	at := len(answer) - readyLength
+	ready := append([]byte(nil), answer[at:]...)
+	return append(pgwire.AppendParameter(answer[:at:at], name, value), ready...)
+}
+
+// finish sends the end of an answer, or the error of a batch without one.
+func (s *sessionTask) finish(t try) bool {
+	switch t.outcome.Kind {
+	case types.Done:
+		requestsDone.Inc()
+		if t.status == pgwire.StatusFailed {
+			s.batcher.NewStream()
+		}
+		return s.flush(t.rest)
+	case types.NotRun:
+		requestsNotRun.Inc()
+	default:
+		requestsUnknown.Inc()
+	}
+	buf := pgwire.AppendOutcome(nil, t.outcome)
+	return s.flush(pgwire.AppendReady(buf, pgwire.StatusIdle))
+}
+
+// continueTransaction runs a batch of the open transaction.
+func (s *sessionTask) continueTransaction(ctx context.Context, b *pgwire.Batch) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.task.set.RequestTimeout)
+	defer cancel()
+	p := s.plan(b)
+	frame := &meshpb.Frame{Body: &meshpb.Frame_Batch{Batch: &meshpb.Batch{Messages: b.Messages, CanCommit: p.canCommit}}}
+	var t try
+	if err := s.stream.Send(frame); err != nil {
+		t = try{outcome: brokenOutcome(!p.canCommit, err.Error())}
+	} else {
+		t = s.relay(ctx, b, !p.canCommit, s.stream.Peer)
+	}
+	if t.gone {
+		return false
+	}
+	if t.outcome.Kind != types.Done || t.status == pgwire.StatusIdle {
+		s.closeStream()
+	}
+	return s.finish(t)
+}
+
--- a/node/endpoint/conn.go
+++ b/node/endpoint/conn.go
@@ -50,12 +50,12 @@
 	r    *bufio.Reader
 	// term is the expected term set on the connection; 0 for none.
 	term types.Term
+	// readOnly is set while new transactions on the connection are read-only.
+	readOnly bool
 	// key identifies the connection in a CancelRequest.
 	key cancelKey
 	// used counts the batches run since the last reset.
 	used int
-	// idleSince is the time at which the connection was last given back.
-	idleSince types.Time
 }
 
 // cancelKey is the content of BackendKeyData.
--- a/node/endpoint/run.go
+++ b/node/endpoint/run.go
@@ -38,14 +38,21 @@
 	ErrorFirst bool
 }
 
-// Prepare sets the term that the endpoint must be in for the next transaction
-// and discards old session state. Term 0 expects none.
-func (c *Conn) Prepare(term types.Term) error {
+// Prepare sets the term that the endpoint must be in for the next transaction,
+// makes the transaction read-only where asked, and discards old session state.
+// Term 0 expects none.
+func (c *Conn) Prepare(term types.Term, readOnly bool) error {
 	if c.used >= resetAfter {
 		if err := c.command("DISCARD ALL"); err != nil {
 			return err
 		}
-		c.used, c.term = 0, 0
+		c.used, c.term, c.readOnly = 0, 0, false
+	}
+	if c.readOnly != readOnly {
+		if err := c.set("default_transaction_read_only", onOff(readOnly)); err != nil {
+			return err
+		}
+		c.readOnly = readOnly
 	}
 	if c.term == term {
 		return nil
@@ -54,13 +61,24 @@
 	if term != 0 {
 		value = strconv.FormatUint(uint64(term), 10)
 	}
-	if err := c.command("SET baobab.expected_term = '" + value + "'"); err != nil {
+	if err := c.set("baobab.expected_term", value); err != nil {
 		return err
 	}
 	c.term = term
 	return nil
 }
 
+// set changes a setting of the connection.
+func (c *Conn) set(name, value string) error { return c.command("SET " + name + " = '" + value + "'") }
+
+// onOff formats a boolean setting.
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
+
 // Run sends a batch and reads its answer up to ReadyForQuery. An error means
 // that the connection is unusable; sent then reports whether a part of the
 // batch may have reached the endpoint.
--- a/node/owner/batch.go
+++ b/node/owner/batch.go
@@ -28,7 +28,7 @@
 	}
 	end := x.execute(ctx, b)
 	if end.err != nil {
-		return x.failed(end, commits)
+		return x.failed(end, b)
 	}
 	if out, refused := x.refusal(end.done); refused {
 		return out, pgwire.StatusIdle, types.LogPoint{}
@@ -52,14 +52,18 @@
 	return out, pgwire.StatusIdle, types.LogPoint{}
 }
 
-// failed decides the outcome where the connection broke. Without a commit in
-// the batch the endpoint rolls back whatever ran.
-func (x *txn) failed(end batchEnd, commits bool) (types.Outcome, byte, types.LogPoint) {
+// failed decides the outcome where the connection broke. A transaction whose
+// end has not been asked for is rolled back.
+func (x *txn) failed(end batchEnd, b *meshpb.Batch) (types.Outcome, byte, types.LogPoint) {
 	x.broken = true
-	if commits && end.sent {
-		return types.InDoubt(types.ReasonBroken, end.err.Error()), pgwire.StatusIdle, types.LogPoint{}
+	out := types.InDoubt(types.ReasonBroken, end.err.Error())
+	switch {
+	case !end.sent:
+		out = types.Refused(types.ReasonBroken, end.err.Error())
+	case x.inTx && !b.GetCanCommit():
+		out = types.Refused(types.ReasonBroken, "transaction rolled back: "+end.err.Error())
 	}
-	return types.Refused(types.ReasonBroken, end.err.Error()), pgwire.StatusIdle, types.LogPoint{}
+	return out, pgwire.StatusIdle, types.LogPoint{}
 }
 
 // refusal recognises an endpoint's refusal of the whole batch, which did not run.
--- a/node/owner/txn.go
+++ b/node/owner/txn.go
@@ -185,7 +185,7 @@
 			return err
 		}
 	}
-	return x.conn.Prepare(x.term)
+	return x.conn.Prepare(x.term, !x.write)
 }
 
 // admitRole checks authority at the primary, or the age of a replica's data.
--- /dev/null
+++ b/node/router/router.go
@@ -0,0 +1,420 @@
+// Package router owns what an entry host knows of databases, owners and
+// admission levels, and chooses where each request goes.
+package router
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/admission"
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/routing"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/clock"
+	"baobabfield.example/node/mesh"
+	"baobabfield.example/wire/meshpb"
+)
+
+const (
+	// inboxSize is the number of messages that wait for the task.
+	inboxSize = 4096
+	// stateLifetime is the age at which an endpoint's state is asked for again.
+	stateLifetime = time.Second
+	// refreshTimeout bounds one question for the state of a database.
+	refreshTimeout = 500 * time.Millisecond
+	// maxParked is the number of requests of a database that wait for its state.
+	maxParked = 4096
+	// callersKept is the number of uses that the host remembers.
+	callersKept = 4096
+)
+
+var (
+	routedReplica = metrics.NewCounter(`baobab_router_routed_total{to="replica"}`)
+	routedPrimary = metrics.NewCounter(`baobab_router_routed_total{to="primary"}`)
+	refusedShed   = metrics.NewCounter(`baobab_router_refused_total{reason="shed"}`)
+	refusedRetire = metrics.NewCounter(`baobab_router_refused_total{reason="retired"}`)
+	stateAsked    = metrics.NewCounter("baobab_router_state_questions_total")
+)
+
+// Settings configure the router.
+type Settings struct {
+	Host       types.Host
+	DataCentre types.DataCentre
+	Seed       uint64
+	// MaxAge is the age of data up to which a replica serves a read whose caller
+	// states no age.
+	MaxAge time.Duration
+}
+
+// Query describes a request that needs a place to run.
+type Query struct {
+	Database types.Database
+	Write    bool
+	// Primary asks for the primary though the request reads.
+	Primary bool
+	// After is the log point that the session must see.
+	After types.LogPoint
+	// MaxAge is the accepted age where AcceptsAge is set.
+	MaxAge     time.Duration
+	AcceptsAge bool
+	Rank       types.Rank
+	Feature    types.Feature
+	Job        types.Job
+	// Caller is the caller's address without its port.
+	Caller string
+	// Excluded are the endpoints that have refused the request.
+	Excluded []types.Endpoint
+	// Again is set on every try but the first.
+	Again bool
+	// Refresh asks for new state before the choice.
+	Refresh bool
+}
+
+// Target is where a request goes, or why it goes nowhere.
+type Target struct {
+	Outcome  types.Outcome
+	Service  types.Service
+	Endpoint types.Endpoint
+	Host     types.Host
+	MaxAge   time.Duration
+}
+
+// route asks for a target.
+type route struct {
+	query Query
+	reply chan Target
+}
+
+// finished says that a request at an endpoint has ended.
+type finished struct{ endpoint types.Endpoint }
+
+// learn brings what an owner told with a result.
+type learn struct {
+	view  *meshpb.DatabaseView
+	state *meshpb.EndpointState
+}
+
+// stateAnswer brings an owner's answer to a question for state.
+type stateAnswer struct {
+	db     types.Database
+	answer *meshpb.StateAnswer
+	last   bool
+}
+
+// check asks whether a database and a rank exist.
+type check struct {
+	db    types.Database
+	rank  types.Rank
+	reply chan error
+}
+
+// retryRequest asks the retry budget.
+type retryRequest struct{ reply chan bool }
+
+// usesRequest asks for the recorded uses.
+type usesRequest struct{ reply chan []config.Use }
+
+// Task owns the router's state.
+type Task struct {
+	set     Settings
+	mesh    *mesh.Task
+	log     *zap.Logger
+	inbox   chan any
+	stopped chan struct{}
+
+	conf      config.Snapshot
+	members   membership.Snapshot
+	databases map[types.Database]*database
+	gate      *admission.Gate
+	rng       routing.Rand
+	budget    routing.RetryBudget
+	uses      *config.UseTracker
+	scratch   []routing.Candidate
+}
+
+// database is what the router knows of one database.
+type database struct {
+	service   types.ServiceSpec
+	spec      types.DatabaseSpec
+	term      types.Term
+	primary   types.Endpoint
+	endpoints map[types.Endpoint]*endpointState
+	asked     types.Time
+	asking    bool
+	parked    []route
+}
+
+// endpointState is what the router knows of one endpoint.
+type endpointState struct {
+	known       bool
+	last        types.LogPoint
+	age         time.Duration
+	ageKnown    bool
+	reachable   bool
+	at          types.Time
+	outstanding int
+}
+
+// New returns the router; m opens the streams for its questions.
+func New(set Settings, m *mesh.Task, log *zap.Logger) *Task {
+	return &Task{
+		set:       set,
+		mesh:      m,
+		log:       log,
+		inbox:     make(chan any, inboxSize),
+		stopped:   make(chan struct{}),
+		databases: map[types.Database]*database{},
+		gate:      admission.NewGate(set.Seed),
+		rng:       routing.NewRand(set.Seed),
+		uses:      config.NewUseTracker(set.Host, callersKept),
+	}
+}
+
+// Run serves until the context ends.
+func (t *Task) Run(ctx context.Context) {
+	defer close(t.stopped)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-t.inbox:
+			t.handle(ctx, msg)
+		}
+	}
+}
+
+func (t *Task) handle(ctx context.Context, msg any) {
+	switch m := msg.(type) {
+	case route:
+		t.route(ctx, m)
+	case finished:
+		t.finished(m.endpoint)
+	case learn:
+		t.learnView(m.view)
+		t.learnState(m.view, m.state)
+	case stateAnswer:
+		t.answered(ctx, m)
+	case config.Snapshot:
+		t.conf = m
+		t.configure()
+	case membership.Snapshot:
+		t.members = m
+	case check:
+		m.reply <- t.check(m)
+	case retryRequest:
+		m.reply <- t.budget.Allow()
+	case usesRequest:
+		m.reply <- t.uses.Uses()
+	default:
+		panic(fmt.Sprintf("router: message %T is not known", msg))
+	}
+}
+
+// post sends a message unless the task has ended; it reports whether it was sent.
+func (t *Task) post(msg any) bool {
+	select {
+	case t.inbox <- msg:
+		return true
+	case <-t.stopped:
+		return false
+	}
+}
+
+// SetConfig replaces the configuration in force.
+func (t *Task) SetConfig(s config.Snapshot) { t.post(s) }
+
+// SetMembers replaces the view of the hosts.
+func (t *Task) SetMembers(s membership.Snapshot) { t.post(s) }
+
+// Learn passes on what an owner told.
+func (t *Task) Learn(view *meshpb.DatabaseView, state *meshpb.EndpointState) {
+	if view != nil || state != nil {
+		t.post(learn{view: view, state: state})
+	}
+}
+
+// Finished says that a routed request has ended.
+func (t *Task) Finished(e types.Endpoint) { t.post(finished{endpoint: e}) }
+
+// Route chooses where a request goes. The caller reports its end with Finished.
+func (t *Task) Route(ctx context.Context, q Query) Target {
+	m := route{query: q, reply: make(chan Target, 1)}
+	if !t.post(m) {
+		return Target{Outcome: types.Refused(types.ReasonLeaving, "host is stopping")}
+	}
+	select {
+	case target := <-m.reply:
+		return target
+	case <-ctx.Done():
+		return Target{Outcome: types.Refused(types.ReasonLate, "deadline passed")}
+	case <-t.stopped:
+		return Target{Outcome: types.Refused(types.ReasonLeaving, "host is stopping")}
+	}
+}
+
+// Check reports whether a database, and a rank unless it is empty, exist.
+func (t *Task) Check(ctx context.Context, db types.Database, rank types.Rank) error {
+	m := check{db: db, rank: rank, reply: make(chan error, 1)}
+	if !t.post(m) {
+		return fmt.Errorf("host %q is stopping", t.set.Host)
+	}
+	select {
+	case err := <-m.reply:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// AllowRetry asks the retry budget for one retry.
+func (t *Task) AllowRetry(ctx context.Context) bool {
+	m := retryRequest{reply: make(chan bool, 1)}
+	if !t.post(m) {
+		return false
+	}
+	select {
+	case ok := <-m.reply:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Uses returns who has used which service through this host.
+func (t *Task) Uses(ctx context.Context) []config.Use {
+	m := usesRequest{reply: make(chan []config.Use, 1)}
+	if !t.post(m) {
+		return nil
+	}
+	select {
+	case uses := <-m.reply:
+		return uses
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// UnknownDatabaseError says that no service has the database.
+type UnknownDatabaseError struct{ Database types.Database }
+
+// Error names the database.
+func (e *UnknownDatabaseError) Error() string {
+	return fmt.Sprintf("database %q does not exist", e.Database)
+}
+
+// UnknownRankError says that no rank has the name.
+type UnknownRankError struct{ Rank types.Rank }
+
+// Error names the rank.
+func (e *UnknownRankError) Error() string { return fmt.Sprintf("rank %q does not exist", e.Rank) }
+
+func (t *Task) check(m check) error {
+	if _, ok := t.databases[m.db]; !ok {
+		return &UnknownDatabaseError{Database: m.db}
+	}
+	if m.rank == "" {
+		return nil
+	}
+	for _, r := range t.ranks() {
+		if r.Name == m.rank {
+			return nil
+		}
+	}
+	return &UnknownRankError{Rank: m.rank}
+}
+
+// ranks returns the configured ranks, or the defaults where there are none.
+func (t *Task) ranks() []types.RankSpec {
+	if ranks := t.conf.Ranks(); len(ranks) > 0 {
+		return ranks
+	}
+	return admission.DefaultRanks()
+}
+
+// configure brings the set of databases up to date; what is known of those
+// that stay is kept.
+func (t *Task) configure() {
+	old := t.databases
+	t.databases = map[types.Database]*database{}
+	for _, s := range t.conf.Services() {
+		for _, spec := range s.Databases {
+			d := old[spec.ID]
+			if d == nil {
+				d = &database{endpoints: map[types.Endpoint]*endpointState{}}
+			}
+			delete(old, spec.ID)
+			d.service, d.spec = s, spec
+			t.databases[spec.ID] = d
+			for _, e := range spec.Endpoints {
+				if d.endpoints[e.ID] == nil {
+					d.endpoints[e.ID] = &endpointState{}
+				}
+			}
+		}
+	}
+	for id, d := range old {
+		for _, m := range d.parked {
+			m.reply <- Target{Outcome: types.Refused(types.ReasonBadRequest, fmt.Sprintf("database %q does not exist", id))}
+		}
+	}
+}
+
+// finished takes a request off its endpoint's count.
+func (t *Task) finished(id types.Endpoint) {
+	for _, d := range t.databases {
+		if e, ok := d.endpoints[id]; ok && e.outstanding > 0 {
+			e.outstanding--
+			return
+		}
+	}
+}
+
+// learnView takes a database's primary from an owner that knows a later term.
+func (t *Task) learnView(v *meshpb.DatabaseView) {
+	if v == nil {
+		return
+	}
+	d, ok := t.databases[types.Database(v.GetDatabase())]
+	if !ok {
+		return
+	}
+	term := types.Term(v.GetTerm())
+	if term > d.term || (term == d.term && d.primary == "") {
+		d.term = term
+		d.primary = types.Endpoint(v.GetPrimary())
+	}
+}
+
+// learnState takes an endpoint's state and admission levels.
+func (t *Task) learnState(v *meshpb.DatabaseView, s *meshpb.EndpointState) {
+	if s == nil || v == nil {
+		return
+	}
+	d, ok := t.databases[types.Database(v.GetDatabase())]
+	if !ok {
+		return
+	}
+	now := clock.Now()
+	id := types.Endpoint(s.GetEndpoint())
+	for _, l := range s.GetLevels() {
+		t.gate.Tell(now, id, admission.LevelNotice{
+			Rank: types.Rank(l.GetRank()), Feature: types.Feature(l.GetFeature()),
+			Job: types.Job(l.GetJob()), Level: admission.Level(min(l.GetAdmit(), uint32(admission.LevelFull))),
+		})
+	}
+	e, ok := d.endpoints[id]
+	if !ok || s.GetLast() == nil {
+		return
+	}
+	e.known = true
+	e.at = now
+	e.last = types.LogPoint{Term: types.Term(s.GetLast().GetTerm()), Position: types.Position(s.GetLast().GetPosition())}
+	e.age = time.Duration(s.GetAgeUs()) * time.Microsecond
+	e.ageKnown = s.GetAgeKnown()
+	e.reachable = s.GetReachable()
+}
--- a/wire/pgwire/outcome.go
+++ b/wire/pgwire/outcome.go
@@ -77,6 +77,11 @@
 	return appendMessage(buf, &pgproto3.ReadyForQuery{TxStatus: status})
 }
 
+// AppendCloseComplete appends a CloseComplete.
+func AppendCloseComplete(buf []byte) []byte {
+	return appendMessage(buf, &pgproto3.CloseComplete{})
+}
+
 // SetStatus replaces the transaction status of the ReadyForQuery at the end of
 // an answer.
 func SetStatus(answer []byte, status byte) []byte {
