--- /dev/null
+++ b/standin/database/log.go
@@ -0,0 +1,94 @@
+package database
+
+import (
+	"baobabfield.example/core/types"
+)
+
+// Value is one parameter of a logged statement; no field set means NULL.
+type Value struct {
+	Int   *int64   `json:"i,omitempty"`
+	Float *float64 `json:"f,omitempty"`
+	Text  *string  `json:"t,omitempty"`
+	Bytes []byte   `json:"b,omitempty"`
+}
+
+// Statement is one statement of a logged transaction.
+type Statement struct {
+	SQL    string  `json:"sql"`
+	Values []Value `json:"values,omitempty"`
+}
+
+// Entry is one committed transaction of the log.
+type Entry struct {
+	Point      types.LogPoint
+	Statements []Statement
+}
+
+// history is the log of one instance; positions count from 1 without gaps.
+type history struct {
+	entries []Entry
+	starts  []types.TermStart
+}
+
+// last returns the point of the last entry.
+func (h *history) last() types.LogPoint {
+	if len(h.entries) == 0 {
+		return types.LogPoint{}
+	}
+	return h.entries[len(h.entries)-1].Point
+}
+
+// begin records that the log of a term starts at the last position.
+func (h *history) begin(term types.Term) {
+	h.starts = append(h.starts, types.TermStart{Term: term, Position: h.last().Position})
+}
+
+// append adds an entry, which must follow the last one.
+func (h *history) append(e Entry) {
+	if n := len(h.starts); n == 0 || h.starts[n-1].Term < e.Point.Term {
+		h.begin(e.Point.Term)
+	}
+	h.entries = append(h.entries, e)
+}
+
+// after returns at most limit entries that follow position p.
+func (h *history) after(p types.Position, limit int) []Entry {
+	if p >= h.last().Position {
+		return nil
+	}
+	end := min(int(p)+limit, len(h.entries))
+	return h.entries[p:end:end]
+}
+
+// truncate drops the entries after position p.
+func (h *history) truncate(p types.Position) {
+	h.entries = h.entries[:p:p]
+	kept := h.starts[:0:0]
+	for _, s := range h.starts {
+		if s.Position < p {
+			kept = append(kept, s)
+		}
+	}
+	h.starts = kept
+}
+
+// common returns the last position up to which the log equals another log,
+// given by its last position and the starts of its terms.
+func (h *history) common(last types.Position, starts []types.TermStart) types.Position {
+	p := min(last, h.last().Position)
+	for p > 0 && termAt(starts, p) != termAt(h.starts, p) {
+		p--
+	}
+	return p
+}
+
+// termAt returns the term of the entry at position p.
+func termAt(starts []types.TermStart, p types.Position) types.Term {
+	var term types.Term
+	for _, s := range starts {
+		if s.Position < p {
+			term = s.Term
+		}
+	}
+	return term
+}
--- /dev/null
+++ b/standin/database/scheduler.go
@@ -0,0 +1,100 @@
+package database
+
+import (
+	"context"
+	"time"
+)
+
+// scheduler owns the slots in which statements run.
+type scheduler struct {
+	requests chan slotRequest
+	releases chan struct{}
+	changes  chan func(*scheduler)
+
+	free        int
+	serviceTime time.Duration
+	failing     bool
+	queue       []slotRequest
+}
+
+// slotGrant lets one statement run.
+type slotGrant struct {
+	serviceTime time.Duration
+	// failing asks the statement to fail at once.
+	failing bool
+}
+
+type slotRequest struct {
+	ctx   context.Context
+	grant chan slotGrant
+}
+
+func newScheduler(c Config) *scheduler {
+	return &scheduler{
+		requests: make(chan slotRequest), releases: make(chan struct{}), changes: make(chan func(*scheduler)),
+		free: c.Slots, serviceTime: c.ServiceTime,
+	}
+}
+
+func (s *scheduler) run(ctx context.Context) {
+	for {
+		select {
+		case r := <-s.requests:
+			s.queue = append(s.queue, r)
+		case <-s.releases:
+			s.free++
+		case change := <-s.changes:
+			change(s)
+		case <-ctx.Done():
+			return
+		}
+		s.serve()
+	}
+}
+
+func (s *scheduler) serve() {
+	for s.free > 0 && len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		if next.ctx.Err() != nil {
+			continue
+		}
+		s.free--
+		next.grant <- slotGrant{serviceTime: s.serviceTime, failing: s.failing}
+	}
+}
+
+// acquire waits for a slot. The caller must call release if the error is nil.
+func (s *scheduler) acquire(ctx context.Context) (slotGrant, error) {
+	r := slotRequest{ctx: ctx, grant: make(chan slotGrant)}
+	handed := make(chan slotGrant, 1)
+	r.grant = handed
+	select {
+	case s.requests <- r:
+	case <-ctx.Done():
+		return slotGrant{}, ctx.Err()
+	}
+	select {
+	case g := <-handed:
+		return g, nil
+	case <-ctx.Done():
+	}
+	s.giveBack(handed)
+	return slotGrant{}, ctx.Err()
+}
+
+// giveBack returns a slot that was granted after its statement was canceled.
+// The grant is sent before the scheduler takes its next message, so after one
+// more message it has either been sent or never will be.
+func (s *scheduler) giveBack(handed chan slotGrant) {
+	synced := make(chan struct{})
+	s.changes <- func(*scheduler) { close(synced) }
+	<-synced
+	select {
+	case <-handed:
+		s.release()
+	default:
+	}
+}
+
+func (s *scheduler) release() { s.releases <- struct{}{} }
--- /dev/null
+++ b/standin/database/sqltext.go
@@ -0,0 +1,192 @@
+package database
+
+import (
+	"regexp"
+	"strings"
+)
+
+// splitStatements cuts a query string at the semicolons outside quotes.
+func splitStatements(query string) []string {
+	var parts []string
+	start := 0
+	scanSQL(query, func(i int) {
+		if query[i] == ';' {
+			parts = append(parts, query[start:i])
+			start = i + 1
+		}
+	})
+	parts = append(parts, query[start:])
+	var statements []string
+	for _, p := range parts {
+		if p = strings.TrimSpace(p); p != "" {
+			statements = append(statements, p)
+		}
+	}
+	return statements
+}
+
+// scanSQL calls visit for each byte outside quotes and comments.
+func scanSQL(query string, visit func(i int)) {
+	for i := 0; i < len(query); i++ {
+		switch {
+		case query[i] == '\'' || query[i] == '"':
+			i = skipTo(query, i+1, query[i:i+1])
+		case strings.HasPrefix(query[i:], "--"):
+			i = skipTo(query, i, "\n")
+		case strings.HasPrefix(query[i:], "/*"):
+			i = skipTo(query, i+2, "*/") + 1
+		default:
+			visit(i)
+		}
+	}
+}
+
+func skipTo(query string, from int, end string) int {
+	at := strings.Index(query[from:], end)
+	if at < 0 {
+		return len(query)
+	}
+	return from + at
+}
+
+var (
+	placeholder = regexp.MustCompile(`^\$(\d+)`)
+	cast        = regexp.MustCompile(`^::\s*[A-Za-z_][A-Za-z0-9_]*`)
+	forUpdate   = regexp.MustCompile(`(?i)\s+FOR\s+(UPDATE|SHARE|NO\s+KEY\s+UPDATE)\s*$`)
+)
+
+// toSQLite rewrites the parts of PostgreSQL's syntax that SQLite lacks: $1
+// becomes ?1, casts and row locks are dropped. It returns the number of parameters.
+func toSQLite(query string) (string, int) {
+	query = forUpdate.ReplaceAllString(query, "")
+	var out strings.Builder
+	copied, parameters := 0, 0
+	scanSQL(query, func(i int) {
+		if i < copied {
+			return
+		}
+		if m := placeholder.FindStringSubmatch(query[i:]); m != nil {
+			out.WriteString(query[copied:i] + "?" + m[1])
+			copied = i + len(m[0])
+			parameters = max(parameters, atoi(m[1]))
+			return
+		}
+		if m := cast.FindString(query[i:]); m != "" {
+			out.WriteString(query[copied:i])
+			copied = i + len(m)
+		}
+	})
+	out.WriteString(query[copied:])
+	return out.String(), parameters
+}
+
+func atoi(digits string) int {
+	n := 0
+	for _, d := range digits {
+		n = min(n*10+int(d-'0'), 1<<16)
+	}
+	return n
+}
+
+// words returns the first n words of a statement in upper case.
+func words(query string, n int) []string {
+	var found []string
+	word := strings.Builder{}
+	flush := func() {
+		if word.Len() > 0 && len(found) < n {
+			found = append(found, strings.ToUpper(word.String()))
+		}
+		word.Reset()
+	}
+	last := -1
+	scanSQL(query, func(i int) {
+		c := query[i]
+		letter := c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if i != last+1 || !letter {
+			flush()
+		}
+		if letter {
+			word.WriteByte(c)
+		}
+		last = i
+	})
+	flush()
+	return found
+}
+
+// writes reports whether a statement changes rows or the schema.
+func writes(query string) bool {
+	all := words(query, len(query))
+	if len(all) == 0 {
+		return false
+	}
+	switch all[0] {
+	case "SELECT", "VALUES", "TABLE", "EXPLAIN":
+		return forUpdate.MatchString(query)
+	case "WITH":
+		return containsAny(all, "INSERT", "UPDATE", "DELETE")
+	}
+	return true
+}
+
+// returnsRows reports whether a statement answers with rows.
+func returnsRows(query string) bool {
+	return !writes(query) || forUpdate.MatchString(query) ||
+		containsAny(words(query, len(query)), "RETURNING")
+}
+
+func containsAny(list []string, wanted ...string) bool {
+	for _, have := range list {
+		for _, want := range wanted {
+			if have == want {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// commandTag returns the text of CommandComplete.
+func commandTag(query string, rows int64) string {
+	first := words(query, 2)
+	if len(first) == 0 {
+		return ""
+	}
+	switch first[0] {
+	case "INSERT":
+		return "INSERT 0 " + formatInt(rows)
+	case "UPDATE", "DELETE":
+		return first[0] + " " + formatInt(rows)
+	case "SELECT", "VALUES", "WITH", "TABLE":
+		return "SELECT " + formatInt(rows)
+	}
+	return strings.Join(first, " ")
+}
+
+var (
+	insertTarget = regexp.MustCompile(`(?is)^\s*(?:INSERT\s+(?:OR\s+\w+\s+)?INTO|UPDATE|DELETE\s+FROM)\s+("[^"]+"|[\w.]+).*\bRETURNING\s+(.+)$`)
+	setStatement = regexp.MustCompile(`(?is)^SET\s+(?:SESSION\s+|LOCAL\s+)?([\w.]+)\s*(?:=|\s+TO\s+)\s*(.*)$`)
+	sleepCall    = regexp.MustCompile(`(?is)^SELECT\s+pg_sleep\(\s*([\d.]+)\s*\)$`)
+	controlCall  = regexp.MustCompile(`(?is)^SELECT\s+\*\s+FROM\s+(baobab_\w+)\s*\((.*)\)$`)
+)
+
+// probe returns a query with the same columns as the statement's answer that
+// changes nothing, or "" if there is none.
+func probe(query string) string {
+	if m := insertTarget.FindStringSubmatch(query); m != nil {
+		return "SELECT " + m[2] + " FROM " + m[1] + " LIMIT 0"
+	}
+	if writes(query) && !forUpdate.MatchString(query) {
+		return ""
+	}
+	return query
+}
+
+// unquote strips a literal's quotes.
+func unquote(literal string) string {
+	literal = strings.TrimSpace(literal)
+	if len(literal) >= 2 && literal[0] == '\'' && literal[len(literal)-1] == '\'' {
+		return strings.ReplaceAll(literal[1:len(literal)-1], "''", "'")
+	}
+	return strings.Trim(literal, `"`)
+}
--- /dev/null
+++ b/standin/database/transaction.go
@@ -0,0 +1,236 @@
+package database
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"baobabfield.example/core/types"
+)
+
+// transaction is the state of a connection's transaction. Before its first
+// write a read-write transaction holds nothing: each statement reads the
+// newest state. A read-only transaction reads from one snapshot.
+type transaction struct {
+	// open is set between BEGIN and its end.
+	open     bool
+	readOnly bool
+	failed   bool
+	// active is set while SQLite has a transaction open.
+	active     bool
+	claim      *writerClaim
+	statements []Statement
+	savepoints []savepoint
+	// revoked is the error that the next statement answers with.
+	revoked error
+}
+
+// savepoint is a savepoint's name and the number of statements before it.
+type savepoint struct {
+	name   string
+	before int
+}
+
+func (t *transaction) status() byte {
+	switch {
+	case t.open && t.failed:
+		return 'E'
+	case t.open:
+		return 'T'
+	}
+	return 'I'
+}
+
+// revocation returns the channel on which the ledger takes back the right to write.
+func (t *transaction) revocation() chan error {
+	if t.claim == nil {
+		return nil
+	}
+	return t.claim.revoked
+}
+
+// revoke rolls back after the ledger took back the right to write.
+func (t *transaction) revoke(c *connection, err error) {
+	open := t.open
+	t.rollback(c)
+	t.open = open
+	t.failed = open
+	t.revoked = err
+	if term, set := c.expectedTerm(); set {
+		t.revoked = errWrongTerm(term, ask(c.instance.ledger, c.instance.ledger.beginTerm))
+	}
+}
+
+// rollback ends the transaction without effect.
+func (t *transaction) rollback(c *connection) {
+	if t.active {
+		_, _ = c.database.ExecContext(context.Background(), "ROLLBACK")
+	}
+	if claim := t.claim; claim != nil {
+		l := c.instance.ledger
+		ask(l, func() bool { l.releaseWriter(claim); return true })
+	}
+	*t = transaction{}
+}
+
+// fail marks the transaction as failed, or ends it if it is implicit.
+func (t *transaction) fail(c *connection) {
+	if t.open {
+		t.failed = true
+		return
+	}
+	t.rollback(c)
+}
+
+// expectedTerm returns the term that the client expects, if it has set one.
+func (c *connection) expectedTerm() (types.Term, bool) {
+	text := c.settings["baobab.expected_term"]
+	term, err := strconv.ParseUint(text, 10, 64)
+	return types.Term(term), text != "" && err == nil
+}
+
+// checkTerm refuses a transaction whose client expects another term.
+func (c *connection) checkTerm() error {
+	expected, set := c.expectedTerm()
+	if !set {
+		return nil
+	}
+	if actual := ask(c.instance.ledger, c.instance.ledger.beginTerm); actual != expected {
+		return errWrongTerm(expected, actual)
+	}
+	return nil
+}
+
+// prepareRead opens the snapshot of a read-only transaction.
+func (c *connection) prepareRead() error {
+	if c.tx.active || !c.tx.open || !c.tx.readOnly {
+		return nil
+	}
+	return c.beginSQLite("BEGIN")
+}
+
+func (c *connection) beginSQLite(statement string) error {
+	conn, err := c.conn()
+	if err != nil {
+		return err
+	}
+	if _, err := conn.ExecContext(c.ctx, statement); err != nil {
+		return err
+	}
+	c.tx.active = true
+	return nil
+}
+
+// prepareWrite waits for the right to write and opens SQLite's transaction.
+func (c *connection) prepareWrite(ctx context.Context) error {
+	if c.tx.readOnly || (!c.tx.open && c.readOnlyByDefault()) {
+		return &Error{State: stateReadOnly, Message: "cannot execute a writing statement in a read-only transaction"}
+	}
+	if c.tx.claim != nil {
+		return nil
+	}
+	claim := newWriterClaim()
+	l := c.instance.ledger
+	ask(l, func() bool { l.claimWriter(claim, false); return true })
+	select {
+	case err := <-claim.granted:
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		ask(l, func() bool { l.releaseWriter(claim); return true })
+		return context.Cause(ctx)
+	}
+	c.tx.claim = claim
+	return c.beginSQLite("BEGIN IMMEDIATE")
+}
+
+func (c *connection) readOnlyByDefault() bool {
+	value := strings.ToLower(c.settings["default_transaction_read_only"])
+	return value == "on" || value == "true" || value == "1"
+}
+
+// commit ends the transaction and reports its log point to the client.
+func (c *connection) commit() error {
+	tx := c.tx
+	if tx.revoked != nil {
+		c.tx.rollback(c)
+		return tx.revoked
+	}
+	if tx.claim == nil {
+		c.tx.rollback(c)
+		return nil
+	}
+	c.tx = transaction{}
+	term, _ := c.expectedTerm()
+	l := c.instance.ledger
+	request := commitRequest{claim: tx.claim, term: term, conn: c.database, statements: tx.statements}
+	result := ask(l, func() commitResult { return l.commit(request) })
+	if result.err != nil {
+		return result.err
+	}
+	if len(tx.statements) > 0 {
+		c.backend.Send(&pgproto3.ParameterStatus{Name: "baobab.position", Value: formatPoint(result.point)})
+	}
+	return nil
+}
+
+// finishImplicit commits a transaction that no BEGIN opened.
+func (c *connection) finishImplicit() error {
+	if c.tx.open {
+		return nil
+	}
+	return c.commit()
+}
+
+func (c *connection) savepoint(query string, name string) error {
+	first := words(query, 1)[0]
+	if !c.tx.open {
+		return &Error{State: "25P01", Message: first + " can only be used in transaction blocks"}
+	}
+	if first == "SAVEPOINT" {
+		return c.setSavepoint(name)
+	}
+	at := len(c.tx.savepoints) - 1
+	for at >= 0 && c.tx.savepoints[at].name != name {
+		at--
+	}
+	if at < 0 {
+		return &Error{State: "3B001", Message: "savepoint \"" + name + "\" does not exist"}
+	}
+	if first == "RELEASE" {
+		return c.releaseSavepoint(name, at)
+	}
+	return c.rollbackToSavepoint(name, at)
+}
+
+func (c *connection) setSavepoint(name string) error {
+	if c.tx.readOnly {
+		if err := c.prepareRead(); err != nil {
+			return err
+		}
+	} else if err := c.prepareWrite(c.ctx); err != nil {
+		return err
+	}
+	c.tx.savepoints = append(c.tx.savepoints, savepoint{name, len(c.tx.statements)})
+	return c.execSQLite("SAVEPOINT " + quoteIdentifier(name))
+}
+
+func (c *connection) releaseSavepoint(name string, at int) error {
+	c.tx.savepoints = c.tx.savepoints[:at]
+	return c.execSQLite("RELEASE " + quoteIdentifier(name))
+}
+
+func (c *connection) rollbackToSavepoint(name string, at int) error {
+	c.tx.statements = c.tx.statements[:c.tx.savepoints[at].before]
+	c.tx.savepoints = c.tx.savepoints[:at+1]
+	c.tx.failed = false
+	return c.execSQLite("ROLLBACK TO " + quoteIdentifier(name))
+}
+
+func (c *connection) execSQLite(statement string) error {
+	_, err := c.database.ExecContext(c.ctx, statement)
+	return err
+}
