--- a/core/failover/effect.go
+++ b/core/failover/effect.go
@@ -68,6 +68,15 @@
 	Outcome types.Outcome
 }
 
+// SpecStale reports a term of a later endpoint set than the machine's: a newer
+// description of the database exists.
+type SpecStale struct{ Set uint32 }
+
+// SetComplete reports that the endpoint set is in force and that the previous
+// endpoints are needed no more. Until they are removed from the description,
+// no further change of the set may be made.
+type SetComplete struct{ Set uint32 }
+
 // NoteKind classifies a Note.
 type NoteKind string
 
@@ -108,5 +117,7 @@
 func (HoldWrites) effect()   {}
 func (Reconnect) effect()    {}
 func (PlannedEnded) effect() {}
+func (SpecStale) effect()    {}
+func (SetComplete) effect()  {}
 func (Note) effect()         {}
 func (WakeAt) effect()       {}
