--- /dev/null
+++ b/core/membership/machine_test.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"baobabfield.example/core/types"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "40", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestHostsFindEachOther(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1)
+	n.startAll(21, 3)
+	n.run(10 * time.Second)
+	is.Equal(n.differences(everyone), 0)
+}
+
+func TestDeadHostIsFoundAndComesBack(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(2)
+	n.startAll(21, 3)
+	n.run(10 * time.Second)
+	n.hosts["10.0.0.7:7946"] = nil
+	n.run(8 * time.Second)
+	is.Equal(n.differences(inDataCentre("dc-01")), 0) // its own data centre knows
+	n.run(5 * time.Second)
+	is.Equal(n.differences(everyone), 0) // the others know
+	n.start(7, 3, "10.0.0.0:7946")
+	n.run(10 * time.Second)
+	is.Equal(n.differences(everyone), 0)
+}
+
+func TestLeavingHostOwnsNothing(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3)
+	n.startAll(21, 3)
+	n.run(10 * time.Second)
+	n.apply("10.0.0.4:7946", Leave{})
+	n.run(3 * time.Second)
+	is.Equal(n.differences(inDataCentre("dc-01")), 0)
+	about, _ := n.hosts["10.0.0.1:7946"].Snapshot().Member("host-0004")
+	is.Equal(about.State, Leaving) // known, but not an owner
+	n.hosts["10.0.0.4:7946"] = nil
+	n.run(12 * time.Second)
+	about, _ = n.hosts["10.0.0.1:7946"].Snapshot().Member("host-0004")
+	is.Equal(about.State, Dead)
+}
+
+func TestSuspectedHostRefutes(t *testing.T) {
+	is := is.New(t)
+	self := Member{Host: "a", DataCentre: "dc", GossipAddress: "a:1", Incarnation: 5}
+	m := New(Config{Self: self, Seed: 1})
+	accused := self
+	accused.State = Suspect
+	from := Member{Host: "b", DataCentre: "dc", GossipAddress: "b:1", Incarnation: 3}
+	m.Step(1, Message{From: from, Body: Ping{Seq: 1, Updates: []Member{accused}}})
+	about, _ := m.Snapshot().Member("a")
+	is.Equal(about.Incarnation, Incarnation(6))
+	is.Equal(about.State, Alive)
+}
+
+func TestDeadHostNeedsHigherIncarnation(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: Member{Host: "a", DataCentre: "dc", Incarnation: 1}, Seed: 1})
+	from := Member{Host: "b", DataCentre: "dc", GossipAddress: "b:1", Incarnation: 3}
+	tell := func(inc Incarnation, s State) State {
+		u := Member{Host: "c", DataCentre: "dc", Incarnation: inc, State: s}
+		m.Step(1, Message{From: from, Body: Ping{Updates: []Member{u}}})
+		about, _ := m.Snapshot().Member("c")
+		return about.State
+	}
+	is.Equal(tell(4, Dead), Dead)
+	is.Equal(tell(4, Alive), Dead)
+	is.Equal(tell(3, Alive), Dead)
+	m.Step(2, PlatformHosts{Hosts: []PlatformHost{{Host: "c", DataCentre: "dc"}}})
+	is.Equal(tell(0, Alive), Dead) // the platform's list changes nothing
+	is.Equal(tell(5, Alive), Alive)
+}
+
+func TestPlatformListOnlySeeds(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(4)
+	a := n.start(0, 1)
+	n.start(1, 1)
+	list := []PlatformHost{
+		{Host: "host-0001", DataCentre: "dc-00", GossipAddress: "10.0.0.1:7946"},
+		{Host: "host-gone", DataCentre: "dc-00", GossipAddress: "10.9.9.9:7946"},
+	}
+	n.apply(a, PlatformHosts{Hosts: list})
+	is.Equal(n.hosts[a].Snapshot().Live("dc-00"), []types.Host{"host-0000"})
+	n.run(10 * time.Second)
+	is.Equal(n.differences(everyone), 0)
+}
+
+func TestPausedProcessBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(5)
+	n.startAll(6, 1)
+	n.run(10 * time.Second)
+	m := n.hosts["10.0.0.3:7946"]
+	for _, eff := range m.Step(n.now.Add(time.Minute), Tick{}) {
+		note, ok := eff.(Note)
+		is.True(!ok || note.Kind != NoteDead)
+	}
+}
+
+// Partitions, losses, duplicates and restarts never make a host's view of another
+// revert, and all views agree some time after the faults end.
+func TestViewsConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"))
+		n.loss = rapid.IntRange(0, 15).Draw(t, "loss")
+		n.twice = rapid.IntRange(0, 10).Draw(t, "twice")
+		n.startAll(12, 3)
+		n.run(5 * time.Second)
+		for range rapid.IntRange(1, 4).Draw(t, "faults") {
+			fault(t, n)
+		}
+		n.cut, n.loss = nil, 0
+		n.run(60 * time.Second)
+		if wrong := n.differences(everyone); wrong != 0 {
+			t.Fatalf("%d wrong views after the faults", wrong)
+		}
+	})
+}
+
+// fault kills, restarts or cuts off something for a while.
+func fault(t *rapid.T, n *network) {
+	i := rapid.IntRange(0, 11).Draw(t, "host")
+	address := fmt.Sprintf("10.0.0.%d:7946", i)
+	switch rapid.SampledFrom([]string{"kill", "restart", "cut"}).Draw(t, "fault") {
+	case "kill":
+		n.hosts[address] = nil
+	case "restart":
+		n.start(i, 3, "10.0.0.1:7946", "10.0.0.5:7946", "10.0.0.9:7946")
+	case "cut":
+		dc := types.DataCentre(fmt.Sprintf("dc-%02d", i%3))
+		n.cut = func(a, b types.DataCentre) bool { return a != b && (a == dc || b == dc) }
+	}
+	n.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+}
--- /dev/null
+++ b/core/membership/sim_test.go
@@ -0,0 +1,161 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"baobabfield.example/core/membership/random"
+	"baobabfield.example/core/types"
+)
+
+// datagram is a message on its way.
+type datagram struct {
+	at  types.Time
+	seq int
+	to  string
+	msg Message
+}
+
+type datagrams []datagram
+
+func (q datagrams) Len() int      { return len(q) }
+func (q datagrams) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *datagrams) Push(x any)   { *q = append(*q, x.(datagram)) }
+func (q datagrams) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+
+func (q *datagrams) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// network drives machines in virtual time.
+type network struct {
+	now    types.Time
+	random random.Source
+	queue  datagrams
+	seq    int
+	hosts  map[string]*Machine
+	order  []string
+	// cut reports whether messages between two data centres are lost.
+	cut func(a, b types.DataCentre) bool
+	// loss and twice are the shares, in percent, of messages lost and duplicated.
+	loss, twice int
+	runs        Incarnation
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{now: types.Time(time.Second), random: random.New(seed), hosts: map[string]*Machine{}}
+}
+
+// start starts or restarts a host with the given seeds.
+func (n *network) start(i, dcs int, seeds ...string) string {
+	n.runs++
+	address := fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250)
+	self := Member{
+		Host:          types.Host(fmt.Sprintf("host-%04d", i)),
+		DataCentre:    types.DataCentre(fmt.Sprintf("dc-%02d", i%dcs)),
+		MeshAddress:   fmt.Sprintf("10.0.%d.%d:7947", i/250, i%250),
+		GossipAddress: address,
+		Incarnation:   1000 + n.runs,
+	}
+	if !slices.Contains(n.order, address) {
+		n.order = append(n.order, address)
+	}
+	n.hosts[address] = New(Config{Self: self, Seed: n.random.Uint64()})
+	n.apply(address, Join{Seeds: seeds})
+	return address
+}
+
+// startAll starts hosts 0 to count-1 with the first three as seeds.
+func (n *network) startAll(count, dcs int) {
+	for i := range count {
+		n.start(i, dcs, "10.0.0.0:7946", "10.0.0.1:7946", "10.0.0.2:7946")
+	}
+}
+
+func (n *network) apply(address string, ev Event) {
+	m := n.hosts[address]
+	for _, eff := range m.Step(n.now, ev) {
+		if s, ok := eff.(Send); ok {
+			n.send(m.self.DataCentre, s)
+		}
+	}
+}
+
+func (n *network) send(from types.DataCentre, s Send) {
+	to := n.hosts[s.Address]
+	lost := n.random.Below(100) < n.loss
+	if to == nil || lost || (n.cut != nil && n.cut(from, to.self.DataCentre)) {
+		return
+	}
+	copies := 1
+	if n.random.Below(100) < n.twice {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(200+n.random.Below(1500)) * time.Microsecond
+		n.seq++
+		heap.Push(&n.queue, datagram{at: n.now.Add(delay), seq: n.seq, to: s.Address, msg: s.Message})
+	}
+}
+
+// run advances the virtual time.
+func (n *network) run(d time.Duration) {
+	const tick = 10 * time.Millisecond
+	for end := n.now.Add(d); n.now.Before(end); {
+		n.now = n.now.Add(tick)
+		for len(n.queue) > 0 && !n.queue[0].at.After(n.now) {
+			next := heap.Pop(&n.queue).(datagram)
+			if n.hosts[next.to] != nil {
+				n.apply(next.to, next.msg)
+			}
+		}
+		for _, address := range n.order {
+			if m := n.hosts[address]; m != nil && !n.now.Before(m.Deadline()) {
+				n.apply(address, Tick{})
+			}
+		}
+	}
+}
+
+// differences counts the pairs of a running host and a host about which it is wrong,
+// among the observers that the filter accepts.
+func (n *network) differences(observes func(Member) bool) int {
+	wrong := 0
+	for _, address := range n.order {
+		m := n.hosts[address]
+		if m == nil || !observes(m.self) {
+			continue
+		}
+		live := map[types.Host]bool{}
+		for _, dc := range m.Snapshot().DataCentres() {
+			for _, h := range m.Snapshot().Live(dc) {
+				live[h] = true
+			}
+		}
+		for _, other := range n.order {
+			o := n.hosts[other]
+			if o == nil || o.self.State == Leaving {
+				continue
+			}
+			if !live[o.self.Host] {
+				wrong++
+			}
+			delete(live, o.self.Host)
+		}
+		wrong += len(live)
+	}
+	return wrong
+}
+
+func everyone(Member) bool { return true }
+
+func inDataCentre(dc types.DataCentre) func(Member) bool {
+	return func(m Member) bool { return m.DataCentre == dc }
+}
--- a/core/membership/snapshot.go
+++ b/core/membership/snapshot.go
@@ -1,20 +1,49 @@
 package membership
 
-import "baobabfield.example/core/types"
+import (
+	"slices"
+
+	"baobabfield.example/core/types"
+)
 
 // Snapshot is an immutable view of the hosts.
-type Snapshot struct{}
+type Snapshot struct {
+	groups  []types.DataCentre
+	records []record
+	live    [][]types.Host
+}
 
 // DataCentres returns the data centres with known hosts, in order.
-func (s Snapshot) DataCentres() []types.DataCentre { return nil }
+func (s Snapshot) DataCentres() []types.DataCentre {
+	return slices.Sorted(slices.Values(s.groups))
+}
 
 // Live returns the hosts of a data centre that may own endpoints, in order:
-// alive and suspect hosts, but not leaving or dead ones. Callers must not
-// change the result.
-func (s Snapshot) Live(_ types.DataCentre) []types.Host { return nil }
+// alive and suspect hosts, but not leaving or dead ones, nor hosts that only the
+// platform's list names. Callers must not change the result.
+func (s Snapshot) Live(dc types.DataCentre) []types.Host {
+	i := slices.Index(s.groups, dc)
+	if i < 0 {
+		return nil
+	}
+	return s.live[i]
+}
 
-// Member returns the description of a host.
-func (s Snapshot) Member(_ types.Host) (Member, bool) { return Member{}, false }
+// Member returns the description of a host. Its incarnation is 0 if only the
+// platform's list names it.
+func (s Snapshot) Member(h types.Host) (Member, bool) {
+	i, ok := findRecord(s.records, h)
+	if !ok {
+		return Member{}, false
+	}
+	return unpack(s.groups, s.records[i]), true
+}
 
 // Members returns the descriptions of all known hosts, in order of their names.
-func (s Snapshot) Members() []Member { return nil }
+func (s Snapshot) Members() []Member {
+	out := make([]Member, len(s.records))
+	for i, r := range s.records {
+		out[i] = unpack(s.groups, r)
+	}
+	return out
+}
--- /dev/null
+++ b/core/membership/table.go
@@ -0,0 +1,207 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"baobabfield.example/core/membership/random"
+	"baobabfield.example/core/types"
+)
+
+// record is the compact form of a Member.
+type record struct {
+	// text is the host followed by its mesh and gossip addresses.
+	text               string
+	incarnation        Incarnation
+	group              uint16
+	hostLen, gossipLen uint8
+	state              State
+}
+
+// maxNameBytes is the greatest length of a host's name and of its gossip address.
+const maxNameBytes = 255
+
+func (r record) host() string { return r.text[:r.hostLen] }
+
+// table holds the known members, ordered by host. Its records are copied before
+// a change if a snapshot shares them.
+type table struct {
+	groups  []types.DataCentre
+	records []record
+	shared  bool
+	// hashes holds the hash of the confirmed members of each group.
+	hashes []uint64
+	// live holds the hosts of each group that may own endpoints, nil where it
+	// must be computed again.
+	live [][]types.Host
+}
+
+// find returns the index of the host's record or the place for it.
+func (t *table) find(h types.Host) (int, bool) {
+	return findRecord(t.records, h)
+}
+
+func findRecord(records []record, h types.Host) (int, bool) {
+	return slices.BinarySearchFunc(records, string(h), func(r record, host string) int {
+		return strings.Compare(r.host(), host)
+	})
+}
+
+// group returns the index of a data centre and adds it if it is new.
+func (t *table) group(dc types.DataCentre) int {
+	i := slices.Index(t.groups, dc)
+	if i >= 0 {
+		return i
+	}
+	t.groups = append(t.groups, dc)
+	t.hashes = append(t.hashes, 0)
+	t.live = append(t.live, nil)
+	return len(t.groups) - 1
+}
+
+func (t *table) member(i int) Member { return unpack(t.groups, t.records[i]) }
+
+func unpack(groups []types.DataCentre, r record) Member {
+	gossip := len(r.text) - int(r.gossipLen)
+	return Member{
+		Host:          types.Host(r.host()),
+		DataCentre:    groups[r.group],
+		MeshAddress:   r.text[r.hostLen:gossip],
+		GossipAddress: r.text[gossip:],
+		Incarnation:   r.incarnation,
+		State:         r.state,
+	}
+}
+
+func (t *table) get(h types.Host) (Member, bool) {
+	i, ok := t.find(h)
+	if !ok {
+		return Member{}, false
+	}
+	return t.member(i), true
+}
+
+// put stores a member. It reports false if a name is too long to be stored.
+func (t *table) put(m Member) bool {
+	if len(m.Host) > maxNameBytes || len(m.GossipAddress) > maxNameBytes {
+		return false
+	}
+	group := t.group(m.DataCentre)
+	t.own()
+	i, found := t.find(m.Host)
+	if found {
+		t.forget(i)
+	} else {
+		t.records = slices.Insert(t.records, i, record{})
+	}
+	t.records[i] = record{
+		text:        string(m.Host) + m.MeshAddress + m.GossipAddress,
+		incarnation: m.Incarnation,
+		group:       uint16(group),
+		hostLen:     uint8(len(m.Host)),
+		gossipLen:   uint8(len(m.GossipAddress)),
+		state:       m.State,
+	}
+	t.hashes[group] ^= t.records[i].hash()
+	t.live[group] = nil
+	return true
+}
+
+// remove deletes a host's record.
+func (t *table) remove(h types.Host) {
+	i, found := t.find(h)
+	if !found {
+		return
+	}
+	t.own()
+	t.forget(i)
+	t.records = slices.Delete(t.records, i, i+1)
+}
+
+// forget takes record i out of the hash and the live hosts of its group.
+func (t *table) forget(i int) {
+	old := t.records[i]
+	t.hashes[old.group] ^= old.hash()
+	t.live[old.group] = nil
+}
+
+// own makes the records the table's own before a change.
+func (t *table) own() {
+	if !t.shared {
+		return
+	}
+	t.records = slices.Clone(t.records)
+	t.live = slices.Clone(t.live)
+	t.shared = false
+}
+
+// hash returns the record's part of its group's hash: 0 for records that digests
+// leave out. Suspicion does not count, since it passes or ends in death.
+func (r record) hash() uint64 {
+	if !r.confirmed() || r.state == Dead {
+		return 0
+	}
+	h := random.Hash(uint64(r.incarnation), r.host())
+	if r.state == Leaving {
+		return random.Mix(h)
+	}
+	return h
+}
+
+// confirmed reports whether the host has been heard of from a host, and not
+// from the platform's list alone.
+func (r record) confirmed() bool { return r.incarnation > 0 }
+
+// owns reports whether the host may own endpoints.
+func (r record) owns() bool {
+	return r.confirmed() && (r.state == Alive || r.state == Suspect)
+}
+
+// snapshot returns an immutable view of the table.
+func (t *table) snapshot() Snapshot {
+	t.computeLive()
+	t.shared = true
+	return Snapshot{groups: t.groups, records: t.records, live: t.live}
+}
+
+// computeLive fills in the missing lists of live hosts.
+func (t *table) computeLive() {
+	missing := make([]bool, len(t.groups))
+	any := false
+	for g := range t.groups {
+		missing[g] = t.live[g] == nil
+		any = any || missing[g]
+	}
+	if !any {
+		return
+	}
+	t.own()
+	for g := range missing {
+		if missing[g] {
+			t.live[g] = []types.Host{}
+		}
+	}
+	for _, r := range t.records {
+		if missing[r.group] && r.owns() {
+			t.live[r.group] = append(t.live[r.group], types.Host(r.host()))
+		}
+	}
+}
+
+// liveIn returns the hosts of a data centre that may own endpoints.
+func (t *table) liveIn(dc types.DataCentre) []types.Host {
+	t.computeLive()
+	return t.live[t.group(dc)]
+}
+
+// select returns the indexes of the records of a group that the filter accepts.
+func (t *table) selectIn(dc types.DataCentre, accept func(record) bool) []int {
+	g := uint16(t.group(dc))
+	var out []int
+	for i, r := range t.records {
+		if r.group == g && accept(r) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
