--- /dev/null
+++ b/node/host/coordinator.go
@@ -0,0 +1,185 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/failover"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/conf"
+	"baobabfield.example/node/mesh"
+	"baobabfield.example/node/watch"
+	"baobabfield.example/wire/meshpb"
+)
+
+const (
+	// firstFrameTimeout bounds the wait for the first frame of a stream.
+	firstFrameTimeout = 10 * time.Second
+	// peerTimeout bounds the sending of a message to another host.
+	peerTimeout = 2 * time.Second
+)
+
+// coordinator passes changes of membership and configuration to the tasks that
+// depend on them.
+type coordinator struct{ host *Host }
+
+func (c *coordinator) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c.host.memberChanges:
+			c.membersChanged(ctx, m.Snapshot)
+		case m := <-c.host.confChanges:
+			c.confChanged(m)
+		}
+	}
+}
+
+func (c *coordinator) membersChanged(ctx context.Context, s membership.Snapshot) {
+	h := c.host
+	addresses := map[types.Host]string{}
+	hosts := []types.Host{}
+	for _, m := range s.Members() {
+		if m.State != membership.Dead {
+			addresses[m.Host] = m.MeshAddress
+			hosts = append(hosts, m.Host)
+		}
+	}
+	h.mesh.SetAddresses(addresses)
+	h.callers.SetPeers(hosts)
+	h.router.SetMembers(s)
+	h.registry.SetMembers(s)
+	peers := config.Peers{}
+	for _, dc := range s.DataCentres() {
+		peers.Groups = append(peers.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
+	}
+	select {
+	case h.conf.Peers() <- peers:
+	case <-ctx.Done():
+	}
+}
+
+func (c *coordinator) confChanged(m config.Changed) {
+	c.host.router.SetConfig(m.Snapshot)
+	c.host.registry.SetConfig(m.Snapshot)
+}
+
+// dispatch serves the streams that other hosts open.
+func (h *Host) dispatch(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-h.mesh.Inbound():
+			go h.serveStream(ctx, s)
+		}
+	}
+}
+
+// serveStream handles a stream by its first frame.
+func (h *Host) serveStream(ctx context.Context, s *mesh.Stream) {
+	timer := time.NewTimer(firstFrameTimeout)
+	defer timer.Stop()
+	select {
+	case f, ok := <-s.Frames():
+		if ok {
+			h.serveFrame(ctx, s, f)
+			return
+		}
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	s.Close()
+}
+
+func (h *Host) serveFrame(ctx context.Context, s *mesh.Stream, f *meshpb.Frame) {
+	if open := f.GetOpen(); open != nil {
+		h.registry.Serve(s, open)
+		return
+	}
+	defer s.Close()
+	switch body := f.GetBody().(type) {
+	case *meshpb.Frame_StateRequest:
+		answer := h.registry.State(ctx, types.Database(body.StateRequest.GetDatabase()))
+		_ = s.Send(&meshpb.Frame{Body: &meshpb.Frame_StateAnswer{StateAnswer: answer}})
+	case *meshpb.Frame_Cancel:
+		h.callers.Cancel(body.Cancel.GetProcess(), body.Cancel.GetSecret())
+	case *meshpb.Frame_Suspicion:
+		h.suspicion(s.Peer, body.Suspicion)
+	case *meshpb.Frame_Payload:
+		h.payload(ctx, s.Peer, body.Payload)
+	}
+}
+
+// suspicion passes on another owner's opinion of a primary.
+func (h *Host) suspicion(from types.Host, m *meshpb.Suspicion) {
+	h.registry.PeerSuspicion(types.Database(m.GetDatabase()), failover.PeerSuspicion{
+		From: from,
+		Suspicion: failover.Suspicion{
+			Term: types.Term(m.GetTerm()), Primary: types.Endpoint(m.GetPrimary()), Suspected: m.GetSuspected(),
+		},
+	})
+}
+
+// payload passes a configuration message to its task.
+func (h *Host) payload(ctx context.Context, from types.Host, m *meshpb.Payload) {
+	select {
+	case h.conf.Payloads() <- conf.Payload{From: from, Data: m.GetBody()}:
+	case <-ctx.Done():
+	}
+}
+
+// failoverConfig returns the timing of failovers with the host's seed.
+func (h *Host) failoverConfig() failover.Config {
+	cfg := h.set.Failover
+	cfg.Seed = seed(h.set.Host)
+	return cfg
+}
+
+// watchOut connects the watches with the other tasks.
+func (h *Host) watchOut(ctx context.Context) watch.Out {
+	return watch.Out{
+		View: func(db types.Database, v failover.View) {
+			h.router.Learn(&meshpb.DatabaseView{Database: string(db), Term: uint64(v.Term), Primary: string(v.Primary)}, nil)
+		},
+		TellPeer: func(db types.Database, m failover.TellPeer) { go h.tellPeer(ctx, db, m) },
+		Record:   func(db types.Database, m failover.Record) { h.notes.record(db, m) },
+		Note:     func(db types.Database, n failover.Note) { h.notes.note(db, n) },
+		Planned:  func(db types.Database, m failover.PlannedEnded) { h.notes.planned(db, m) },
+	}
+}
+
+// tellPeer sends the host's opinion of a primary to another owner.
+func (h *Host) tellPeer(ctx context.Context, db types.Database, m failover.TellPeer) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	f := &meshpb.Frame{Body: &meshpb.Frame_Suspicion{Suspicion: &meshpb.Suspicion{
+		Database: string(db), Term: uint64(m.Suspicion.Term), Primary: string(m.Suspicion.Primary),
+		Suspected: m.Suspicion.Suspected, Host: string(h.set.Host),
+	}}}
+	_ = h.mesh.Send(ctx, m.Host, f)
+}
+
+// readHosts reads the platform's list of hosts now and then.
+func (h *Host) readHosts(ctx context.Context) {
+	if h.set.Hosts == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		hosts, err := h.set.Hosts.Hosts(ctx)
+		if err != nil {
+			h.log.Debug("platform's list of hosts is not available", zap.Error(err))
+		} else {
+			select {
+			case h.member.Input() <- membership.PlatformHosts{Hosts: hosts}:
+			case <-ctx.Done():
+			}
+		}
+		wait(ctx, hostsInterval)
+	}
+}
--- a/node/owner/state.go
+++ b/node/owner/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"baobabfield.example/core/failover"
 	"baobabfield.example/core/types"
@@ -93,3 +95,27 @@
 	}
 	return Status{}, false
 }
+
+// idlePoll is the time between two checks for running requests.
+const idlePoll = 50 * time.Millisecond
+
+// WaitIdle waits until no request runs at the owned endpoints. It fails if the
+// context ends before.
+func (r *Registry) WaitIdle(ctx context.Context) error {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		running := 0
+		for _, s := range r.Report(ctx).Endpoints {
+			running += s.SlotsInUse
+		}
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("host %q stopped with %d requests running", r.set.Host, running)
+		}
+	}
+}
