--- a/core/config/confirm.go
+++ b/core/config/confirm.go
@@ -1,20 +1,73 @@
 package config
 
+import (
+	"fmt"
+	"slices"
+)
+
+const (
+	// maxAttempts bounds the attempts at each request of a confirmation.
+	maxAttempts = 3
+	// maxOperations is the number of operations that an object remembers.
+	maxOperations = 16
+)
+
 // Write is a conditional update of one object.
 type Write struct {
 	Key Key
 	// IfVersion is the version that the object must have; 0 means that it must
 	// not exist.
 	IfVersion Version
-	// Body is the new content; nil deletes the object.
+	// Body is the new content; nil stores a tombstone, which keeps the operations.
 	Body Body
 	// Operations is the list to store with the object.
 	Operations []OperationID
 }
 
 // ConfirmWrites returns the conditional updates that carry out a plan, in order.
-// plan is the plan's stored object and current the objects that it rests on.
-func ConfirmWrites(_ Object, _ Snapshot) ([]Write, error) { return nil, nil }
+func ConfirmWrites(p Plan) []Write {
+	var writes []Write
+	for _, u := range p.Updates {
+		basis := p.basis(u.Key)
+		writes = append(writes, Write{
+			Key:        u.Key,
+			IfVersion:  basis.Version,
+			Body:       u.Body,
+			Operations: addOperation(basis.Operations, p.Operation),
+		})
+	}
+	return writes
+}
+
+// addOperation appends to the operations that an object remembers.
+func addOperation(operations []OperationID, op OperationID) []OperationID {
+	all := append(slices.Clone(operations), op)
+	return all[max(len(all)-maxOperations, 0):]
+}
+
+// ProposeWrite returns the write that stores a new plan.
+func ProposeWrite(p Plan) Write {
+	return Write{Key: p.Key(), Body: p, Operations: []OperationID{p.Operation}}
+}
+
+// WithdrawWrite returns the write that withdraws a stored plan, or an error if the
+// plan is no longer proposed.
+func WithdrawWrite(stored Object) (Write, error) {
+	p, ok := stored.Body.(Plan)
+	if !ok {
+		return Write{}, fmt.Errorf("object %q is not a plan", stored.Key)
+	}
+	if p.State != PlanProposed && p.State != PlanStale {
+		return Write{}, fmt.Errorf("plan %q is %s, not %s or %s", p.ID, p.State, PlanProposed, PlanStale)
+	}
+	return planWrite(stored, p, PlanWithdrawn), nil
+}
+
+// planWrite returns the write that moves a stored plan to a state.
+func planWrite(stored Object, p Plan, state PlanState) Write {
+	p.State = state
+	return Write{Key: stored.Key, IfVersion: stored.Version, Body: p, Operations: stored.Operations}
+}
 
 // PutResult is the platform's answer to a Write.
 type PutResult uint8
@@ -34,15 +87,29 @@
 
 // The states of a confirmation.
 const (
-	ConfirmRunning ConfirmState = iota
 	// ConfirmAccepted: the plan's changes are stored.
-	ConfirmAccepted
-	// ConfirmRefused: the plan is stale or withdrawn; nothing was changed.
+	ConfirmAccepted ConfirmState = iota + 1
+	// ConfirmRefused: the plan is stale or withdrawn. Nothing was changed, unless
+	// Written names objects.
 	ConfirmRefused
-	// ConfirmNotYetKnown: the platform did not answer; confirming again is safe.
+	// ConfirmNotYetKnown: the platform did not answer; confirming again is safe and
+	// tells the result.
 	ConfirmNotYetKnown
 )
 
+// String returns the state's name.
+func (s ConfirmState) String() string {
+	switch s {
+	case ConfirmAccepted:
+		return "accepted"
+	case ConfirmRefused:
+		return "refused"
+	case ConfirmNotYetKnown:
+		return "not yet known"
+	}
+	return "invalid"
+}
+
 // ConfirmEvent is an input of a Confirmation: PutAnswered, ReadAnswered or ReadFailed.
 type ConfirmEvent interface{ isConfirmEvent() }
 
@@ -52,7 +119,8 @@
 	Version Version
 }
 
-// ReadAnswered is the answer to a ReadObject; Version is 0 if there is no object.
+// ReadAnswered is the answer to a ReadObject; the object's version is 0 if there is
+// no such object.
 type ReadAnswered struct{ Object Object }
 
 // ReadFailed reports that a ReadObject got no answer.
@@ -76,7 +144,7 @@
 	State ConfirmState
 	// Moved names the object that made the plan stale.
 	Moved Key
-	// Text says why the plan was refused or how to find out.
+	// Text says why the plan was refused or what is not known.
 	Text string
 	// Written are the objects stored, for distribution.
 	Written []Object
@@ -86,14 +154,235 @@
 func (ReadObject) isConfirmEffect() {}
 func (Confirmed) isConfirmEffect()  {}
 
-// Confirmation carries out a plan. It performs one request at a time.
-type Confirmation struct{}
+// Confirmation carries out a plan by one request at a time: it reads the plan,
+// checks what the plan only rests on, marks the plan as confirmed, and stores its
+// updates. A request without an answer is resolved by reading back. Every step can
+// be repeated, also by another host.
+type Confirmation struct {
+	key    Key
+	stored Object
+	plan   Plan
+	// checks are the objects that the plan rests on without changing them.
+	checks   []Basis
+	writes   []Write
+	stage    stage
+	attempts int
+	// rereads counts how often the plan was read again.
+	rereads int
+	// decided is set once an update was found to be impossible, so that no other
+	// confirmation of the plan can succeed.
+	decided bool
+	// refusal is returned once the plan has been marked as stale.
+	refusal Confirmed
+	written []Object
+}
+
+// stage is the request that a confirmation waits for.
+type stage uint8
+
+const (
+	stageReadPlan stage = iota
+	stageCheck
+	stageMarkPlan
+	stagePut
+	stageReadBack
+	stageMarkStale
+)
 
 // NewConfirmation returns the confirmation of the plan with the given id.
-func NewConfirmation(_ string) *Confirmation { return &Confirmation{} }
+func NewConfirmation(planID string) *Confirmation {
+	return &Confirmation{key: Key{Kind: KindPlan, Name: planID}}
+}
 
 // Start returns the first request.
-func (c *Confirmation) Start() ConfirmEffect { return nil }
+func (c *Confirmation) Start() ConfirmEffect { return ReadObject{Key: c.key} }
+
+// Step applies the answer to the last request and returns the next one or the end.
+func (c *Confirmation) Step(ev ConfirmEvent) ConfirmEffect {
+	switch ev := ev.(type) {
+	case ReadAnswered:
+		return c.readAnswered(ev.Object)
+	case ReadFailed:
+		return c.again(ReadObject{Key: c.current()})
+	case PutAnswered:
+		return c.putAnswered(ev)
+	}
+	return nil
+}
+
+// current returns the key of the object of the current stage.
+func (c *Confirmation) current() Key {
+	switch c.stage {
+	case stageCheck:
+		return c.checks[0].Key
+	case stagePut, stageReadBack:
+		return c.writes[0].Key
+	case stageReadPlan, stageMarkPlan, stageMarkStale:
+	}
+	return c.key
+}
+
+func (c *Confirmation) readAnswered(o Object) ConfirmEffect {
+	switch c.stage {
+	case stageReadPlan:
+		return c.planRead(o)
+	case stageCheck:
+		return c.checked(o)
+	case stageReadBack:
+		return c.readBack(o)
+	case stageMarkPlan, stagePut, stageMarkStale:
+	}
+	return nil
+}
 
-// Step applies an answer and returns the next request or the end.
-func (c *Confirmation) Step(_ ConfirmEvent) ConfirmEffect { return nil }
+// planRead decides from the state of the stored plan.
+func (c *Confirmation) planRead(o Object) ConfirmEffect {
+	p, ok := o.Body.(Plan)
+	if !ok {
+		return Confirmed{State: ConfirmRefused, Text: fmt.Sprintf("plan %q does not exist", c.key.Name)}
+	}
+	c.stored = o
+	c.plan = p
+	c.writes = ConfirmWrites(p)
+	switch p.State {
+	case PlanProposed:
+		c.checks = slices.DeleteFunc(slices.Clone(p.Rests), func(b Basis) bool { return p.updates(b.Key) })
+		return c.nextCheck()
+	case PlanConfirmed:
+		return c.nextWrite()
+	case PlanStale:
+		return Confirmed{State: ConfirmRefused, Text: fmt.Sprintf("plan %q is stale: %s has changed", p.ID, p.Moved)}
+	case PlanWithdrawn:
+	}
+	return Confirmed{State: ConfirmRefused, Text: fmt.Sprintf("plan %q is %s", p.ID, p.State)}
+}
+
+// nextCheck reads the next object that the plan only rests on, then marks the plan.
+func (c *Confirmation) nextCheck() ConfirmEffect {
+	if len(c.checks) > 0 {
+		c.enter(stageCheck)
+		return ReadObject{Key: c.checks[0].Key}
+	}
+	c.enter(stageMarkPlan)
+	return PutObject{Write: planWrite(c.stored, c.plan, PlanConfirmed)}
+}
+
+func (c *Confirmation) checked(o Object) ConfirmEffect {
+	if o.Version != c.checks[0].Version {
+		return c.stale(c.checks[0].Key)
+	}
+	c.checks = c.checks[1:]
+	return c.nextCheck()
+}
+
+func (c *Confirmation) enter(s stage) {
+	c.stage = s
+	c.attempts = 0
+}
+
+func (c *Confirmation) putAnswered(ev PutAnswered) ConfirmEffect {
+	switch {
+	case c.stage == stageMarkStale && (ev.Result == PutApplied || c.decided):
+		return c.refusal
+	case c.stage == stageMarkPlan && ev.Result == PutApplied:
+		c.stored.Version = ev.Version
+		return c.nextWrite()
+	case c.stage == stageMarkPlan || c.stage == stageMarkStale:
+		return c.readPlanAgain()
+	case ev.Result == PutApplied:
+		return c.wrote(ev.Version)
+	}
+	c.stage = stageReadBack
+	return ReadObject{Key: c.writes[0].Key}
+}
+
+// readPlanAgain reads the plan after its mark was not acknowledged: its state tells
+// whether the mark was made or what came between.
+func (c *Confirmation) readPlanAgain() ConfirmEffect {
+	c.stage = stageReadPlan
+	c.rereads++
+	if c.rereads >= maxAttempts {
+		return c.unknown(fmt.Sprintf("the platform did not answer about %s", c.key))
+	}
+	return ReadObject{Key: c.key}
+}
+
+// nextWrite stores the next update, or ends the confirmation.
+func (c *Confirmation) nextWrite() ConfirmEffect {
+	if len(c.writes) == 0 {
+		return Confirmed{State: ConfirmAccepted, Written: c.written}
+	}
+	c.enter(stagePut)
+	return PutObject{Write: c.writes[0]}
+}
+
+// wrote notes that the current update is stored.
+func (c *Confirmation) wrote(v Version) ConfirmEffect {
+	w := c.writes[0]
+	c.written = append(c.written, Object{Key: w.Key, Version: v, Body: w.Body, Operations: w.Operations})
+	c.writes = c.writes[1:]
+	return c.nextWrite()
+}
+
+// readBack decides whether the current update took effect.
+func (c *Confirmation) readBack(o Object) ConfirmEffect {
+	w := c.writes[0]
+	switch {
+	case slices.Contains(o.Operations, c.plan.Operation):
+		return c.tookEffect(o)
+	case o.Version == w.IfVersion:
+		c.stage = stagePut
+		return c.again(PutObject{Write: w})
+	case len(o.Operations) == maxOperations && !remembersBasis(o, c.plan.basis(w.Key)):
+		return c.unknown(fmt.Sprintf("%s has changed too often to tell whether plan %q changed it", w.Key, c.plan.ID))
+	}
+	c.decided = true
+	return c.stale(w.Key)
+}
+
+// remembersBasis reports whether the object's operations reach back to the version
+// that the plan rests on, so that they would name the plan's own.
+func remembersBasis(o Object, b Basis) bool {
+	if len(b.Operations) == 0 {
+		return false
+	}
+	return slices.Contains(o.Operations, b.Operations[len(b.Operations)-1])
+}
+
+// tookEffect goes on after an update that was found stored.
+func (c *Confirmation) tookEffect(o Object) ConfirmEffect {
+	c.written = append(c.written, o)
+	c.writes = c.writes[1:]
+	return c.nextWrite()
+}
+
+// again repeats a request a few times.
+func (c *Confirmation) again(request ConfirmEffect) ConfirmEffect {
+	c.attempts++
+	if c.attempts < maxAttempts {
+		return request
+	}
+	return c.unknown(fmt.Sprintf("the platform did not answer about %s", c.current()))
+}
+
+func (c *Confirmation) unknown(why string) ConfirmEffect {
+	return Confirmed{
+		State:   ConfirmNotYetKnown,
+		Text:    why + "; confirm again to find out",
+		Written: c.written,
+	}
+}
+
+// stale refuses the plan and marks it as stale.
+func (c *Confirmation) stale(moved Key) ConfirmEffect {
+	c.refusal = Confirmed{
+		State:   ConfirmRefused,
+		Moved:   moved,
+		Text:    fmt.Sprintf("plan %q is stale: %s has changed", c.plan.ID, moved),
+		Written: c.written,
+	}
+	p := c.plan
+	p.Moved = moved.String()
+	c.enter(stageMarkStale)
+	return PutObject{Write: planWrite(c.stored, p, PlanStale)}
+}
--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -1,12 +1,18 @@
 package config
 
-import "baobabfield.example/core/types"
+import (
+	"fmt"
+
+	"baobabfield.example/core/types"
+)
 
 // Intent is what an operator wants: PutService, RemoveService, PutRank,
-// RemoveRank, Retire or CancelRetirement.
+// RemoveRank, Retire, CancelRetirement or CompleteSet.
 type Intent interface{ isIntent() }
 
-// PutService creates or replaces a service.
+// PutService creates or replaces a service. The endpoint set numbers and the
+// leaving marks in the specification are ignored: the plan derives them from the
+// current service.
 type PutService struct{ Spec types.ServiceSpec }
 
 // RemoveService removes a service.
@@ -24,12 +30,20 @@
 // CancelRetirement removes a retirement, so that its target is served again.
 type CancelRetirement struct{ Name string }
 
+// CompleteSet ends the change of a database's endpoint set, once the new set is
+// in force.
+type CompleteSet struct {
+	Service  types.Service
+	Database types.Database
+}
+
 func (PutService) isIntent()       {}
 func (RemoveService) isIntent()    {}
 func (PutRank) isIntent()          {}
 func (RemoveRank) isIntent()       {}
 func (Retire) isIntent()           {}
 func (CancelRetirement) isIntent() {}
+func (CompleteSet) isIntent()      {}
 
 // PlanState is the progress of a plan.
 type PlanState string
@@ -44,7 +58,7 @@
 )
 
 // Basis is the version of an object that a plan rests on; version 0 means that
-// the object does not exist.
+// the object has never existed.
 type Basis struct {
 	Key     Key
 	Version Version
@@ -52,6 +66,12 @@
 	Operations []OperationID
 }
 
+// Update is the new content of an object; a nil body deletes it.
+type Update struct {
+	Key  Key
+	Body Body
+}
+
 // WarningKind says what is unsafe about a plan.
 type WarningKind string
 
@@ -63,9 +83,9 @@
 	WarnNoMajority WarningKind = "no majority left"
 	// WarnNoEndpoint: the database keeps no endpoint.
 	WarnNoEndpoint WarningKind = "no endpoint left"
-	// WarnRankWithoutTakers: nothing has used the rank.
+	// WarnRankWithoutTakers: nothing uses the rank.
 	WarnRankWithoutTakers WarningKind = "rank without takers"
-	// WarnJobFiring: the job is still called regularly.
+	// WarnJobFiring: the job is still called.
 	WarnJobFiring WarningKind = "job still firing"
 	// WarnInUse: callers still use what the plan stops.
 	WarnInUse WarningKind = "still in use"
@@ -85,6 +105,9 @@
 	Intent Intent
 	// Rests are the versions that the plan was made from.
 	Rests []Basis
+	// Updates are the changes, in the order in which they are stored. The first one
+	// decides between rival plans.
+	Updates []Update
 	// Changes and Stops say in words what changes and what stops.
 	Changes, Stops []string
 	// Uses is the live use of what stops.
@@ -100,9 +123,41 @@
 // Key returns the plan's key.
 func (p Plan) Key() Key { return Key{Kind: KindPlan, Name: p.ID} }
 
+// MovedSince returns the first object that the plan rests on and that has another
+// version in the snapshot.
+func (p Plan) MovedSince(s Snapshot) (Key, bool) {
+	for _, b := range p.Rests {
+		o, _ := s.stored(b.Key)
+		if o.Version != b.Version {
+			return b.Key, true
+		}
+	}
+	return Key{}, false
+}
+
+// basis returns the version of an object that the plan rests on.
+func (p Plan) basis(k Key) Basis {
+	for _, b := range p.Rests {
+		if b.Key == k {
+			return b
+		}
+	}
+	return Basis{Key: k}
+}
+
+// updates reports whether the plan changes the object.
+func (p Plan) updates(k Key) bool {
+	for _, u := range p.Updates {
+		if u.Key == k {
+			return true
+		}
+	}
+	return false
+}
+
 // PlanRequest is what BuildPlan makes a plan from.
 type PlanRequest struct {
-	// ID names the plan; its operation id is derived from it.
+	// ID names the plan and must be unique; its operation id is derived from it.
 	ID       string
 	Author   string
 	Intent   Intent
@@ -113,4 +168,75 @@
 
 // BuildPlan validates the intent and returns its plan, or an error that names
 // the value and the allowed range.
-func BuildPlan(_ PlanRequest) (Plan, error) { return Plan{}, nil }
+func BuildPlan(req PlanRequest) (Plan, error) {
+	if err := checkName("plan", req.ID); err != nil {
+		return Plan{}, err
+	}
+	b := builder{
+		snapshot: req.Snapshot,
+		uses:     req.Uses,
+		plan: Plan{
+			ID:        req.ID,
+			Author:    req.Author,
+			Intent:    req.Intent,
+			Operation: OperationID("plan/" + req.ID),
+			State:     PlanProposed,
+		},
+	}
+	if err := b.build(req.Intent); err != nil {
+		return Plan{}, err
+	}
+	return b.plan, nil
+}
+
+// builder assembles a plan.
+type builder struct {
+	snapshot Snapshot
+	uses     []Use
+	plan     Plan
+}
+
+func (b *builder) build(intent Intent) error {
+	switch intent := intent.(type) {
+	case PutService:
+		return b.putService(intent.Spec)
+	case RemoveService:
+		return b.removeService(intent.Name)
+	case PutRank:
+		return b.putRank(intent.Spec)
+	case RemoveRank:
+		return b.removeRank(intent.Name)
+	case Retire:
+		return b.retire(intent.Retirement)
+	case CancelRetirement:
+		return b.cancelRetirement(intent.Name)
+	case CompleteSet:
+		return b.completeSet(intent)
+	}
+	return fmt.Errorf("intent %T is not known", intent)
+}
+
+// restOn adds an object to those that the plan rests on.
+func (b *builder) restOn(k Key) {
+	o, _ := b.snapshot.stored(k)
+	b.plan.Rests = append(b.plan.Rests, Basis{Key: k, Version: o.Version, Operations: o.Operations})
+}
+
+// update changes an object, which the plan then rests on.
+func (b *builder) update(k Key, body Body) {
+	b.restOn(k)
+	b.plan.Updates = append(b.plan.Updates, Update{Key: k, Body: body})
+}
+
+func (b *builder) changes(format string, args ...any) {
+	b.plan.Changes = append(b.plan.Changes, fmt.Sprintf(format, args...))
+}
+
+func (b *builder) stops(format string, args ...any) {
+	b.plan.Stops = append(b.plan.Stops, fmt.Sprintf(format, args...))
+}
+
+func (b *builder) warn(kind WarningKind, object, format string, args ...any) {
+	w := Warning{Kind: kind, Object: object, Text: fmt.Sprintf(format, args...)}
+	b.plan.Warnings = append(b.plan.Warnings, w)
+}
--- a/core/config/retirement.go
+++ b/core/config/retirement.go
@@ -64,3 +64,16 @@
 	}
 	return false
 }
+
+// order numbers the phases; it is negative for an unknown phase.
+func (p Phase) order() int {
+	switch p {
+	case PhaseAnnounced:
+		return 0
+	case PhaseDraining:
+		return 1
+	case PhaseRetired:
+		return 2
+	}
+	return -1
+}
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -1,74 +1,166 @@
 package config
 
-import "baobabfield.example/core/types"
-
-// Store holds the newest known version of each object.
-type Store struct{}
+import (
+	"cmp"
+	"slices"
+
+	"baobabfield.example/core/membership/random"
+)
+
+const (
+	// maxTombstones bounds the deletions remembered. Beyond it the oldest are
+	// forgotten, and an object that some host has kept since then could return.
+	maxTombstones = 20000
+	// bucketCount is the number of buckets in the comparison of configurations.
+	bucketCount = 64
+)
+
+// Store holds the newest known version of each object, tombstones included.
+type Store struct {
+	// objects are in order of their keys. They are copied before a change if a
+	// snapshot shares them.
+	objects    []Object
+	shared     bool
+	tombstones int
+	hash       uint64
+	complete   bool
+	// view is the snapshot of the objects, nil if it must be made again.
+	view *view
+}
 
 // NewStore returns an empty store.
 func NewStore() *Store { return &Store{} }
 
-// Apply takes the object if its version is higher than the known one, and
-// reports whether it did.
-func (s *Store) Apply(_ Object) bool { return false }
-
-// Snapshot returns an immutable view of the store.
-func (s *Store) Snapshot() Snapshot { return Snapshot{} }
-
-// Digest returns a hash of the keys and versions of all objects.
-func (s *Store) Digest() uint64 { return 0 }
-
-// Snapshot is an immutable view of the configuration. Callers must not change
-// what its methods return.
-type Snapshot struct{}
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
 
-// Digest returns a hash of the keys and versions of all objects, equal on hosts
-// with the same configuration.
-func (s Snapshot) Digest() uint64 { return 0 }
+func findObject(objects []Object, k Key) (int, bool) {
+	return slices.BinarySearchFunc(objects, k, func(o Object, k Key) int { return compareKeys(o.Key, k) })
+}
 
-// Version returns the highest version of any object.
-func (s Snapshot) Version() Version { return 0 }
+// Apply takes the object if its version is higher than the known one, and
+// reports whether it did. It refuses plans, which hosts do not hold.
+func (s *Store) Apply(o Object) bool {
+	if o.Version == 0 || o.Key.Kind == KindPlan {
+		return false
+	}
+	i, found := findObject(s.objects, o.Key)
+	if found && o.Version <= s.objects[i].Version {
+		return false
+	}
+	s.own()
+	if found {
+		s.forget(s.objects[i])
+		s.objects[i] = o
+	} else {
+		s.objects = slices.Insert(s.objects, i, o)
+	}
+	s.remember(o)
+	s.trimTombstones()
+	return true
+}
 
-// Complete reports whether the configuration was received as a whole.
-func (s Snapshot) Complete() bool { return false }
+func (s *Store) remember(o Object) {
+	s.hash ^= versionHash(o.Key, o.Version)
+	if o.Deleted() {
+		s.tombstones++
+	}
+}
 
-// Object returns the object with the key; tombstones are not found.
-func (s Snapshot) Object(_ Key) (Object, bool) { return Object{}, false }
+func (s *Store) forget(o Object) {
+	s.hash ^= versionHash(o.Key, o.Version)
+	if o.Deleted() {
+		s.tombstones--
+	}
+}
 
-// Objects returns all objects but tombstones, in order of their keys.
-func (s Snapshot) Objects() []Object { return nil }
+// own makes the objects the store's own before a change.
+func (s *Store) own() {
+	s.view = nil
+	if s.shared {
+		s.objects = slices.Clone(s.objects)
+		s.shared = false
+	}
+}
 
-// Service returns a service; endpoints that a retirement drains are marked as leaving.
-func (s Snapshot) Service(_ types.Service) (types.ServiceSpec, bool) {
-	return types.ServiceSpec{}, false
+// trimTombstones forgets the oldest tombstone if there are too many.
+func (s *Store) trimTombstones() {
+	if s.tombstones <= maxTombstones {
+		return
+	}
+	oldest := -1
+	for i, o := range s.objects {
+		if o.Deleted() && (oldest < 0 || o.Version < s.objects[oldest].Version) {
+			oldest = i
+		}
+	}
+	s.forget(s.objects[oldest])
+	s.objects = slices.Delete(s.objects, oldest, oldest+1)
 }
 
-// Services returns all services in order of their names.
-func (s Snapshot) Services() []types.ServiceSpec { return nil }
+// ApplyWhole takes a whole list of the platform's objects that is current up to a
+// revision, and returns the objects that changed. Objects up to that revision that
+// the list lacks have been deleted.
+func (s *Store) ApplyWhole(list []Object, revision Version) []Object {
+	var changed []Object
+	listed := map[Key]bool{}
+	for _, o := range list {
+		listed[o.Key] = true
+		if s.Apply(o) {
+			changed = append(changed, o)
+		}
+	}
+	for _, o := range slices.Clone(s.objects) {
+		if listed[o.Key] || o.Deleted() || o.Version >= revision {
+			continue
+		}
+		tombstone := Object{Key: o.Key, Version: revision}
+		if s.Apply(tombstone) {
+			changed = append(changed, tombstone)
+		}
+	}
+	return changed
+}
 
-// Rank returns a rank.
-func (s Snapshot) Rank(_ types.Rank) (types.RankSpec, bool) { return types.RankSpec{}, false }
+// Digest returns a hash of the keys and versions of all objects.
+func (s *Store) Digest() uint64 { return s.hash }
 
-// Ranks returns all ranks, the most urgent first.
-func (s Snapshot) Ranks() []types.RankSpec { return nil }
+// versionHash hashes a key and a version.
+func versionHash(k Key, v Version) uint64 {
+	return random.Hash(uint64(v)<<8|uint64(k.Kind), k.Name)
+}
 
-// Retirements returns all retirements in order of their names.
-func (s Snapshot) Retirements() []Retirement { return nil }
+// bucketOf returns the bucket of a key.
+func bucketOf(k Key) int {
+	return int(random.Hash(uint64(k.Kind), k.Name) % bucketCount)
+}
 
-// Refusal returns the retirement that forbids new transactions of the feature or
-// the job at the service, if any.
-func (s Snapshot) Refusal(_ types.Service, _ types.Feature, _ types.Job) (Retirement, bool) {
-	return Retirement{}, false
+// bucketHashes returns the hash of each bucket.
+func (s *Store) bucketHashes() []uint64 {
+	hashes := make([]uint64, bucketCount)
+	for _, o := range s.objects {
+		hashes[bucketOf(o.Key)] ^= versionHash(o.Key, o.Version)
+	}
+	return hashes
 }
 
-// Announced returns the retirement that has announced the end of the feature or the
-// job at the service without forbidding it yet, if any.
-func (s Snapshot) Announced(_ types.Service, _ types.Feature, _ types.Job) (Retirement, bool) {
-	return Retirement{}, false
+// inBuckets returns the objects of some buckets.
+func (s *Store) inBuckets(buckets []int) []Object {
+	var out []Object
+	for _, o := range s.objects {
+		if slices.Contains(buckets, bucketOf(o.Key)) {
+			out = append(out, o)
+		}
+	}
+	return out
 }
 
-// EndpointLeaving reports whether the endpoint accepts no new work, and the
-// retirement that says so, if any.
-func (s Snapshot) EndpointLeaving(_ types.Service, _ types.Endpoint) (Retirement, bool) {
-	return Retirement{}, false
+// get returns an object or a tombstone.
+func (s *Store) get(k Key) (Object, bool) {
+	i, found := findObject(s.objects, k)
+	if !found {
+		return Object{}, false
+	}
+	return s.objects[i], true
 }
--- a/core/config/use.go
+++ b/core/config/use.go
@@ -1,6 +1,12 @@
 package config
 
-import "baobabfield.example/core/types"
+import (
+	"cmp"
+	"container/list"
+	"slices"
+
+	"baobabfield.example/core/types"
+)
 
 // UseKey identifies one kind of use by one caller.
 type UseKey struct {
@@ -27,14 +33,83 @@
 
 // UseTracker records who uses which feature, job and endpoint. It holds a bounded
 // number of entries; the least recently seen one makes room for a new one.
-type UseTracker struct{}
+type UseTracker struct {
+	host  types.Host
+	limit int
+	// recent lists the entries, the most recently seen one first.
+	recent *list.List
+	byKey  map[UseKey]*list.Element
+}
 
 // NewUseTracker returns a tracker for a host that holds up to limit entries.
-func NewUseTracker(_ types.Host, _ int) *UseTracker { return &UseTracker{} }
+func NewUseTracker(host types.Host, limit int) *UseTracker {
+	return &UseTracker{
+		host:   host,
+		limit:  max(limit, 1),
+		recent: list.New(),
+		byKey:  map[UseKey]*list.Element{},
+	}
+}
 
 // Record counts one transaction at the given wall clock time in nanoseconds
 // since the Unix epoch.
-func (t *UseTracker) Record(_ int64, _ UseKey, _ bool) {}
+func (t *UseTracker) Record(wall int64, key UseKey, refused bool) {
+	e, known := t.byKey[key]
+	if !known {
+		t.makeRoom()
+		e = t.recent.PushFront(&Use{UseKey: key, Host: t.host, FirstSeen: wall})
+		t.byKey[key] = e
+	}
+	t.recent.MoveToFront(e)
+	use := e.Value.(*Use)
+	use.Calls++
+	if refused {
+		use.Refused++
+	}
+	use.LastSeen = wall
+}
+
+// makeRoom forgets the least recently seen entry if the tracker is full.
+func (t *UseTracker) makeRoom() {
+	if t.recent.Len() < t.limit {
+		return
+	}
+	last := t.recent.Back()
+	delete(t.byKey, last.Value.(*Use).UseKey)
+	t.recent.Remove(last)
+}
 
 // Uses returns all entries in order of their keys.
-func (t *UseTracker) Uses() []Use { return nil }
+func (t *UseTracker) Uses() []Use {
+	out := make([]Use, 0, t.recent.Len())
+	for e := t.recent.Front(); e != nil; e = e.Next() {
+		out = append(out, *e.Value.(*Use))
+	}
+	slices.SortFunc(out, compareUses)
+	return out
+}
+
+func compareUses(a, b Use) int {
+	return cmp.Or(
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Feature, b.Feature),
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Rank, b.Rank),
+		cmp.Compare(a.Endpoint, b.Endpoint),
+		cmp.Compare(a.Caller, b.Caller),
+		cmp.Compare(a.Host, b.Host),
+	)
+}
+
+// UsesOf returns the uses that a retirement would stop.
+func UsesOf(r Retirement, uses []Use) []Use {
+	var out []Use
+	for _, u := range uses {
+		atEndpoint := r.Kind == TargetEndpoint && r.Service == u.Service && r.Target == string(u.Endpoint)
+		if atEndpoint || r.covers(u.Service, u.Feature, u.Job) {
+			out = append(out, u)
+		}
+	}
+	slices.SortFunc(out, compareUses)
+	return out
+}
