--- /dev/null
+++ b/core/policy/scenario_test.go
@@ -0,0 +1,178 @@
+package policy
+
+import (
+	"time"
+
+	"baobabfield.example/core/admission"
+	"baobabfield.example/core/types"
+)
+
+// deployment describes one of the two installations that the brief names.
+type deployment struct {
+	name        string
+	slots       int
+	connections int
+	between     time.Duration // one way between data centres
+	client      time.Duration // one way between client and entry host
+	entries     int
+}
+
+const (
+	dataCentres = 3
+	databases   = 3
+	instances   = 3
+	endpoints   = databases * instances
+	// within is the way between two hosts of one data centre.
+	within = 100 * time.Microsecond
+)
+
+var deployments = []deployment{
+	{"ramp-logs", 3, 50, time.Millisecond, 3 * time.Millisecond, 15},
+	{"pedidos-db", 2, 80, 500 * time.Microsecond, time.Millisecond, 21},
+}
+
+// rankLoad is the work of one rank.
+type rankLoad struct {
+	calm    float64       // share of all slots that the rank asks for in calm
+	service time.Duration // mean time for which a request holds a slot
+	writes  float64       // share of writes
+}
+
+const (
+	urgent = iota
+	normal
+	background
+	rankCount
+)
+
+var loads = [rankCount]rankLoad{
+	urgent:     {0.15, 8 * time.Millisecond, 0.5},
+	normal:     {0.30, 10 * time.Millisecond, 0.2},
+	background: {0.12, 20 * time.Millisecond, 0.4},
+}
+
+// featuresPerRank share the load of a rank evenly.
+const featuresPerRank = 5
+
+const (
+	// agedReads is the share of reads that state the age they accept.
+	agedReads   = 0.7
+	acceptedAge = 5 * time.Second
+	// hotReads is the share of reads that follow a write of their own session.
+	hotReads = 0.05
+	// lostTokens is the share of reads whose session lost its token.
+	lostTokens = 0.02
+	usualLag   = 20 * time.Millisecond
+	longLag    = 30 * time.Second
+	// viewDelay is the age of what entry hosts know of endpoints.
+	viewDelay = 50 * time.Millisecond
+)
+
+// floodFactor is the load of a flood relative to the capacity of all endpoints.
+const floodFactor = 5
+
+const (
+	warmUp   = 2 * time.Second
+	duration = 10 * time.Second
+	// tail is the time for which the load goes on after the measured requests.
+	tail = 6 * time.Second
+	// failAt and failoverGap time the failover: no primary in between.
+	failAt        = 4 * time.Second
+	suspicionTime = 500 * time.Millisecond
+	failoverGap   = 2 * time.Second
+)
+
+// scenario is one case of the measurement.
+type scenario struct {
+	name         string
+	flood        [rankCount]bool
+	floodFeature bool // one feature of the normal rank floods
+	fastFail     bool // replica 1 of database 0 fails every request at once
+	slow         bool // replica 1 of database 0 is ten times slower
+	behind       bool // replica 1 of database 0 is 30 s behind
+	failover     bool // the primary of database 0 dies
+}
+
+const (
+	slowTimes    = 10
+	fastFailTime = 200 * time.Microsecond
+	// faulty is the endpoint with the fault; it is a replica of database 0.
+	faulty = 1
+)
+
+var scenarios = []scenario{
+	{name: "calm"},
+	{name: "background flood", flood: [rankCount]bool{background: true}},
+	{name: "urgent flood", flood: [rankCount]bool{urgent: true}},
+	{name: "one feature floods", floodFeature: true},
+	{name: "fast-failing replica", fastFail: true},
+	{name: "slow replica", slow: true},
+	{name: "replica 30 s behind", behind: true},
+	{name: "failover in background flood", flood: [rankCount]bool{background: true}, failover: true},
+	{name: "both floods", flood: [rankCount]bool{urgent: true, background: true}},
+}
+
+// scheduler is a policy at the owner: the real queue or a baseline.
+type scheduler interface {
+	Step(now types.Time, ev admission.Event) []admission.Effect
+}
+
+type policyKind int
+
+const (
+	ranked policyKind = iota
+	firstCome
+	strict
+	policyCount
+)
+
+var policyNames = [policyCount]string{"baobabfield", "first come", "strict priority"}
+
+func newScheduler(kind policyKind, d deployment) scheduler {
+	switch kind {
+	case firstCome:
+		return &fifo{slots: d.slots, limit: rankCount * admission.DefaultQueueLimit, queues: make([][]types.RequestID, 1)}
+	case strict:
+		return &fifo{slots: d.slots, limit: admission.DefaultQueueLimit, queues: make([][]types.RequestID, rankCount)}
+	}
+	return admission.New(admission.Config{Slots: d.slots, Connections: d.connections}, 0)
+}
+
+// fifo is the baseline: queues in strict order, each first come, first served,
+// without floors, early refusal or admission levels.
+type fifo struct {
+	slots, inUse int
+	limit        int
+	queues       [][]types.RequestID
+	effects      []admission.Effect
+}
+
+var rankNumbers = func() map[types.Rank]int {
+	out := map[types.Rank]int{}
+	for i, r := range admission.DefaultRanks() {
+		out[r.Name] = i
+	}
+	return out
+}()
+
+func (f *fifo) Step(_ types.Time, ev admission.Event) []admission.Effect {
+	f.effects = f.effects[:0]
+	switch ev.Kind {
+	case admission.EventSubmit:
+		i := min(rankNumbers[ev.Rank], len(f.queues)-1)
+		if len(f.queues[i]) >= f.limit {
+			return append(f.effects, admission.Effect{Kind: admission.EffectRefuse, ID: ev.ID, Reason: types.ReasonQueueFull})
+		}
+		f.queues[i] = append(f.queues[i], ev.ID)
+	case admission.EventFinish:
+		f.inUse--
+	}
+	for i := range f.queues {
+		for f.inUse < f.slots && len(f.queues[i]) > 0 {
+			f.effects = append(f.effects, admission.Effect{Kind: admission.EffectStart, ID: f.queues[i][0]})
+			f.queues[i] = f.queues[i][1:]
+			f.inUse++
+		}
+	}
+	return f.effects
+}
