Compare slot times with a long-term mean before lowering slots

Cause: the usual service time was a running minimum of a noisy mean, so the queue took calm endpoints for slow ones and lowered their slots. Ruled out: early refusal in calm; refusals vanish with the slots kept.

--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -17,27 +17,30 @@
 type serviceEstimate struct {
 	mean      time.Duration
 	deviation time.Duration
-	// baseline is the mean while the endpoint serves at its usual speed.
+	// baseline is the long-term mean, of when the endpoint serves as usual.
 	baseline time.Duration
 	samples  int
 }
 
-// add takes in one measured service time.
+// newServiceEstimate starts from a stated service time; a zero one is unknown.
+func newServiceEstimate(stated time.Duration) serviceEstimate {
+	s := serviceEstimate{mean: stated, deviation: stated / 2, baseline: stated}
+	if stated > 0 {
+		s.samples = serviceWeight
+	}
+	return s
+}
+
+// add takes in one measured service time. The first samples count as in an
+// arithmetic mean, so that none of them weighs more than the later ones.
 func (s *serviceEstimate) add(d time.Duration) {
 	s.samples++
-	if s.samples == 1 && s.mean == 0 {
-		s.mean, s.deviation, s.baseline = d, d/2, d
-		return
-	}
+	weight := time.Duration(min(s.samples, serviceWeight))
 	diff := d - s.mean
-	s.mean += diff / serviceWeight
-	s.deviation += (diff.Abs() - s.deviation) / serviceWeight
-	switch {
-	case s.samples < serviceWeight || s.mean < s.baseline:
-		s.baseline += (s.mean - s.baseline) / serviceWeight
-	default:
-		s.baseline += (s.mean - s.baseline) / baselineWeight
-	}
+	s.mean += diff / weight
+	s.deviation += (diff.Abs() - s.deviation) / weight
+	weight = time.Duration(min(s.samples, baselineWeight))
+	s.baseline += (d - s.baseline) / weight
 }
 
 // need returns the time to leave for the service of a request whose target is
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -80,6 +80,10 @@
 	credit time.Duration
 	// held is the slot time that the rank used since the last control period.
 	held time.Duration
+	// finished and answered count the answers since the last control period and
+	// the slot time that they took.
+	finished int
+	answered time.Duration
 	// use is the share of slot time that the rank uses, averaged.
 	use float64
 	// refused counts the refusals since the last control period.
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -20,6 +20,8 @@
 
 	slots int
 	inUse int
+	// measured and usual are the slot times that slowness compares.
+	measured, usual float64
 
 	holdWrites bool
 	draining   bool
@@ -48,11 +50,7 @@
 	q.byName = make(map[types.Rank]int32, len(cfg.Ranks))
 	for i, spec := range cfg.Ranks {
 		q.ranks[i] = newRankQueue(spec)
-		q.ranks[i].service = serviceEstimate{
-			mean:      cfg.StatedService,
-			deviation: cfg.StatedService / 2,
-			baseline:  cfg.StatedService,
-		}
+		q.ranks[i].service = newServiceEstimate(cfg.StatedService)
 		q.byName[spec.Name] = int32(i)
 	}
 }
@@ -255,6 +253,8 @@
 	r.charge(ev.Service - it.cost)
 	if ev.OK {
 		r.service.add(ev.Service)
+		r.finished++
+		r.answered += ev.Service
 	}
 	q.inUse--
 	q.release(i)
--- a/core/admission/slots.go
+++ b/core/admission/slots.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // An endpoint whose service times exceed slowFactor times the usual loses a
 // slot in each control period; it gets one back below normalFactor.
 const (
@@ -20,17 +22,21 @@
 	}
 }
 
-// slowness returns the highest ratio of current to usual service time over the
-// ranks that were served in this control period.
+// slowness returns the ratio of measured to usual slot time, averaged over
+// control periods.
 func (q *Queue) slowness() float64 {
-	ratio := 1.0
+	q.measured *= 1 - periodWeight
+	q.usual *= 1 - periodWeight
 	for i := range q.ranks {
 		r := &q.ranks[i]
-		if r.held > 0 && r.service.baseline > 0 {
-			ratio = max(ratio, float64(r.service.mean)/float64(r.service.baseline))
-		}
+		q.measured += float64(r.answered)
+		q.usual += float64(time.Duration(r.finished) * r.service.baseline)
+		r.finished, r.answered = 0, 0
+	}
+	if q.usual == 0 {
+		return 1
 	}
-	return ratio
+	return q.measured / q.usual
 }
 
 // setSlots changes the number of usable slots.
--- a/core/policy/sim_test.go
+++ b/core/policy/sim_test.go
@@ -93,7 +93,6 @@
 	suspected bool
 	inUse     int
 	maxUse    int
-	busy      time.Duration
 }
 
 // result is what a run measured after the warm-up.
