Let floors go ahead of urgent work only for ranks that have waited

Cause: at primaries normal work asks for less than its floor, so it always had credit and went ahead of urgent work, also where nothing starved it. Ruled out: late refusals by the estimate of service time; urgent p99 before the start fell with the floors alone.

--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -13,6 +13,14 @@
 	minBurst   = 2
 )
 
+const (
+	// floorPatience is the part of its target, 1/floorPatience, for which a rank
+	// waits before its floor puts it ahead of more urgent ranks.
+	floorPatience = 4
+	// waitWeight is the weight, 1/waitWeight, at which the peak wait decays.
+	waitWeight = 16
+)
+
 // accrue gives each rank the slot time that its floor has earned since the
 // last call.
 func (q *Queue) accrue(now types.Time) {
@@ -35,7 +43,7 @@
 // dispatch starts queued requests while there are free slots.
 func (q *Queue) dispatch(now types.Time) {
 	for q.inUse < q.slots {
-		rank := q.nextRank()
+		rank := q.nextRank(now)
 		if rank == none {
 			return
 		}
@@ -44,16 +52,15 @@
 			q.dropQueued(i, types.ReasonLate)
 			continue
 		}
-		q.start(i)
+		q.start(now, i)
 	}
 }
 
-// nextRank returns the rank to serve: the most urgent one whose floor is owed
-// at least one request, else the most urgent one with a servable request.
-func (q *Queue) nextRank() int32 {
+// nextRank returns the rank to serve: the most urgent one whose floor is due,
+// else the most urgent one with a servable request.
+func (q *Queue) nextRank(now types.Time) int32 {
 	for i := range q.ranks {
-		r := &q.ranks[i]
-		if r.spec.Floor > 0 && r.credit >= r.service.mean && q.servable(r) {
+		if q.floorDue(now, &q.ranks[i]) {
 			return int32(i)
 		}
 	}
@@ -65,6 +72,16 @@
 	return none
 }
 
+// floorDue reports whether the rank's floor owes it a request and the rank
+// needs the floor, as its requests have waited for long.
+func (q *Queue) floorDue(now types.Time, r *rankQueue) bool {
+	if r.spec.Floor == 0 || r.credit < r.service.mean || !q.servable(r) {
+		return false
+	}
+	patience := r.spec.Target / floorPatience
+	return r.wait >= patience || now.Sub(r.servedAt) >= patience
+}
+
 // servable reports whether the rank has a request that may start.
 func (q *Queue) servable(r *rankQueue) bool {
 	if r.depth == 0 {
@@ -108,17 +125,24 @@
 }
 
 // start gives a slot to a queued request.
-func (q *Queue) start(i int32) {
+func (q *Queue) start(now types.Time, i int32) {
 	q.remove(i)
 	it := &q.items[i]
 	it.started = true
 	r := &q.ranks[it.rank]
+	r.served(now, r.spec.Target-it.due.Sub(now))
 	it.cost = r.service.mean
 	r.charge(it.cost)
 	q.inUse++
 	q.effects = append(q.effects, Effect{Kind: EffectStart, ID: it.id})
 }
 
+// served notes that a request of the rank starts after the given wait.
+func (r *rankQueue) served(now types.Time, wait time.Duration) {
+	r.servedAt = now
+	r.wait = max(wait, r.wait+(wait-r.wait)/waitWeight)
+}
+
 // inTime reports whether a request can still be served in time if it starts now.
 func (q *Queue) inTime(now types.Time, i int32) bool {
 	it := &q.items[i]
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -78,6 +78,10 @@
 
 	// credit is the slot time that the floor still owes the rank.
 	credit time.Duration
+	// wait is a decaying peak of the time from the entry to the start.
+	wait time.Duration
+	// servedAt is the time of the last start, or at which the rank began to wait.
+	servedAt types.Time
 	// held is the slot time that the rank used since the last control period.
 	held time.Duration
 	// finished and answered count the answers since the last control period and
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -176,6 +176,9 @@
 		due: due, deadline: ev.Deadline, write: ev.Write,
 	}
 	q.byID[ev.ID] = i
+	if r.depth == 0 {
+		r.servedAt = now
+	}
 	q.push(i)
 }
 
