Let floors earn a tenth more than they state

Cause: part of a floor's slot time is not called for in time or ends late, and primaries are asked for less normal work than the floor, so normal work kept 24.7% of capacity in the urgent flood where 25% are promised. Ruled out: a larger burst of credit, as primaries cannot spend it.

--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -17,6 +17,9 @@
 	// floorPatience is the part of its target, 1/floorPatience, for which a rank
 	// waits before its floor puts it ahead of more urgent ranks.
 	floorPatience = 4
+	// floorRate is the slot time that floors earn, in percent of what they state,
+	// as a part of it goes to requests that end late or is not called for in time.
+	floorRate = 110
 	// waitWeight is the weight, 1/waitWeight, at which the peak wait decays.
 	waitWeight = 16
 )
@@ -28,7 +31,7 @@
 	q.accrued = now
 	for i := range q.ranks {
 		r := &q.ranks[i]
-		share := time.Duration(q.slots * r.spec.Floor)
+		share := time.Duration(q.slots*r.spec.Floor) * floorRate / percent
 		limit := max(floorBurst*share/percent, minBurst*r.service.mean)
 		r.credit = min(r.credit+elapsed*share/percent, limit)
 	}
