--- a/node/host/host.go
+++ b/node/host/host.go
@@ -122,7 +122,7 @@
 		Host: set.Host, DataCentre: set.DataCentre, Seed: seed(set.Host), MaxAge: set.MaxAge,
 	}, h.mesh, h.log)
 	h.registry = owner.NewRegistry(work, owner.Settings{
-		Host: set.Host, Failover: h.failoverConfig(),
+		Host: set.Host, DataCentre: set.DataCentre, Failover: h.failoverConfig(),
 		ConnectTimeout: set.ConnectTimeout, SilenceBound: set.SilenceBound,
 		TLS: set.EndpointTLS, Out: h.watchOut(ctx),
 	}, h.log)
--- a/node/owner/assign.go
+++ b/node/owner/assign.go
@@ -16,7 +16,7 @@
 
 // assign starts and stops endpoint tasks and watches so that they match the
 // configuration and the live hosts.
-func (r *Registry) assign(ctx context.Context) {
+func (r *Registry) assign() {
 	wantedDB := map[types.Database]bool{}
 	wantedEP := map[types.Endpoint]bool{}
 	for _, s := range r.conf.Services() {
@@ -30,7 +30,7 @@
 				wantedEP[e.ID] = true
 			}
 			if wantedDB[db.ID] {
-				r.ensureWatch(ctx, db, owners)
+				r.ensureWatch(db, owners)
 				r.ensureEndpoints(s, db, wantedEP)
 			}
 		}
@@ -40,10 +40,10 @@
 }
 
 // ensureWatch starts a database's watch or brings it up to date.
-func (r *Registry) ensureWatch(ctx context.Context, db types.DatabaseSpec, owners map[types.Endpoint]types.Host) {
+func (r *Registry) ensureWatch(db types.DatabaseSpec, owners map[types.Endpoint]types.Host) {
 	h, ok := r.databases[db.ID]
 	if !ok {
-		r.startWatch(ctx, db, owners)
+		r.startWatch(db, owners)
 		return
 	}
 	if !reflect.DeepEqual(h.spec, db) {
@@ -56,7 +56,7 @@
 	}
 }
 
-func (r *Registry) startWatch(ctx context.Context, db types.DatabaseSpec, owners map[types.Endpoint]types.Host) {
+func (r *Registry) startWatch(db types.DatabaseSpec, owners map[types.Endpoint]types.Host) {
 	cfg := r.set.Failover
 	cfg.Host = r.set.Host
 	cfg.Database = db
@@ -76,7 +76,6 @@
 	r.databases[db.ID] = h
 	go h.task.Run(wctx)
 	go h.acks.run(wctx)
-	_ = ctx
 }
 
 // out returns the watch's outputs; views and holds come to the registry too.
@@ -129,6 +128,7 @@
 	}
 	if old, ok := r.endpoints[e.ID]; ok {
 		old.cancel()
+		r.former = append(r.former, old.task)
 	}
 	w := r.databases[db.ID]
 	if w == nil {
@@ -152,6 +152,7 @@
 		}
 		h.task.post(drainEndpoint{reason: types.ReasonNotOwner})
 		h.cancel()
+		r.former = append(r.former, h.task)
 		delete(r.endpoints, id)
 		r.log.Info("endpoint no longer owned", zap.String("endpoint", string(id)))
 	}
--- a/node/owner/endpoint.go
+++ b/node/owner/endpoint.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// ended reports whether the task has ended.
+func (t *endpointTask) ended() bool {
+	select {
+	case <-t.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // run serves until the context ends and no request is running.
 func (t *endpointTask) run(ctx context.Context) {
 	defer close(t.stopped)
--- a/node/owner/registry.go
+++ b/node/owner/registry.go
@@ -34,7 +34,8 @@
 
 // Settings configure the registry.
 type Settings struct {
-	Host types.Host
+	Host       types.Host
+	DataCentre types.DataCentre
 	// Failover holds the timing of the failover machines; the host, database
 	// and owners in it are filled in for each database.
 	Failover failover.Config
@@ -62,6 +63,8 @@
 	endpoints map[types.Endpoint]*endpointHandle
 	leaving   bool
 	requests  types.RequestID
+	// former are the tasks of endpoints that the host owned, until they end.
+	former []*endpointTask
 }
 
 // watchHandle is the watch and the acknowledgement task of a database.
@@ -175,19 +178,19 @@
 		case <-ticker.C:
 			r.checkLeaving()
 		case msg := <-r.inbox:
-			r.handle(ctx, msg)
+			r.handle(msg)
 		}
 	}
 }
 
-func (r *Registry) handle(ctx context.Context, msg any) {
+func (r *Registry) handle(msg any) {
 	switch m := msg.(type) {
 	case config.Snapshot:
 		r.conf = m
-		r.assign(ctx)
+		r.assign()
 	case membership.Snapshot:
 		r.members = m
-		r.assign(ctx)
+		r.assign()
 	case lookup:
 		m.reply <- r.lookup(m)
 	case viewMessage:
@@ -288,8 +291,11 @@
 	return reply
 }
 
+// all returns the tasks of the owned endpoints, and those of former ones that
+// still run transactions.
 func (r *Registry) all() []*endpointTask {
-	out := make([]*endpointTask, 0, len(r.endpoints))
+	r.former = slices.DeleteFunc(r.former, (*endpointTask).ended)
+	out := slices.Clone(r.former)
 	for _, h := range r.endpoints {
 		out = append(out, h.task)
 	}
@@ -363,8 +369,18 @@
 func (r *Registry) owners(db types.DatabaseSpec) map[types.Endpoint]types.Host {
 	out := map[types.Endpoint]types.Host{}
 	for _, e := range slices.Concat(db.Endpoints, db.PreviousEndpoints) {
-		owner, _ := routing.Owners(e.ID, r.members.Live(e.DataCentre))
+		owner, _ := routing.Owners(e.ID, r.live(e.DataCentre))
 		out[e.ID] = owner
 	}
 	return out
 }
+
+// live returns the live hosts of a data centre. The host counts itself as long
+// as it takes work, so that it goes on while the others learn that it leaves.
+func (r *Registry) live(dc types.DataCentre) []types.Host {
+	hosts := r.members.Live(dc)
+	if dc != r.set.DataCentre || r.leaving || slices.Contains(hosts, r.set.Host) {
+		return hosts
+	}
+	return append(slices.Clone(hosts), r.set.Host)
+}
