--- a/node/caller/execute.go
+++ b/node/caller/execute.go
@@ -333,4 +333,3 @@
 	}
 	return s.finish(t)
 }
-
--- a/node/host/coordinator.go
+++ b/node/host/coordinator.go
@@ -40,7 +40,21 @@
 	}
 }
 
+// membersChanged passes a new view of the hosts to all tasks.
 func (c *coordinator) membersChanged(ctx context.Context, s membership.Snapshot) {
+	c.spreadMembers(s)
+	peers := config.Peers{}
+	for _, dc := range s.DataCentres() {
+		peers.Groups = append(peers.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
+	}
+	select {
+	case c.host.conf.Peers() <- peers:
+	case <-ctx.Done():
+	}
+}
+
+// spreadMembers passes a view of the hosts to the tasks that serve requests.
+func (c *coordinator) spreadMembers(s membership.Snapshot) {
 	h := c.host
 	addresses := map[types.Host]string{}
 	hosts := []types.Host{}
@@ -54,14 +68,6 @@
 	h.callers.SetPeers(hosts)
 	h.router.SetMembers(s)
 	h.registry.SetMembers(s)
-	peers := config.Peers{}
-	for _, dc := range s.DataCentres() {
-		peers.Groups = append(peers.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
-	}
-	select {
-	case h.conf.Peers() <- peers:
-	case <-ctx.Done():
-	}
 }
 
 func (c *coordinator) confChanged(m config.Changed) {
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -164,9 +164,8 @@
 	} {
 		go task(ctx)
 	}
-	select {
-	case h.member.Input() <- membership.Join{Seeds: h.set.Seeds}:
-	case <-ctx.Done():
+	if len(h.set.Seeds) > 0 {
+		h.member.Input() <- membership.Join{Seeds: h.set.Seeds}
 	}
 	h.log.Info("host started",
 		zap.String("callers", h.callers.Address()),
