Let the success rate of an unused endpoint recover slowly

Cause: three seconds without samples gave a failing replica most of its success rate back, so that it was tried again by each entry host.

--- a/core/routing/stats.go
+++ b/core/routing/stats.go
@@ -11,8 +11,8 @@
 	statsInterval = time.Second
 	// statsWeight makes an average decay to a hundredth within ten intervals.
 	statsWeight = 0.37
-	// idleDecay is the part, 1/idleDecay, by which the latency falls in an
-	// interval without samples.
+	// idleDecay is the part, 1/idleDecay, by which the latency and the failures
+	// fall in an interval without samples.
 	idleDecay = 10
 	// forgetAfter is the time without samples after which nothing is known.
 	forgetAfter = time.Minute
@@ -57,19 +57,18 @@
 // closeInterval takes the interval's samples into the averages. Without
 // samples both averages recover, so that the endpoint is tried again.
 func (s *Stats) closeInterval() {
-	failures := 0.0
-	if s.all > 0 {
-		failures = 1 - float64(s.ok)/float64(s.all)
+	if s.all == 0 {
+		s.latency -= s.latency / idleDecay
+		s.failures -= s.failures / idleDecay
+		return
 	}
+	failures := 1 - float64(s.ok)/float64(s.all)
 	s.failures += (failures - s.failures) * statsWeight
 	if s.ok > 0 {
 		mean := s.sum / time.Duration(s.ok)
 		smoothed := s.latency + time.Duration(float64(mean-s.latency)*statsWeight)
 		s.latency = max(mean, smoothed)
 	}
-	if s.all == 0 {
-		s.latency -= s.latency / idleDecay
-	}
 	s.sum, s.ok, s.all = 0, 0, 0
 }
 
