Average the share of a rank over its own target

Cause: the wait of background work was estimated from the share that urgent and normal work left in the last 400 ms, so a short burst of them got work refused that had five seconds to wait.

--- a/core/admission/control.go
+++ b/core/admission/control.go
@@ -33,8 +33,9 @@
 	q.nextTick = now.Add(controlPeriod)
 	q.dropLate(now)
 	q.adaptSlots()
+	rest := 1.0
 	for i := range q.ranks {
-		q.updateUse(&q.ranks[i], elapsed)
+		rest = q.updateUse(&q.ranks[i], elapsed, rest)
 	}
 	for i := range q.ranks {
 		q.updateLevels(now, int32(i), elapsed)
@@ -60,11 +61,16 @@
 	}
 }
 
-// updateUse averages the share of slot time that the rank used.
-func (q *Queue) updateUse(r *rankQueue, elapsed time.Duration) {
+// updateUse averages the share of slot time that more urgent ranks leave to
+// the rank, and returns what the rank in turn has left in this period. The
+// average is over about half of the rank's target, the time ahead that counts
+// for its requests.
+func (q *Queue) updateUse(r *rankQueue, elapsed time.Duration, rest float64) float64 {
+	weight := 2 * float64(elapsed) / float64(r.spec.Target)
+	r.rest += (rest - r.rest) * min(weight, periodWeight)
 	used := float64(r.held) / (float64(elapsed) * float64(q.slots))
-	r.use += (used - r.use) * periodWeight
 	r.held = 0
+	return rest - used
 }
 
 // updateLevels computes the admission level of each flow of a rank: the
--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -186,14 +186,10 @@
 // requests: what more urgent ranks leave, less the floors of lower ranks that
 // wait, but at least its own floor.
 func (q *Queue) share(rank int32) float64 {
-	rest := 1.0
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		switch {
-		case int32(i) < rank:
-			rest -= r.use
-		case int32(i) > rank && r.depth > 0:
-			rest -= float64(r.spec.Floor) / percent
+	rest := q.ranks[rank].rest
+	for i := rank + 1; i < int32(len(q.ranks)); i++ {
+		if q.ranks[i].depth > 0 {
+			rest -= float64(q.ranks[i].spec.Floor) / percent
 		}
 	}
 	floor := float64(q.ranks[rank].spec.Floor) / percent
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -88,8 +88,8 @@
 	// the slot time that they took.
 	finished int
 	answered time.Duration
-	// use is the share of slot time that the rank uses, averaged.
-	use float64
+	// rest is the share of slot time that more urgent ranks leave, averaged.
+	rest float64
 	// refused counts the refusals since the last control period.
 	refused int
 }
@@ -104,6 +104,7 @@
 		flows:  []flow{newFlow(flowKey{})},
 		byKey:  map[flowKey]int32{{}: overflowFlow},
 		cursor: none,
+		rest:   1,
 	}
 }
 
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -89,7 +89,7 @@
 	for i := range old {
 		if at, ok := q.byName[old[i].spec.Name]; ok {
 			q.ranks[at].service = old[i].service
-			q.ranks[at].use = old[i].use
+			q.ranks[at].rest = old[i].rest
 		}
 	}
 }
