--- a/core/policy/scenario_test.go
+++ b/core/policy/scenario_test.go
@@ -89,6 +89,7 @@
 	floodFeature bool // one feature of the normal rank floods
 	fastFail     bool // replica 1 of database 0 fails every request at once
 	slow         bool // replica 1 of database 0 is ten times slower
+	slowPrimary  bool // the primary of database 0 is ten times slower
 	behind       bool // replica 1 of database 0 is 30 s behind
 	failover     bool // the primary of database 0 dies
 }
@@ -98,6 +99,8 @@
 	fastFailTime = 200 * time.Microsecond
 	// faulty is the endpoint with the fault; it is a replica of database 0.
 	faulty = 1
+	// slowest is the endpoint that slowPrimary names.
+	slowest = 0
 )
 
 var scenarios = []scenario{
@@ -107,6 +110,7 @@
 	{name: "one feature floods", floodFeature: true},
 	{name: "fast-failing replica", fastFail: true},
 	{name: "slow replica", slow: true},
+	{name: "slow primary", slowPrimary: true},
 	{name: "replica 30 s behind", behind: true},
 	{name: "failover in background flood", flood: [rankCount]bool{background: true}, failover: true},
 	{name: "both floods", flood: [rankCount]bool{urgent: true, background: true}},
--- a/core/policy/sim_test.go
+++ b/core/policy/sim_test.go
@@ -419,7 +419,7 @@
 	case o.down || (s.fastFail && e == faulty):
 		service = fastFailTime
 		outcome = types.Refused(types.ReasonUnreachable, "")
-	case s.slow && e == faulty:
+	case (s.slow && e == faulty) || (s.slowPrimary && e == slowest):
 		service *= slowTimes
 	}
 	id := q.id
