Leave three quarters of the target to slow services

Cause: at an endpoint ten times slower a request started with half of its target left is late one time in ten.

--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -47,5 +47,5 @@
 // given. A target too short for the endpoint is not held against the request
 // beyond half of the target, or the mean where that is longer.
 func (s *serviceEstimate) need(target time.Duration) time.Duration {
-	return min(s.mean+deviations*s.deviation, max(s.mean, target/2))
+	return min(s.mean+deviations*s.deviation, max(s.mean, target*3/4))
 }
