Count failures of the current interval at once

Cause: an entry host learned of a failing replica only after a second, and by then had spent its retry budget on it.

--- a/core/routing/stats.go
+++ b/core/routing/stats.go
@@ -16,6 +16,8 @@
 	idleDecay = 10
 	// forgetAfter is the time without samples after which nothing is known.
 	forgetAfter = time.Minute
+	// minSamples is the number of samples that make a rate.
+	minSamples = 3
 	// minSuccess bounds the success rate from below, so that costs stay finite.
 	minSuccess = 0.01
 )
@@ -78,8 +80,13 @@
 	return s.latency
 }
 
-// Success returns the success rate, at least minSuccess.
+// Success returns the success rate, at least minSuccess. A lower rate in the
+// current interval counts at once.
 func (s *Stats) Success(now types.Time) float64 {
 	s.advance(now)
-	return max(1-s.failures, minSuccess)
+	failures := s.failures
+	if s.all >= minSamples {
+		failures = max(failures, 1-float64(s.ok)/float64(s.all))
+	}
+	return max(1-failures, minSuccess)
 }
