Count slot time by when it ends, and latency by attempt

Cause: slot time was counted for the requests sent while measured, so a growing backlog hid up to 10% of the use (a probe of the slots showed them all in use); an attempt's latency included the attempts before it. Ruled out: refusing background work early at 2/3 or 1/2 of the expected wait, tried and reverted: slots stay as busy, goodput falls; accepting 4/3 of the wait: wasted work rises to 2.09% with a slow replica.

--- a/core/policy/sim_test.go
+++ b/core/policy/sim_test.go
@@ -68,6 +68,7 @@
 	read     routing.Read
 	entry    int
 	sent     types.Time // by the client
+	routed   types.Time // to the owner, in the current attempt
 	tried    [instances]bool
 	endpoint int // of the current attempt
 	service  time.Duration
@@ -279,6 +280,11 @@
 // firstPosition is the log position of every database at the start.
 const firstPosition = 1_000_000
 
+// inWindow reports whether slot time that ends now is measured.
+func (s *simulation) inWindow() bool {
+	return s.now >= types.Time(warmUp) && s.now < types.Time(duration)
+}
+
 // position returns the log position of a database at a time. Before the start
 // there was one commit in each commitGrain.
 func (s *simulation) position(db int, at types.Time) types.LogPoint {
@@ -347,6 +353,7 @@
 		return
 	}
 	e.outstanding[q.endpoint]++
+	q.routed = s.now
 	way := s.way(e.dataCentre, place(q.endpoint))
 	s.after(way, func() { s.submit(q, way) })
 }
@@ -440,7 +447,7 @@
 	if done && q.write {
 		s.log[q.database]++
 	}
-	if s.measured(q) {
+	if s.inWindow() {
 		s.result.slotTime += held
 		if !done {
 			s.result.wasted += held
@@ -474,16 +481,20 @@
 		return
 	}
 	stats := &s.entries[q.entry].stats[endpoint]
-	stats.Observe(s.now, s.now.Sub(q.sent), outcome.Kind == types.Done)
+	stats.Observe(s.now, s.now.Sub(q.routed), outcome.Kind == types.Done)
 }
 
 // complete records a request that was served.
 func (s *simulation) complete(q *request, held time.Duration) {
+	res := &s.result
+	latency := s.now.Sub(q.sent)
+	late := latency > s.ranks[q.rank].Target
+	if s.inWindow() {
+		s.account(q, held, late)
+	}
 	if !s.measured(q) {
 		return
 	}
-	res := &s.result
-	latency := s.now.Sub(q.sent)
 	_ = res.latency[q.rank].RecordValue(int64(latency / time.Microsecond))
 	if !q.write {
 		res.reads++
@@ -494,17 +505,24 @@
 			res.onReplica++
 		}
 	}
-	if latency > s.ranks[q.rank].Target {
-		res.wasted += held
+	if late {
 		return
 	}
 	res.good[q.rank]++
-	res.goodTime[q.rank] += held
 	if q.rank == normal {
 		res.features[q.feature]++
 	}
 }
 
+// account adds the slot time of an answer to the goodput or to the waste.
+func (s *simulation) account(q *request, held time.Duration, late bool) {
+	if late {
+		s.result.wasted += held
+		return
+	}
+	s.result.goodTime[q.rank] += held
+}
+
 // retryPause is the time between two tries of the same database.
 const retryPause = 50 * time.Millisecond
 
