--- a/core/policy/sim_test.go
+++ b/core/policy/sim_test.go
@@ -68,6 +68,7 @@
 	read     routing.Read
 	entry    int
 	sent     types.Time // by the client
+	routed   types.Time // to the owner, in the current attempt
 	tried    [instances]bool
 	endpoint int // of the current attempt
 	service  time.Duration
@@ -81,6 +82,7 @@
 	budget      routing.RetryBudget
 	rng         routing.Rand
 	outstanding [endpoints]int
+	stats       [endpoints]routing.Stats
 }
 
 // owner is the fake of an endpoint with the real queue before it.
@@ -118,6 +120,7 @@
 type simulation struct {
 	deployment
 	scenario
+	kind    policyKind
 	ranks   []types.RankSpec
 	now     types.Time
 	seq     uint64
@@ -139,7 +142,7 @@
 
 func newSimulation(d deployment, sc scenario, kind policyKind, seed uint64) *simulation {
 	s := &simulation{
-		deployment: d, scenario: sc, ranks: admission.DefaultRanks(),
+		deployment: d, scenario: sc, kind: kind, ranks: admission.DefaultRanks(),
 		arrival: routing.NewRand(seed), work: routing.NewRand(seed + 1),
 	}
 	for i := range s.owners {
@@ -277,6 +280,11 @@
 // firstPosition is the log position of every database at the start.
 const firstPosition = 1_000_000
 
+// inWindow reports whether slot time that ends now is measured.
+func (s *simulation) inWindow() bool {
+	return s.now >= types.Time(warmUp) && s.now < types.Time(duration)
+}
+
 // position returns the log position of a database at a time. Before the start
 // there was one commit in each commitGrain.
 func (s *simulation) position(db int, at types.Time) types.LogPoint {
@@ -317,6 +325,10 @@
 			Outstanding: e.outstanding[endpoint],
 			Excluded:    q.tried[i],
 		}
+		if s.kind != twoChoices {
+			s.scratch[i].Latency = e.stats[endpoint].Latency(s.now)
+			s.scratch[i].Success = e.stats[endpoint].Success(s.now)
+		}
 	}
 	return s.scratch[:]
 }
@@ -341,6 +353,7 @@
 		return
 	}
 	e.outstanding[q.endpoint]++
+	q.routed = s.now
 	way := s.way(e.dataCentre, place(q.endpoint))
 	s.after(way, func() { s.submit(q, way) })
 }
@@ -413,7 +426,7 @@
 	case o.down || (s.fastFail && e == faulty):
 		service = fastFailTime
 		outcome = types.Refused(types.ReasonUnreachable, "")
-	case s.slow && e == faulty:
+	case (s.slow && e == faulty) || (s.slowPrimary && e == slowest):
 		service *= slowTimes
 	}
 	id := q.id
@@ -434,7 +447,7 @@
 	if done && q.write {
 		s.log[q.database]++
 	}
-	if s.measured(q) {
+	if s.inWindow() {
 		s.result.slotTime += held
 		if !done {
 			s.result.wasted += held
@@ -452,6 +465,7 @@
 	held := s.now.Sub(q.started)
 	s.after(s.way(place(endpoint), s.entries[q.entry].dataCentre), func() {
 		s.entries[q.entry].outstanding[endpoint]--
+		s.observe(q, endpoint, outcome)
 		if outcome.Kind != types.Done {
 			s.retry(q, outcome)
 			return
@@ -460,13 +474,27 @@
 	})
 }
 
+// observe feeds the entry's statistics of an endpoint. Refusals by the queue
+// say nothing about the endpoint.
+func (s *simulation) observe(q *request, endpoint int, outcome types.Outcome) {
+	if outcome.Kind == types.NotRun && outcome.Reason != types.ReasonUnreachable {
+		return
+	}
+	stats := &s.entries[q.entry].stats[endpoint]
+	stats.Observe(s.now, s.now.Sub(q.routed), outcome.Kind == types.Done)
+}
+
 // complete records a request that was served.
 func (s *simulation) complete(q *request, held time.Duration) {
+	res := &s.result
+	latency := s.now.Sub(q.sent)
+	late := latency > s.ranks[q.rank].Target
+	if s.inWindow() {
+		s.account(q, held, late)
+	}
 	if !s.measured(q) {
 		return
 	}
-	res := &s.result
-	latency := s.now.Sub(q.sent)
 	_ = res.latency[q.rank].RecordValue(int64(latency / time.Microsecond))
 	if !q.write {
 		res.reads++
@@ -477,17 +505,24 @@
 			res.onReplica++
 		}
 	}
-	if latency > s.ranks[q.rank].Target {
-		res.wasted += held
+	if late {
 		return
 	}
 	res.good[q.rank]++
-	res.goodTime[q.rank] += held
 	if q.rank == normal {
 		res.features[q.feature]++
 	}
 }
 
+// account adds the slot time of an answer to the goodput or to the waste.
+func (s *simulation) account(q *request, held time.Duration, late bool) {
+	if late {
+		s.result.wasted += held
+		return
+	}
+	s.result.goodTime[q.rank] += held
+}
+
 // retryPause is the time between two tries of the same database.
 const retryPause = 50 * time.Millisecond
 
