--- /dev/null
+++ b/core/config/fleet_test.go
@@ -0,0 +1,519 @@
+package config_test
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/membership/random"
+	"baobabfield.example/core/types"
+)
+
+// fleet drives the membership machines and the distributors of many hosts, with
+// a fake platform, in virtual time.
+type fleet struct {
+	now      types.Time
+	random   random.Source
+	queue    deliveries
+	seq      int
+	hosts    []*host
+	byGossip map[string]*host
+	byName   map[types.Host]*host
+	dcs      int
+	racks    int
+	platform *fakePlatform
+	// cut reports whether hosts of two data centres cannot reach each other.
+	cut func(a, b types.DataCentre) bool
+	// loss and twice are the shares, in percent, of messages lost and duplicated.
+	loss, twice int
+	runs        membership.Incarnation
+	cost        cost
+	reverted    []string
+}
+
+// cost is what the hosts have used.
+type cost struct {
+	gossipBytes, gossipMessages int
+	confBytes, confMessages     int
+	cpu                         time.Duration
+}
+
+// host is one running host.
+type host struct {
+	index  int
+	self   membership.Member
+	member *membership.Machine
+	conf   *config.Distributor
+	wakeAt types.Time
+	up     bool
+	ready  types.Time
+	// watching is set while the host watches the platform.
+	watching bool
+	versions map[config.Key]config.Version
+	traffic  int
+	peak     int
+}
+
+// delivery is an input of a host at a time; a nil input wakes it.
+type delivery struct {
+	at    types.Time
+	seq   int
+	to    *host
+	event any
+}
+
+type deliveries []delivery
+
+func (q deliveries) Len() int      { return len(q) }
+func (q deliveries) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *deliveries) Push(x any)   { *q = append(*q, x.(delivery)) }
+func (q deliveries) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+
+func (q *deliveries) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+func newFleet(seed uint64, count, dcs int) *fleet {
+	f := &fleet{
+		now:      types.Time(time.Second),
+		random:   random.New(seed),
+		byGossip: map[string]*host{},
+		byName:   map[types.Host]*host{},
+		dcs:      dcs,
+		racks:    10,
+	}
+	f.platform = &fakePlatform{fleet: f, objects: map[config.Key]config.Object{}, reachable: everywhere}
+	for i := range count {
+		h := &host{index: i}
+		f.hosts = append(f.hosts, h)
+	}
+	return f
+}
+
+func everywhere(types.DataCentre) bool { return true }
+
+func dataCentre(i int) types.DataCentre { return types.DataCentre(fmt.Sprintf("dc-%02d", i)) }
+
+// start starts or replaces a host.
+func (f *fleet) start(i int) {
+	f.runs++
+	old := f.hosts[i]
+	old.up = false
+	address := fmt.Sprintf("10.%d.%d.%d:7946", i/62500, i/250%250, i%250)
+	h := &host{index: i, up: true, versions: map[config.Key]config.Version{}, wakeAt: f.now}
+	h.self = membership.Member{
+		Host:          types.Host(fmt.Sprintf("host-%04d", i)),
+		DataCentre:    dataCentre(i % f.dcs),
+		MeshAddress:   fmt.Sprintf("10.%d.%d.%d:7947", i/62500, i/250%250, i%250),
+		GossipAddress: address,
+		Incarnation:   1000 + f.runs,
+	}
+	h.member = membership.New(membership.Config{Self: h.self, Seed: f.random.Uint64()})
+	h.conf = config.NewDistributor(config.Settings{
+		Host: h.self.Host, DataCentre: h.self.DataCentre, Seed: f.random.Uint64(),
+	})
+	f.hosts[i] = h
+	f.byGossip[address] = h
+	f.byName[h.self.Host] = h
+	var seeds []string
+	for range 3 {
+		j := f.random.Below(len(f.hosts))
+		seeds = append(seeds, fmt.Sprintf("10.%d.%d.%d:7946", j/62500, j/250%250, j%250))
+	}
+	f.input(h, membership.Join{Seeds: seeds})
+	f.input(h, f.platform.hostList())
+	f.input(h, nil)
+}
+
+func (f *fleet) startAll() {
+	for i := range f.hosts {
+		f.start(i)
+	}
+}
+
+// stop ends a host without notice.
+func (f *fleet) stop(i int) { f.hosts[i].up = false }
+
+// at schedules an input of a host.
+func (f *fleet) at(t types.Time, h *host, event any) {
+	f.seq++
+	heap.Push(&f.queue, delivery{at: t, seq: f.seq, to: h, event: event})
+}
+
+// run advances the virtual time.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(delivery)
+		f.now = next.at
+		if next.to == nil {
+			next.event.(func())()
+			continue
+		}
+		if next.to.up {
+			f.input(next.to, next.event)
+		}
+	}
+	f.now = end
+}
+
+// input gives an event to the machine that it is for.
+func (f *fleet) input(h *host, event any) {
+	began := time.Now()
+	var gossip []membership.Effect
+	var conf []config.Effect
+	switch event := event.(type) {
+	case nil:
+		if f.now.Before(h.wakeAt) {
+			return
+		}
+		gossip = h.member.Step(f.now, membership.Tick{})
+		conf = h.conf.Step(f.now, config.Tick{})
+	case membership.Event:
+		gossip = h.member.Step(f.now, event)
+	case config.Event:
+		conf = h.conf.Step(f.now, event)
+	}
+	wake := min(h.member.Deadline(), h.conf.Deadline())
+	f.cost.cpu += time.Since(began)
+	f.gossipEffects(h, gossip)
+	f.confEffects(h, conf)
+	if h.wakeAt = max(wake, f.now.Add(time.Millisecond)); h.up {
+		f.at(h.wakeAt, h, nil)
+	}
+}
+
+func (f *fleet) gossipEffects(h *host, effects []membership.Effect) {
+	for _, eff := range effects {
+		switch eff := eff.(type) {
+		case membership.Send:
+			size := gossipSize(eff.Message)
+			f.cost.gossipBytes += size
+			f.cost.gossipMessages++
+			h.traffic += size
+			f.deliver(h, f.byGossip[eff.Address], eff.Message)
+		case membership.Changed:
+			f.input(h, peersOf(eff.Snapshot))
+		}
+	}
+}
+
+// peersOf returns the live hosts as the distributor takes them.
+func peersOf(s membership.Snapshot) config.Peers {
+	var p config.Peers
+	for _, dc := range s.DataCentres() {
+		p.Groups = append(p.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
+	}
+	return p
+}
+
+func (f *fleet) confEffects(h *host, effects []config.Effect) {
+	for _, eff := range effects {
+		switch eff := eff.(type) {
+		case config.Send:
+			size := confSize(eff.Body)
+			f.cost.confBytes += size
+			f.cost.confMessages++
+			h.traffic += size
+			f.deliver(h, f.byName[eff.To], config.PeerMessage{From: h.self.Host, Body: eff.Body})
+		case config.ListPlatform:
+			f.platform.list(h)
+		case config.WatchPlatform:
+			f.platform.watch(h, eff.After)
+		case config.StopWatch:
+			h.watching = false
+		case config.Changed:
+			f.checkChanges(h, eff)
+		}
+	}
+}
+
+// checkChanges notes objects that went back to a lower version.
+func (f *fleet) checkChanges(h *host, c config.Changed) {
+	for _, o := range c.Objects {
+		if o.Version <= h.versions[o.Key] {
+			f.reverted = append(f.reverted, fmt.Sprintf("%s on %s", o.Key, h.self.Host))
+		}
+		h.versions[o.Key] = o.Version
+	}
+	if c.Snapshot.Complete() && h.ready == 0 {
+		h.ready = f.now
+	}
+}
+
+// deliver sends a message unless it is lost.
+func (f *fleet) deliver(from, to *host, event any) {
+	if to == nil || !to.up || f.random.Below(100) < f.loss {
+		return
+	}
+	if f.cut != nil && f.cut(from.self.DataCentre, to.self.DataCentre) {
+		return
+	}
+	copies := 1
+	if f.random.Below(100) < f.twice {
+		copies = 2
+	}
+	for range copies {
+		delay := time.Duration(300+f.random.Below(1000)) * time.Microsecond
+		f.at(f.now.Add(delay), to, event)
+	}
+}
+
+// lagging returns the running hosts that the filter accepts and that do not have
+// the version of the object in force.
+func (f *fleet) lagging(k config.Key, v config.Version, accept func(*host) bool) int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.up && accept(h) && h.versions[k] < v {
+			n++
+		}
+	}
+	return n
+}
+
+func anyHost(*host) bool { return true }
+
+func in(dcs ...types.DataCentre) func(*host) bool {
+	return func(h *host) bool { return slices.Contains(dcs, h.self.DataCentre) }
+}
+
+// unready counts the running hosts that cannot serve yet.
+func (f *fleet) unready() int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.up && h.ready == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// until advances the time until the condition holds, and returns how long it took.
+func (f *fleet) until(limit time.Duration, holds func() bool) time.Duration {
+	began := f.now
+	for !holds() && f.now.Sub(began) < limit {
+		f.run(10 * time.Millisecond)
+	}
+	return f.now.Sub(began)
+}
+
+// fakePlatform is the platform's object API with faults.
+type fakePlatform struct {
+	fleet   *fleet
+	objects map[config.Key]config.Object
+	version config.Version
+	// history holds every version, for stale reads.
+	history   []config.Object
+	reachable func(types.DataCentre) bool
+	// stale is the number of versions by which reads lag.
+	stale               config.Version
+	lists, watches, put int
+}
+
+const platformDelay = 5 * time.Millisecond
+
+// platformSilence is the time after which a client gives up.
+const platformSilence = time.Second
+
+func (p *fakePlatform) hostList() membership.PlatformHosts {
+	var list membership.PlatformHosts
+	for _, h := range p.fleet.hosts {
+		if h.up {
+			list.Hosts = append(list.Hosts, membership.PlatformHost{
+				Host: h.self.Host, DataCentre: h.self.DataCentre,
+				MeshAddress: h.self.MeshAddress, GossipAddress: h.self.GossipAddress,
+			})
+		}
+	}
+	return list
+}
+
+// store writes an object and tells the watching hosts.
+func (p *fakePlatform) store(o config.Object) config.Object {
+	p.put++
+	p.version++
+	o.Version = p.version
+	p.objects[o.Key] = o
+	p.history = append(p.history, o)
+	for _, h := range p.fleet.hosts {
+		if h.up && h.watching && p.reachable(h.self.DataCentre) {
+			p.answer(h, config.PlatformObjects{Objects: []config.Object{o}})
+		}
+	}
+	return o
+}
+
+func (p *fakePlatform) answer(h *host, ev config.Event) {
+	p.fleet.at(p.fleet.now.Add(platformDelay), h, ev)
+}
+
+func (p *fakePlatform) fail(h *host) {
+	p.fleet.at(p.fleet.now.Add(platformSilence), h, config.PlatformFailed{})
+}
+
+func (p *fakePlatform) list(h *host) {
+	p.lists++
+	if !p.reachable(h.self.DataCentre) {
+		p.fail(h)
+		return
+	}
+	revision := p.version - min(p.stale, p.version)
+	state := map[config.Key]config.Object{}
+	for _, o := range p.history[:revision] {
+		state[o.Key] = o
+	}
+	ev := config.PlatformObjects{Whole: true, Revision: revision}
+	for _, o := range p.history[:revision] {
+		if state[o.Key].Version == o.Version && !o.Deleted() {
+			ev.Objects = append(ev.Objects, o)
+		}
+	}
+	p.answer(h, ev)
+}
+
+func (p *fakePlatform) watch(h *host, after config.Version) {
+	p.watches++
+	if !p.reachable(h.self.DataCentre) {
+		p.fail(h)
+		return
+	}
+	h.watching = true
+	if after < p.version {
+		p.answer(h, config.PlatformObjects{Objects: slices.Clone(p.history[after:])})
+	}
+}
+
+// lose makes the platform unreachable where the filter says so; watches there fail.
+func (p *fakePlatform) lose(reachable func(types.DataCentre) bool) {
+	p.reachable = reachable
+	for _, h := range p.fleet.hosts {
+		if h.up && h.watching && !reachable(h.self.DataCentre) {
+			h.watching = false
+			p.fail(h)
+		}
+	}
+}
+
+// Estimated sizes of messages, with the headers of the transports.
+const (
+	datagramHeader = 28 + 32
+	streamHeader   = 52 + 12
+	memberBytes    = 30
+	versionBytes   = 10
+)
+
+func gossipSize(m membership.Message) int {
+	size := datagramHeader + memberSize(m.From) + 8
+	members := func(list []membership.Member) {
+		for _, u := range list {
+			size += memberSize(u)
+		}
+	}
+	switch body := m.Body.(type) {
+	case membership.Ping:
+		members(body.Updates)
+	case membership.Ack:
+		members(body.Updates)
+	case membership.PingReq:
+		size += len(body.Target) + len(body.Address)
+	case membership.Digest:
+		for _, g := range body.Groups {
+			size += len(g.DataCentre) + 13
+		}
+	case membership.Buckets:
+		for _, g := range body.Groups {
+			size += len(g.DataCentre) + 6 + 4*len(g.Hashes)
+		}
+	case membership.BucketMembers:
+		size += len(body.DataCentre) + 10
+		members(body.Members)
+	}
+	return size
+}
+
+func memberSize(m membership.Member) int {
+	return len(m.Host) + len(m.DataCentre) + len(m.MeshAddress) + len(m.GossipAddress) + 16
+}
+
+func confSize(b config.PeerBody) int {
+	size := streamHeader
+	switch b := b.(type) {
+	case config.Push:
+		for _, o := range b.Objects {
+			size += objectSize(o)
+		}
+	case config.Digest:
+		size += 11
+	case config.Buckets:
+		size += 8 * len(b.Hashes)
+	case config.Versions:
+		size += len(b.Buckets)
+		for _, v := range b.Versions {
+			size += len(v.Key.Name) + versionBytes
+		}
+	case config.Fetch:
+		for _, k := range b.Keys {
+			size += len(k.Name) + 4
+		}
+	}
+	return size
+}
+
+func objectSize(o config.Object) int {
+	size := len(o.Key.Name) + versionBytes
+	for _, op := range o.Operations {
+		size += len(op) + 2
+	}
+	if s, ok := o.Body.(config.ServiceObject); ok {
+		for _, db := range s.Spec.Databases {
+			size += len(db.ID) + 8
+			for _, e := range db.Endpoints {
+				size += len(e.ID) + len(e.DataCentre) + len(e.Address) + 10
+			}
+		}
+	}
+	return size + 30
+}
+
+// service returns a service with databases of three endpoints.
+func service(i, databases int) config.ServiceObject {
+	spec := types.ServiceSpec{
+		Name: types.Service(fmt.Sprintf("service-%04d", i)), Promise: types.PromiseReplicated,
+		Slots: 3, Connections: 50,
+	}
+	for d := range databases {
+		db := types.DatabaseSpec{ID: types.Database(fmt.Sprintf("s%04d-db-%d", i, d)), Set: 1}
+		for e := range 3 {
+			db.Endpoints = append(db.Endpoints, types.EndpointSpec{
+				ID:         types.Endpoint(fmt.Sprintf("s%04d-db-%d-%d", i, d, e)),
+				DataCentre: dataCentre(e),
+				Address:    fmt.Sprintf("10.20.%d.%d:5432", i%250, d*3+e),
+			})
+		}
+		spec.Databases = append(spec.Databases, db)
+	}
+	return config.ServiceObject{Spec: spec}
+}
+
+// fill stores services of three databases each.
+func (p *fakePlatform) fill(services int) {
+	for i := range services {
+		body := service(i, 3)
+		p.store(config.Object{Key: body.Key(), Body: body, Operations: []config.OperationID{"plan/p0001"}})
+	}
+}
+
+// change stores a new version of service 0.
+func (p *fakePlatform) change() config.Object {
+	body := service(0, 3)
+	body.Spec.Slots = 1 + int(p.version%9)
+	return p.store(config.Object{Key: body.Key(), Body: body, Operations: []config.OperationID{"plan/p0001", "plan/p0002"}})
+}
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/membership/random"
@@ -16,6 +17,8 @@
 	// pauseLimit is the delay of a tick beyond which the process was paused, so
 	// that missing answers say nothing about the others.
 	pauseLimit = time.Second
+	// reportDelay collects changes, so that a burst of them gives few snapshots.
+	reportDelay = 50 * time.Millisecond
 )
 
 // Config holds the settings of a machine.
@@ -47,7 +50,9 @@
 	nextHousework types.Time
 
 	effects []Effect
-	changed []types.Host
+	// changed lists the hosts whose changes are to be reported at reportAt.
+	changed  []types.Host
+	reportAt types.Time
 }
 
 // tombstone remembers when a host was found dead.
@@ -69,7 +74,6 @@
 // Step applies an event at the given time and returns its effects.
 func (m *Machine) Step(now types.Time, ev Event) []Effect {
 	m.effects = nil
-	m.changed = nil
 	switch ev := ev.(type) {
 	case Tick:
 		m.tick(now)
@@ -83,13 +87,16 @@
 	case PlatformHosts:
 		m.learnContacts(ev.Hosts)
 	}
-	m.reportChanges()
+	m.reportChanges(now)
 	return m.effects
 }
 
 // Deadline returns the time at which the machine needs its next Tick.
 func (m *Machine) Deadline() types.Time {
 	at := min(m.prober.deadline(), m.exchange.next, m.relay.next, m.nextHousework)
+	if len(m.changed) > 0 {
+		at = min(at, m.reportAt)
+	}
 	for _, s := range m.suspicions {
 		at = min(at, s.deadline)
 	}
@@ -273,16 +280,25 @@
 	m.effects = append(m.effects, Note{Kind: kind, Host: about.Host, DataCentre: about.DataCentre})
 }
 
-// reportChanges emits the changes of the step with a new snapshot.
-func (m *Machine) reportChanges() {
+// reportChanges emits the changes with a new snapshot some time after the first one.
+func (m *Machine) reportChanges(now types.Time) {
 	if len(m.changed) == 0 {
 		return
 	}
-	members := make([]Member, 0, len(m.changed))
-	for _, h := range m.changed {
+	if m.reportAt == 0 {
+		m.reportAt = now.Add(reportDelay)
+	}
+	if now.Before(m.reportAt) {
+		return
+	}
+	slices.Sort(m.changed)
+	var members []Member
+	for _, h := range slices.Compact(m.changed) {
 		if about, ok := m.table.get(h); ok {
 			members = append(members, about)
 		}
 	}
+	m.changed = nil
+	m.reportAt = 0
 	m.effects = append(m.effects, Changed{Members: members, Snapshot: m.table.snapshot()})
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -34,6 +34,8 @@
 	// live holds the hosts of each group that may own endpoints, nil where it
 	// must be computed again.
 	live [][]types.Host
+	// index lists the records of each group, nil if it must be computed again.
+	index [][]uint32
 }
 
 // find returns the index of the host's record or the place for it.
@@ -94,6 +96,9 @@
 	} else {
 		t.records = slices.Insert(t.records, i, record{})
 	}
+	if !found || t.records[i].group != uint16(group) {
+		t.index = nil
+	}
 	t.records[i] = record{
 		text:        string(m.Host) + m.MeshAddress + m.GossipAddress,
 		incarnation: m.Incarnation,
@@ -115,6 +120,7 @@
 	}
 	t.own()
 	t.forget(i)
+	t.index = nil
 	t.records = slices.Delete(t.records, i, i+1)
 }
 
@@ -166,26 +172,42 @@
 
 // computeLive fills in the missing lists of live hosts.
 func (t *table) computeLive() {
-	missing := make([]bool, len(t.groups))
-	any := false
-	for g := range t.groups {
-		missing[g] = t.live[g] == nil
-		any = any || missing[g]
-	}
-	if !any {
+	if !slices.ContainsFunc(t.live, func(l []types.Host) bool { return l == nil }) {
 		return
 	}
-	t.own()
-	for g := range missing {
-		if missing[g] {
-			t.live[g] = []types.Host{}
+	if t.shared {
+		t.own()
+	}
+	for g := range t.groups {
+		if t.live[g] == nil {
+			t.live[g] = t.ownersIn(g)
+		}
+	}
+}
+
+// ownersIn returns the hosts of a group that may own endpoints.
+func (t *table) ownersIn(g int) []types.Host {
+	out := []types.Host{}
+	for _, i := range t.inGroup(g) {
+		if r := t.records[i]; r.owns() {
+			out = append(out, types.Host(r.host()))
 		}
 	}
-	for _, r := range t.records {
-		if missing[r.group] && r.owns() {
-			t.live[r.group] = append(t.live[r.group], types.Host(r.host()))
+	return out
+}
+
+// inGroup returns the indexes of the records of a group.
+func (t *table) inGroup(g int) []uint32 {
+	if t.index == nil {
+		t.index = make([][]uint32, len(t.groups))
+		for i, r := range t.records {
+			t.index[r.group] = append(t.index[r.group], uint32(i))
 		}
 	}
+	if g >= len(t.index) {
+		return nil
+	}
+	return t.index[g]
 }
 
 // liveIn returns the hosts of a data centre that may own endpoints.
@@ -194,13 +216,12 @@
 	return t.live[t.group(dc)]
 }
 
-// select returns the indexes of the records of a group that the filter accepts.
+// selectIn returns the indexes of the records of a group that the filter accepts.
 func (t *table) selectIn(dc types.DataCentre, accept func(record) bool) []int {
-	g := uint16(t.group(dc))
 	var out []int
-	for i, r := range t.records {
-		if r.group == g && accept(r) {
-			out = append(out, i)
+	for _, i := range t.inGroup(t.group(dc)) {
+		if accept(t.records[i]) {
+			out = append(out, int(i))
 		}
 	}
 	return out
