--- /dev/null
+++ b/standin/database/faults_test.go
@@ -0,0 +1,162 @@
+package database
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// briefly is how long a test waits for an answer that must not come.
+const briefly = 100 * time.Millisecond
+
+// answers sends a statement whose answer arrives on the channel.
+func answers(ctx context.Context, conn *pgx.Conn, sql string) chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(ctx, sql)
+		done <- err
+	}()
+	return done
+}
+
+func isSilent(done chan error) bool {
+	select {
+	case <-done:
+		return false
+	case <-time.After(briefly):
+		return true
+	}
+}
+
+func TestCutHoldsTheTrafficOfItsPeers(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary := g.Instances[0]
+	cut := connect(t, ctx, primary, "application_name=baobabfield/one")
+	other := connect(t, ctx, primary, "application_name=baobabfield/two")
+	exec(t, ctx, other, "CREATE TABLE rounds (id bigint primary key)")
+
+	primary.Cut(Cut{Peers: []string{"baobabfield/one"}})
+	held := answers(ctx, cut, "INSERT INTO rounds VALUES (1)")
+	is.True(isSilent(held))
+	exec(t, ctx, other, "INSERT INTO rounds VALUES (2)")
+	is.Equal(countRounds(t, ctx, primary), 1)
+	short, cancel := context.WithTimeout(ctx, briefly)
+	defer cancel()
+	_, err := tryConnect(short, primary, "application_name=baobabfield/one")
+	is.True(errors.Is(err, context.DeadlineExceeded))
+
+	primary.Heal()
+	is.NoErr(<-held)
+	is.Equal(countRounds(t, ctx, primary), 2)
+}
+
+func TestCutOfAnswersLetsStatementsRun(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary := g.Instances[0]
+	conn := connect(t, ctx, primary, "application_name=baobabfield/one")
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	primary.Cut(Cut{Peers: []string{"baobabfield/one"}, Direction: Outbound, AllowNew: true})
+	held := answers(ctx, conn, "INSERT INTO rounds VALUES (1)")
+	is.NoErr(primary.WaitReplicated(ctx, 2))
+	is.True(isSilent(held))
+	is.Equal(countRounds(t, ctx, primary), 1)
+	exec(t, ctx, connect(t, ctx, primary, "application_name=baobabfield/one"), "SELECT 1")
+	primary.Heal()
+	is.NoErr(<-held)
+}
+
+func TestCutReplicaCatchesUpOnceHealed(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary, near, far := g.Instances[0], g.Instances[1], g.Instances[2]
+	primary.Cut(Cut{Peers: []string{PeerName(far.ID())}})
+	conn := connect(t, ctx, primary)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	waitReplica(t, ctx, near, primary)
+	is.Equal(int(far.Status().Last.Position), 0)
+	primary.Heal()
+	waitReplica(t, ctx, far, primary)
+}
+
+func TestSilencedConnectionStaysSilent(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary := g.Instances[0]
+	conn := connect(t, ctx, primary, "application_name=baobabfield/one")
+	for _, info := range primary.Connections() {
+		if info.ApplicationName == "baobabfield/one" {
+			is.True(primary.Silence(info.ID))
+		}
+	}
+	abandoned, abandon := context.WithCancel(ctx)
+	held := answers(abandoned, conn, "SELECT 1")
+	primary.Heal()
+	is.True(isSilent(held))
+	abandon()
+	is.True(<-held != nil)
+	exec(t, ctx, connect(t, ctx, primary, "application_name=baobabfield/one"), "SELECT 1")
+}
+
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx, func(c *Config) { c.MaxConnections = 1 })
+	first := connect(t, ctx, g.Instances[0])
+	_, err := tryConnect(ctx, g.Instances[0])
+	is.Equal(sqlState(err), stateTooMany)
+	exec(t, ctx, first, "SELECT 1")
+}
+
+func TestSlotsBoundTheStatementsThatRun(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx, func(c *Config) { c.Slots = 1 })
+	primary := g.Instances[0]
+	first, second := connect(t, ctx, primary), connect(t, ctx, primary)
+	long, cancel := context.WithCancel(ctx)
+	defer cancel()
+	running := answers(long, first, "SELECT pg_sleep(3600)")
+	waitSlotsTaken(t, ctx, primary)
+	waiting := answers(ctx, second, "SELECT 1")
+	is.True(isSilent(waiting))
+	is.NoErr(first.PgConn().CancelRequest(ctx))
+	is.Equal(sqlState(<-running), stateCanceled)
+	is.NoErr(<-waiting)
+}
+
+func TestFailingInstanceAnswersAtOnce(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	conn := connect(t, ctx, g.Instances[0])
+	g.Instances[0].SetFailing(true)
+	_, err := conn.Exec(ctx, "SELECT 1")
+	is.Equal(sqlState(err), stateSystem)
+	g.Instances[0].SetFailing(false)
+	exec(t, ctx, conn, "SELECT 1")
+}
+
+// waitSlotsTaken waits until statements run in all slots.
+func waitSlotsTaken(t *testing.T, ctx context.Context, i *Instance) {
+	t.Helper()
+	free := make(chan int, 1)
+	for {
+		i.scheduler.changes <- func(s *scheduler) { free <- s.free }
+		if <-free == 0 {
+			return
+		}
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/standin/database/follower.go
+++ b/standin/database/follower.go
@@ -206,6 +206,7 @@
 	for _, e := range entries {
 		l.history.append(e)
 	}
+	l.wakeWaiters(false)
 	return nil
 }
 
@@ -215,5 +216,6 @@
 		return err
 	}
 	l.history.truncate(p)
+	l.wakeWaiters(false)
 	return nil
 }
--- /dev/null
+++ b/standin/database/replication_test.go
@@ -0,0 +1,172 @@
+package database
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/types"
+)
+
+func secondTerm() types.Term { return types.MakeTerm(1, 2) }
+
+// waitPosition waits until an instance's log ends at a position.
+func waitPosition(t *testing.T, ctx context.Context, i *Instance, p types.Position) {
+	t.Helper()
+	err := i.await(ctx, func() bool { return i.ledger.history.last().Position == p })
+	if err != nil {
+		t.Fatalf("endpoint %q did not reach position %d: %v", i.ID(), p, err)
+	}
+}
+
+// waitReplica waits until a replica has reached its primary's position.
+func waitReplica(t *testing.T, ctx context.Context, replica, primary *Instance) {
+	t.Helper()
+	waitPosition(t, ctx, replica, primary.Status().Last.Position)
+}
+
+// text runs a control function and returns its only row.
+func text(t *testing.T, ctx context.Context, i *Instance, call string) []string {
+	t.Helper()
+	conn := connect(t, ctx, i)
+	results, err := conn.PgConn().Exec(ctx, "SELECT * FROM "+call).ReadAll()
+	if err != nil {
+		t.Fatalf("%s: %v", call, err)
+	}
+	var row []string
+	for _, field := range results[0].Rows[0] {
+		row = append(row, string(field))
+	}
+	return row
+}
+
+func countRounds(t *testing.T, ctx context.Context, i *Instance) int {
+	t.Helper()
+	var n int
+	conn := connect(t, ctx, i)
+	if err := conn.QueryRow(ctx, "SELECT count(*) FROM rounds").Scan(&n); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestReplicasApplyTheLog(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary, replica := g.Instances[0], g.Instances[1]
+	conn := connect(t, ctx, primary)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES ($1)", 1)
+	waitReplica(t, ctx, replica, primary)
+	is.Equal(countRounds(t, ctx, replica), 1)
+	is.Equal(text(t, ctx, primary, "baobab_replicated(2, 60000)"), []string{formatTerm(FirstTerm), "2"})
+
+	_, err := connect(t, ctx, replica).Exec(ctx, "INSERT INTO rounds VALUES (2)")
+	is.Equal(sqlState(err), stateReadOnly)
+	starts := formatTerm(FirstTerm) + ":0"
+	is.Equal(text(t, ctx, replica, "baobab_status()"),
+		[]string{"replica", formatTerm(FirstTerm), formatTerm(FirstTerm), "2", "0", starts})
+}
+
+func TestFenceStopsThePrimaryAndItsOpenTransaction(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary := g.Instances[0]
+	conn := connect(t, ctx, primary)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	exec(t, ctx, conn, "BEGIN")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (1)")
+
+	second, third := formatTerm(secondTerm()), formatTerm(secondTerm()+1)
+	is.Equal(text(t, ctx, primary, "baobab_fence("+second+")"), []string{"t", second, formatTerm(FirstTerm), "1"})
+	is.Equal(text(t, ctx, primary, "baobab_fence("+second+")")[0], "f")
+	is.Equal(text(t, ctx, primary, "baobab_promote("+third+")")[0], "f")
+
+	_, err := conn.Exec(ctx, "COMMIT")
+	is.Equal(sqlState(err), stateReadOnly)
+	is.Equal(countRounds(t, ctx, primary), 0)
+	is.Equal(text(t, ctx, primary, "baobab_promote("+second+")")[0], "t")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (2)")
+	is.Equal(countRounds(t, ctx, primary), 1)
+}
+
+func TestFollowDropsEntriesThatThePrimaryLacks(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	old, next, third := g.Instances[0], g.Instances[1], g.Instances[2]
+	conn := connect(t, ctx, old)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (1)")
+	waitReplica(t, ctx, next, old)
+	waitReplica(t, ctx, third, old)
+
+	is.True(next.Fence(secondTerm()))
+	is.True(third.Fence(secondTerm()))
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (2)")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (3)")
+	is.Equal(old.Status().Replicated, types.Position(2))
+	is.True(next.Promote(secondTerm()))
+	is.True(!next.Follow("c", third.Address(), secondTerm()))
+	exec(t, ctx, connect(t, ctx, next), "INSERT INTO rounds VALUES (4)")
+	is.True(old.Follow("b", next.Address(), secondTerm()))
+	is.NoErr(next.WaitReplicated(ctx, 3))
+	waitPosition(t, ctx, old, 3)
+
+	is.Equal(old.Status().Last, types.LogPoint{Term: secondTerm(), Position: 3})
+	is.Equal(old.Status().Starts, next.Status().Starts)
+	is.Equal(countRounds(t, ctx, old), 2)
+	is.True(third.Follow("b", next.Address(), secondTerm()))
+	waitReplica(t, ctx, third, next)
+}
+
+func TestExpectedTerm(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary := g.Instances[0]
+	conn := connect(t, ctx, primary)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	exec(t, ctx, conn, "SET baobab.expected_term = '"+formatTerm(FirstTerm)+"'")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (1)")
+	exec(t, ctx, conn, "BEGIN")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (2)")
+	is.True(primary.Fence(secondTerm()))
+	is.True(primary.Promote(secondTerm()))
+
+	_, err := conn.Exec(ctx, "COMMIT")
+	is.Equal(sqlState(err), stateWrongTerm)
+	for _, sql := range []string{"SELECT 1", "BEGIN", "INSERT INTO rounds VALUES (3)"} {
+		_, err = conn.Exec(ctx, sql)
+		is.Equal(sqlState(err), stateWrongTerm)
+	}
+	exec(t, ctx, conn, "SET baobab.expected_term = ''")
+	is.Equal(countRounds(t, ctx, primary), 1)
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (3)")
+}
+
+func TestStateSurvivesAKill(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary, replica := g.Instances[0], g.Instances[1]
+	conn := connect(t, ctx, primary)
+	exec(t, ctx, conn, "CREATE TABLE rounds (id bigint primary key)")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (1)")
+	exec(t, ctx, conn, "BEGIN")
+	exec(t, ctx, conn, "INSERT INTO rounds VALUES (2)")
+
+	primary.Kill()
+	_, err := conn.Exec(ctx, "COMMIT")
+	is.True(err != nil)
+	_, err = tryConnect(ctx, primary)
+	is.True(err != nil)
+	primary.Revive()
+	is.Equal(countRounds(t, ctx, primary), 1)
+	exec(t, ctx, connect(t, ctx, primary), "INSERT INTO rounds VALUES (3)")
+	waitReplica(t, ctx, replica, primary)
+	is.Equal(countRounds(t, ctx, replica), 2)
+}
