--- a/standin/database/faults_test.go
+++ b/standin/database/faults_test.go
@@ -25,7 +25,8 @@
 
 func isSilent(done chan error) bool {
 	select {
-	case <-done:
+	case err := <-done:
+		done <- err
 		return false
 	case <-time.After(briefly):
 		return true
