--- a/api/admin/oas_client_gen.go
+++ b/api/admin/oas_client_gen.go
@@ -24,11 +24,10 @@
 type Invoker interface {
 	// ConfirmPlan invokes confirmPlan operation.
 	//
-	// Puts a plan into force. A confirmation may be repeated, with the same operation id or another: a
-	// plan is applied at most once.
+	// Puts a plan into force. Repeating a confirmation is safe: a plan is applied at most once.
 	//
 	// POST /v1/plans/{plan}/confirm
-	ConfirmPlan(ctx context.Context, request *Operation, params ConfirmPlanParams) (*Confirmation, error)
+	ConfirmPlan(ctx context.Context, params ConfirmPlanParams) (*Confirmation, error)
 	// CreatePlan invokes createPlan operation.
 	//
 	// Makes a plan from an intent. Nothing changes until it is confirmed.
@@ -95,7 +94,7 @@
 	// Withdraws a plan that is not confirmed.
 	//
 	// POST /v1/plans/{plan}/withdraw
-	WithdrawPlan(ctx context.Context, request *Operation, params WithdrawPlanParams) (*Confirmation, error)
+	WithdrawPlan(ctx context.Context, params WithdrawPlanParams) (*Confirmation, error)
 }
 
 // Client implements OAS client.
@@ -141,25 +140,15 @@
 
 // ConfirmPlan invokes confirmPlan operation.
 //
-// Puts a plan into force. A confirmation may be repeated, with the same operation id or another: a
-// plan is applied at most once.
+// Puts a plan into force. Repeating a confirmation is safe: a plan is applied at most once.
 //
 // POST /v1/plans/{plan}/confirm
-func (c *Client) ConfirmPlan(ctx context.Context, request *Operation, params ConfirmPlanParams) (*Confirmation, error) {
-	res, err := c.sendConfirmPlan(ctx, request, params)
+func (c *Client) ConfirmPlan(ctx context.Context, params ConfirmPlanParams) (*Confirmation, error) {
+	res, err := c.sendConfirmPlan(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendConfirmPlan(ctx context.Context, request *Operation, params ConfirmPlanParams) (res *Confirmation, err error) {
-	// Validate request before sending.
-	if err := func() error {
-		if err := request.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		return res, errors.Wrap(err, "validate")
-	}
+func (c *Client) sendConfirmPlan(ctx context.Context, params ConfirmPlanParams) (res *Confirmation, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [3]string
@@ -189,9 +178,6 @@
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
 	}
-	if err := encodeConfirmPlanRequest(request, r); err != nil {
-		return res, errors.Wrap(err, "encode request")
-	}
 
 	{
 		type bitset = [1]uint8
@@ -892,15 +878,15 @@
 
 	q := uri.NewQueryEncoder()
 	{
-		// Encode "phase" parameter.
+		// Encode "state" parameter.
 		cfg := uri.QueryParameterEncodingConfig{
-			Name:    "phase",
+			Name:    "state",
 			Style:   uri.QueryStyleForm,
 			Explode: true,
 		}
 
 		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
-			if val, ok := params.Phase.Get(); ok {
+			if val, ok := params.State.Get(); ok {
 				return e.EncodeValue(conv.StringToString(string(val)))
 			}
 			return nil
@@ -1202,21 +1188,12 @@
 // Withdraws a plan that is not confirmed.
 //
 // POST /v1/plans/{plan}/withdraw
-func (c *Client) WithdrawPlan(ctx context.Context, request *Operation, params WithdrawPlanParams) (*Confirmation, error) {
-	res, err := c.sendWithdrawPlan(ctx, request, params)
+func (c *Client) WithdrawPlan(ctx context.Context, params WithdrawPlanParams) (*Confirmation, error) {
+	res, err := c.sendWithdrawPlan(ctx, params)
 	return res, err
 }
 
-func (c *Client) sendWithdrawPlan(ctx context.Context, request *Operation, params WithdrawPlanParams) (res *Confirmation, err error) {
-	// Validate request before sending.
-	if err := func() error {
-		if err := request.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		return res, errors.Wrap(err, "validate")
-	}
+func (c *Client) sendWithdrawPlan(ctx context.Context, params WithdrawPlanParams) (res *Confirmation, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [3]string
@@ -1246,9 +1223,6 @@
 	if err != nil {
 		return res, errors.Wrap(err, "create request")
 	}
-	if err := encodeWithdrawPlanRequest(request, r); err != nil {
-		return res, errors.Wrap(err, "encode request")
-	}
 
 	{
 		type bitset = [1]uint8
--- a/api/admin/oas_defaults_gen.go
+++ b/api/admin/oas_defaults_gen.go
@@ -18,6 +18,14 @@
 	}
 }
 
+// setDefaults set default value of fields.
+func (s *RetirementSpec) setDefaults() {
+	{
+		val := string("")
+		s.Service.SetTo(val)
+	}
+}
+
 // setDefaults set default value of fields.
 func (s *ServiceSpec) setDefaults() {
 	{
--- a/api/admin/oas_handlers_gen.go
+++ b/api/admin/oas_handlers_gen.go
@@ -30,8 +30,7 @@
 
 // handleConfirmPlanRequest handles confirmPlan operation.
 //
-// Puts a plan into force. A confirmation may be repeated, with the same operation id or another: a
-// plan is applied at most once.
+// Puts a plan into force. Repeating a confirmation is safe: a plan is applied at most once.
 //
 // POST /v1/plans/{plan}/confirm
 func (s *Server) handleConfirmPlanRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -104,21 +103,6 @@
 	}
 
 	var rawBody []byte
-	request, rawBody, close, err := s.decodeConfirmPlanRequest(r)
-	if err != nil {
-		err = &ogenerrors.DecodeRequestError{
-			OperationContext: opErrContext,
-			Err:              err,
-		}
-		defer recordError("DecodeRequest", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
-		return
-	}
-	defer func() {
-		if err := close(); err != nil {
-			recordError("CloseRequest", err)
-		}
-	}()
 
 	var response *Confirmation
 	if m := s.cfg.Middleware; m != nil {
@@ -127,7 +111,7 @@
 			OperationName:    ConfirmPlanOperation,
 			OperationSummary: "",
 			OperationID:      "confirmPlan",
-			Body:             request,
+			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
 				{
@@ -139,7 +123,7 @@
 		}
 
 		type (
-			Request  = *Operation
+			Request  = struct{}
 			Params   = ConfirmPlanParams
 			Response = *Confirmation
 		)
@@ -152,12 +136,12 @@
 			mreq,
 			unpackConfirmPlanParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.ConfirmPlan(ctx, request, params)
+				response, err = s.h.ConfirmPlan(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.ConfirmPlan(ctx, request, params)
+		response, err = s.h.ConfirmPlan(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
@@ -1102,9 +1086,9 @@
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
 				{
-					Name: "phase",
+					Name: "state",
 					In:   "query",
-				}: params.Phase,
+				}: params.State,
 			},
 			Raw: r,
 		}
@@ -1609,21 +1593,6 @@
 	}
 
 	var rawBody []byte
-	request, rawBody, close, err := s.decodeWithdrawPlanRequest(r)
-	if err != nil {
-		err = &ogenerrors.DecodeRequestError{
-			OperationContext: opErrContext,
-			Err:              err,
-		}
-		defer recordError("DecodeRequest", err)
-		s.cfg.ErrorHandler(ctx, w, r, err)
-		return
-	}
-	defer func() {
-		if err := close(); err != nil {
-			recordError("CloseRequest", err)
-		}
-	}()
 
 	var response *Confirmation
 	if m := s.cfg.Middleware; m != nil {
@@ -1632,7 +1601,7 @@
 			OperationName:    WithdrawPlanOperation,
 			OperationSummary: "",
 			OperationID:      "withdrawPlan",
-			Body:             request,
+			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
 				{
@@ -1644,7 +1613,7 @@
 		}
 
 		type (
-			Request  = *Operation
+			Request  = struct{}
 			Params   = WithdrawPlanParams
 			Response = *Confirmation
 		)
@@ -1657,12 +1626,12 @@
 			mreq,
 			unpackWithdrawPlanParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.WithdrawPlan(ctx, request, params)
+				response, err = s.h.WithdrawPlan(ctx, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.WithdrawPlan(ctx, request, params)
+		response, err = s.h.WithdrawPlan(ctx, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
--- a/api/admin/oas_json_gen.go
+++ b/api/admin/oas_json_gen.go
@@ -13,141 +13,90 @@
 )
 
 // Encode implements json.Marshaler.
-func (s *Caller) Encode(e *jx.Encoder) {
+func (s *Configuration) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Caller) encodeFields(e *jx.Encoder) {
+func (s *Configuration) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("host")
-		e.Str(s.Host)
-	}
-	{
-		e.FieldStart("feature")
-		e.Str(s.Feature)
-	}
-	{
-		e.FieldStart("job")
-		e.Str(s.Job)
-	}
-	{
-		e.FieldStart("address")
-		e.Str(s.Address)
+		e.FieldStart("version")
+		e.UInt64(s.Version)
 	}
 	{
-		e.FieldStart("count")
-		e.UInt64(s.Count)
+		e.FieldStart("digest")
+		e.Str(s.Digest)
 	}
 	{
-		e.FieldStart("lastSeen")
-		json.EncodeDateTime(e, s.LastSeen)
+		e.FieldStart("complete")
+		e.Bool(s.Complete)
 	}
 }
 
-var jsonFieldsNameOfCaller = [6]string{
-	0: "host",
-	1: "feature",
-	2: "job",
-	3: "address",
-	4: "count",
-	5: "lastSeen",
+var jsonFieldsNameOfConfiguration = [3]string{
+	0: "version",
+	1: "digest",
+	2: "complete",
 }
 
-// Decode decodes Caller from json.
-func (s *Caller) Decode(d *jx.Decoder) error {
+// Decode decodes Configuration from json.
+func (s *Configuration) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Caller to nil")
+		return errors.New("invalid: unable to decode Configuration to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "host":
+		case "version":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Str()
-				s.Host = string(v)
+				v, err := d.UInt64()
+				s.Version = uint64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"host\"")
+				return errors.Wrap(err, "decode field \"version\"")
 			}
-		case "feature":
+		case "digest":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
-				s.Feature = string(v)
+				s.Digest = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"feature\"")
+				return errors.Wrap(err, "decode field \"digest\"")
 			}
-		case "job":
+		case "complete":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := d.Str()
-				s.Job = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"job\"")
-			}
-		case "address":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				v, err := d.Str()
-				s.Address = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"address\"")
-			}
-		case "count":
-			requiredBitSet[0] |= 1 << 4
-			if err := func() error {
-				v, err := d.UInt64()
-				s.Count = uint64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"count\"")
-			}
-		case "lastSeen":
-			requiredBitSet[0] |= 1 << 5
-			if err := func() error {
-				v, err := json.DecodeDateTime(d)
-				s.LastSeen = v
+				v, err := d.Bool()
+				s.Complete = bool(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"lastSeen\"")
+				return errors.Wrap(err, "decode field \"complete\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Caller")
+		return errors.Wrap(err, "decode Configuration")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00111111,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -159,8 +108,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfCaller) {
-					name = jsonFieldsNameOfCaller[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfConfiguration) {
+					name = jsonFieldsNameOfConfiguration[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -181,14 +130,14 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Caller) MarshalJSON() ([]byte, error) {
+func (s *Configuration) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Caller) UnmarshalJSON(data []byte) error {
+func (s *Configuration) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -258,11 +207,7 @@
 	}
 	{
 		e.FieldStart("moved")
-		e.ArrStart()
-		for _, elem := range s.Moved {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.Str(s.Moved)
 	}
 	{
 		e.FieldStart("written")
@@ -273,10 +218,8 @@
 		e.ArrEnd()
 	}
 	{
-		if s.Next.Set {
-			e.FieldStart("next")
-			s.Next.Encode(e)
-		}
+		e.FieldStart("next")
+		e.Str(s.Next)
 	}
 }
 
@@ -335,15 +278,9 @@
 		case "moved":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				s.Moved = make([]MovedObject, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem MovedObject
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Moved = append(s.Moved, elem)
-					return nil
-				}); err != nil {
+				v, err := d.Str()
+				s.Moved = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -369,9 +306,11 @@
 				return errors.Wrap(err, "decode field \"written\"")
 			}
 		case "next":
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				s.Next.Reset()
-				if err := s.Next.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Next = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -388,7 +327,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -434,6 +373,119 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Count) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Count) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("value")
+		e.Int64(s.Value)
+	}
+}
+
+var jsonFieldsNameOfCount = [2]string{
+	0: "name",
+	1: "value",
+}
+
+// Decode decodes Count from json.
+func (s *Count) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Count to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "value":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Value = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"value\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Count")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCount) {
+					name = jsonFieldsNameOfCount[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Count) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Count) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *DatabaseSpec) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -453,6 +505,16 @@
 			s.Set.Encode(e)
 		}
 	}
+	{
+		if s.PreviousEndpoints != nil {
+			e.FieldStart("previousEndpoints")
+			e.ArrStart()
+			for _, elem := range s.PreviousEndpoints {
+				elem.Encode(e)
+			}
+			e.ArrEnd()
+		}
+	}
 	{
 		e.FieldStart("endpoints")
 		e.ArrStart()
@@ -463,10 +525,11 @@
 	}
 }
 
-var jsonFieldsNameOfDatabaseSpec = [3]string{
+var jsonFieldsNameOfDatabaseSpec = [4]string{
 	0: "id",
 	1: "set",
-	2: "endpoints",
+	2: "previousEndpoints",
+	3: "endpoints",
 }
 
 // Decode decodes DatabaseSpec from json.
@@ -501,8 +564,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"set\"")
 			}
+		case "previousEndpoints":
+			if err := func() error {
+				s.PreviousEndpoints = make([]EndpointSpec, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem EndpointSpec
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.PreviousEndpoints = append(s.PreviousEndpoints, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"previousEndpoints\"")
+			}
 		case "endpoints":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				s.Endpoints = make([]EndpointSpec, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -529,7 +609,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000101,
+		0b00001001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1490,18 +1570,32 @@
 		e.FieldStart("text")
 		e.Str(s.Text)
 	}
+	{
+		e.FieldStart("counts")
+		e.ArrStart()
+		for _, elem := range s.Counts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		e.FieldStart("depth")
+		e.Int(s.Depth)
+	}
 }
 
-var jsonFieldsNameOfEvent = [9]string{
-	0: "id",
-	1: "cause",
-	2: "host",
-	3: "at",
-	4: "logical",
-	5: "kind",
-	6: "object",
-	7: "author",
-	8: "text",
+var jsonFieldsNameOfEvent = [11]string{
+	0:  "id",
+	1:  "cause",
+	2:  "host",
+	3:  "at",
+	4:  "logical",
+	5:  "kind",
+	6:  "object",
+	7:  "author",
+	8:  "text",
+	9:  "counts",
+	10: "depth",
 }
 
 // Decode decodes Event from json.
@@ -1621,6 +1715,36 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"text\"")
 			}
+		case "counts":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				s.Counts = make([]Count, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Count
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Counts = append(s.Counts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"counts\"")
+			}
+		case "depth":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Depth = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"depth\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -1632,7 +1756,7 @@
 	var failures []validate.FieldError
 	for i, mask := range [2]uint8{
 		0b11111111,
-		0b00000001,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1699,21 +1823,27 @@
 		e.FieldStart("reachable")
 		e.Bool(s.Reachable)
 	}
+	{
+		e.FieldStart("version")
+		e.UInt64(s.Version)
+	}
+	{
+		e.FieldStart("digest")
+		e.Str(s.Digest)
+	}
 	{
 		e.FieldStart("lagging")
-		e.ArrStart()
-		for _, elem := range s.Lagging {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.Bool(s.Lagging)
 	}
 }
 
-var jsonFieldsNameOfHostRollout = [4]string{
+var jsonFieldsNameOfHostRollout = [6]string{
 	0: "host",
 	1: "dataCentre",
 	2: "reachable",
-	3: "lagging",
+	3: "version",
+	4: "digest",
+	5: "lagging",
 }
 
 // Decode decodes HostRollout from json.
@@ -1761,19 +1891,37 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"reachable\"")
 			}
-		case "lagging":
+		case "version":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				s.Lagging = make([]ObjectVersion, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem ObjectVersion
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Lagging = append(s.Lagging, elem)
-					return nil
-				}); err != nil {
-					return err
+				v, err := d.UInt64()
+				s.Version = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "digest":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Digest = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"digest\"")
+			}
+		case "lagging":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Bool()
+				s.Lagging = bool(v)
+				if err != nil {
+					return err
 				}
 				return nil
 			}(); err != nil {
@@ -1789,7 +1937,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00001111,
+		0b00111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1903,39 +2051,25 @@
 		}
 	}
 	{
-		if s.Name.Set {
-			e.FieldStart("name")
-			s.Name.Encode(e)
-		}
-	}
-	{
-		if s.Database.Set {
-			e.FieldStart("database")
-			s.Database.Encode(e)
+		if s.Retirement.Set {
+			e.FieldStart("retirement")
+			s.Retirement.Encode(e)
 		}
 	}
 	{
-		if s.Endpoint.Set {
-			e.FieldStart("endpoint")
-			s.Endpoint.Encode(e)
-		}
-	}
-	{
-		if s.Note.Set {
-			e.FieldStart("note")
-			s.Note.Encode(e)
+		if s.Name.Set {
+			e.FieldStart("name")
+			s.Name.Encode(e)
 		}
 	}
 }
 
-var jsonFieldsNameOfIntent = [7]string{
+var jsonFieldsNameOfIntent = [5]string{
 	0: "kind",
 	1: "service",
 	2: "rank",
-	3: "name",
-	4: "database",
-	5: "endpoint",
-	6: "note",
+	3: "retirement",
+	4: "name",
 }
 
 // Decode decodes Intent from json.
@@ -1977,45 +2111,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"rank\"")
 			}
-		case "name":
-			if err := func() error {
-				s.Name.Reset()
-				if err := s.Name.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"name\"")
-			}
-		case "database":
-			if err := func() error {
-				s.Database.Reset()
-				if err := s.Database.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"database\"")
-			}
-		case "endpoint":
+		case "retirement":
 			if err := func() error {
-				s.Endpoint.Reset()
-				if err := s.Endpoint.Decode(d); err != nil {
+				s.Retirement.Reset()
+				if err := s.Retirement.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"endpoint\"")
+				return errors.Wrap(err, "decode field \"retirement\"")
 			}
-		case "note":
+		case "name":
 			if err := func() error {
-				s.Note.Reset()
-				if err := s.Note.Decode(d); err != nil {
+				s.Name.Reset()
+				if err := s.Name.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"note\"")
+				return errors.Wrap(err, "decode field \"name\"")
 			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
@@ -2089,24 +2203,18 @@
 	}
 	// Try to use constant string.
 	switch IntentKind(v) {
-	case IntentKindService:
-		*s = IntentKindService
+	case IntentKindPutService:
+		*s = IntentKindPutService
 	case IntentKindRemoveService:
 		*s = IntentKindRemoveService
-	case IntentKindRank:
-		*s = IntentKindRank
+	case IntentKindPutRank:
+		*s = IntentKindPutRank
 	case IntentKindRemoveRank:
 		*s = IntentKindRemoveRank
-	case IntentKindRetireFeature:
-		*s = IntentKindRetireFeature
-	case IntentKindRetireJob:
-		*s = IntentKindRetireJob
-	case IntentKindRetireEndpoint:
-		*s = IntentKindRetireEndpoint
+	case IntentKindRetire:
+		*s = IntentKindRetire
 	case IntentKindCancelRetirement:
 		*s = IntentKindCancelRetirement
-	case IntentKindPrimary:
-		*s = IntentKindPrimary
 	default:
 		*s = IntentKind(v)
 	}
@@ -2273,8 +2381,12 @@
 		e.Str(s.DataCentre)
 	}
 	{
-		e.FieldStart("address")
-		e.Str(s.Address)
+		e.FieldStart("meshAddress")
+		e.Str(s.MeshAddress)
+	}
+	{
+		e.FieldStart("gossipAddress")
+		e.Str(s.GossipAddress)
 	}
 	{
 		e.FieldStart("state")
@@ -2286,12 +2398,13 @@
 	}
 }
 
-var jsonFieldsNameOfMember = [5]string{
+var jsonFieldsNameOfMember = [6]string{
 	0: "host",
 	1: "dataCentre",
-	2: "address",
-	3: "state",
-	4: "incarnation",
+	2: "meshAddress",
+	3: "gossipAddress",
+	4: "state",
+	5: "incarnation",
 }
 
 // Decode decodes Member from json.
@@ -2327,20 +2440,32 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"dataCentre\"")
 			}
-		case "address":
+		case "meshAddress":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Str()
-				s.Address = string(v)
+				s.MeshAddress = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"address\"")
+				return errors.Wrap(err, "decode field \"meshAddress\"")
 			}
-		case "state":
+		case "gossipAddress":
 			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.GossipAddress = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"gossipAddress\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				if err := s.State.Decode(d); err != nil {
 					return err
@@ -2350,7 +2475,7 @@
 				return errors.Wrap(err, "decode field \"state\"")
 			}
 		case "incarnation":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				v, err := d.UInt64()
 				s.Incarnation = uint64(v)
@@ -2371,7 +2496,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2461,153 +2586,6 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s *MovedObject) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *MovedObject) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("kind")
-		e.Str(s.Kind)
-	}
-	{
-		e.FieldStart("name")
-		e.Str(s.Name)
-	}
-	{
-		e.FieldStart("planned")
-		e.UInt64(s.Planned)
-	}
-	{
-		e.FieldStart("current")
-		e.UInt64(s.Current)
-	}
-}
-
-var jsonFieldsNameOfMovedObject = [4]string{
-	0: "kind",
-	1: "name",
-	2: "planned",
-	3: "current",
-}
-
-// Decode decodes MovedObject from json.
-func (s *MovedObject) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode MovedObject to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "kind":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Kind = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"kind\"")
-			}
-		case "name":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Str()
-				s.Name = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"name\"")
-			}
-		case "planned":
-			requiredBitSet[0] |= 1 << 2
-			if err := func() error {
-				v, err := d.UInt64()
-				s.Planned = uint64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"planned\"")
-			}
-		case "current":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				v, err := d.UInt64()
-				s.Current = uint64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"current\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode MovedObject")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00001111,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfMovedObject) {
-					name = jsonFieldsNameOfMovedObject[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *MovedObject) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *MovedObject) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *ObjectVersion) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2738,149 +2716,86 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s *Operation) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
+// Encode encodes bool as json.
+func (o OptBool) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Bool(bool(o.Value))
 }
 
-// encodeFields encodes fields.
-func (s *Operation) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("operation")
-		e.Str(s.Operation)
+// Decode decodes bool from json.
+func (o *OptBool) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptBool to nil")
+	}
+	o.Set = true
+	v, err := d.Bool()
+	if err != nil {
+		return err
 	}
+	o.Value = bool(v)
+	return nil
 }
 
-var jsonFieldsNameOfOperation = [1]string{
-	0: "operation",
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptBool) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
 }
 
-// Decode decodes Operation from json.
-func (s *Operation) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode Operation to nil")
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptBool) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes Promise as json.
+func (o OptPromise) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
 	}
-	var requiredBitSet [1]uint8
+	e.Str(string(o.Value))
+}
 
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "operation":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Operation = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"operation\"")
-			}
-		default:
-			return errors.Errorf("unexpected field %q", k)
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode Operation")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000001,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfOperation) {
-					name = jsonFieldsNameOfOperation[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *Operation) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Operation) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes bool as json.
-func (o OptBool) Encode(e *jx.Encoder) {
-	if !o.Set {
-		return
-	}
-	e.Bool(bool(o.Value))
-}
-
-// Decode decodes bool from json.
-func (o *OptBool) Decode(d *jx.Decoder) error {
+// Decode decodes Promise from json.
+func (o *OptPromise) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptBool to nil")
+		return errors.New("invalid: unable to decode OptPromise to nil")
 	}
 	o.Set = true
-	v, err := d.Bool()
-	if err != nil {
+	if err := o.Value.Decode(d); err != nil {
 		return err
 	}
-	o.Value = bool(v)
 	return nil
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptBool) MarshalJSON() ([]byte, error) {
+func (s OptPromise) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptBool) UnmarshalJSON(data []byte) error {
+func (s *OptPromise) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes Promise as json.
-func (o OptPromise) Encode(e *jx.Encoder) {
+// Encode encodes RankSpec as json.
+func (o OptRankSpec) Encode(e *jx.Encoder) {
 	if !o.Set {
 		return
 	}
-	e.Str(string(o.Value))
+	o.Value.Encode(e)
 }
 
-// Decode decodes Promise from json.
-func (o *OptPromise) Decode(d *jx.Decoder) error {
+// Decode decodes RankSpec from json.
+func (o *OptRankSpec) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptPromise to nil")
+		return errors.New("invalid: unable to decode OptRankSpec to nil")
 	}
 	o.Set = true
 	if err := o.Value.Decode(d); err != nil {
@@ -2890,30 +2805,30 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptPromise) MarshalJSON() ([]byte, error) {
+func (s OptRankSpec) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptPromise) UnmarshalJSON(data []byte) error {
+func (s *OptRankSpec) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
-// Encode encodes RankSpec as json.
-func (o OptRankSpec) Encode(e *jx.Encoder) {
+// Encode encodes RetirementSpec as json.
+func (o OptRetirementSpec) Encode(e *jx.Encoder) {
 	if !o.Set {
 		return
 	}
 	o.Value.Encode(e)
 }
 
-// Decode decodes RankSpec from json.
-func (o *OptRankSpec) Decode(d *jx.Decoder) error {
+// Decode decodes RetirementSpec from json.
+func (o *OptRetirementSpec) Decode(d *jx.Decoder) error {
 	if o == nil {
-		return errors.New("invalid: unable to decode OptRankSpec to nil")
+		return errors.New("invalid: unable to decode OptRetirementSpec to nil")
 	}
 	o.Set = true
 	if err := o.Value.Decode(d); err != nil {
@@ -2923,14 +2838,14 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s OptRankSpec) MarshalJSON() ([]byte, error) {
+func (s OptRetirementSpec) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptRankSpec) UnmarshalJSON(data []byte) error {
+func (s *OptRetirementSpec) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
@@ -3052,17 +2967,13 @@
 		e.Str(s.ID)
 	}
 	{
-		e.FieldStart("phase")
-		s.Phase.Encode(e)
+		e.FieldStart("state")
+		s.State.Encode(e)
 	}
 	{
 		e.FieldStart("author")
 		e.Str(s.Author)
 	}
-	{
-		e.FieldStart("created")
-		json.EncodeDateTime(e, s.Created)
-	}
 	{
 		e.FieldStart("intent")
 		s.Intent.Encode(e)
@@ -3071,7 +2982,7 @@
 		e.FieldStart("changes")
 		e.ArrStart()
 		for _, elem := range s.Changes {
-			elem.Encode(e)
+			e.Str(elem)
 		}
 		e.ArrEnd()
 	}
@@ -3079,22 +2990,22 @@
 		e.FieldStart("stops")
 		e.ArrStart()
 		for _, elem := range s.Stops {
-			elem.Encode(e)
+			e.Str(elem)
 		}
 		e.ArrEnd()
 	}
 	{
-		e.FieldStart("users")
+		e.FieldStart("uses")
 		e.ArrStart()
-		for _, elem := range s.Users {
+		for _, elem := range s.Uses {
 			elem.Encode(e)
 		}
 		e.ArrEnd()
 	}
 	{
-		e.FieldStart("hazards")
+		e.FieldStart("warnings")
 		e.ArrStart()
-		for _, elem := range s.Hazards {
+		for _, elem := range s.Warnings {
 			elem.Encode(e)
 		}
 		e.ArrEnd()
@@ -3107,19 +3018,23 @@
 		}
 		e.ArrEnd()
 	}
+	{
+		e.FieldStart("moved")
+		e.Str(s.Moved)
+	}
 }
 
 var jsonFieldsNameOfPlan = [10]string{
 	0: "id",
-	1: "phase",
+	1: "state",
 	2: "author",
-	3: "created",
-	4: "intent",
-	5: "changes",
-	6: "stops",
-	7: "users",
-	8: "hazards",
-	9: "versions",
+	3: "intent",
+	4: "changes",
+	5: "stops",
+	6: "uses",
+	7: "warnings",
+	8: "versions",
+	9: "moved",
 }
 
 // Decode decodes Plan from json.
@@ -3143,15 +3058,15 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"id\"")
 			}
-		case "phase":
+		case "state":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				if err := s.Phase.Decode(d); err != nil {
+				if err := s.State.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"phase\"")
+				return errors.Wrap(err, "decode field \"state\"")
 			}
 		case "author":
 			requiredBitSet[0] |= 1 << 2
@@ -3165,20 +3080,8 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"author\"")
 			}
-		case "created":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				v, err := json.DecodeDateTime(d)
-				s.Created = v
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"created\"")
-			}
 		case "intent":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				if err := s.Intent.Decode(d); err != nil {
 					return err
@@ -3188,12 +3091,14 @@
 				return errors.Wrap(err, "decode field \"intent\"")
 			}
 		case "changes":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				s.Changes = make([]PlanItem, 0)
+				s.Changes = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem PlanItem
-					if err := elem.Decode(d); err != nil {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
 						return err
 					}
 					s.Changes = append(s.Changes, elem)
@@ -3206,12 +3111,14 @@
 				return errors.Wrap(err, "decode field \"changes\"")
 			}
 		case "stops":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				s.Stops = make([]PlanItem, 0)
+				s.Stops = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem PlanItem
-					if err := elem.Decode(d); err != nil {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
 						return err
 					}
 					s.Stops = append(s.Stops, elem)
@@ -3223,44 +3130,44 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"stops\"")
 			}
-		case "users":
-			requiredBitSet[0] |= 1 << 7
+		case "uses":
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
-				s.Users = make([]Caller, 0)
+				s.Uses = make([]Use, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Caller
+					var elem Use
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
-					s.Users = append(s.Users, elem)
+					s.Uses = append(s.Uses, elem)
 					return nil
 				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"users\"")
+				return errors.Wrap(err, "decode field \"uses\"")
 			}
-		case "hazards":
-			requiredBitSet[1] |= 1 << 0
+		case "warnings":
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
-				s.Hazards = make([]PlanItem, 0)
+				s.Warnings = make([]Warning, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem PlanItem
+					var elem Warning
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
-					s.Hazards = append(s.Hazards, elem)
+					s.Warnings = append(s.Warnings, elem)
 					return nil
 				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"hazards\"")
+				return errors.Wrap(err, "decode field \"warnings\"")
 			}
 		case "versions":
-			requiredBitSet[1] |= 1 << 1
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				s.Versions = make([]ObjectVersion, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -3277,6 +3184,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"versions\"")
 			}
+		case "moved":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Moved = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"moved\"")
+			}
 		default:
 			return d.Skip()
 		}
@@ -3335,73 +3254,66 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *PlanItem) Encode(e *jx.Encoder) {
+func (s *PlanList) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PlanItem) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("object")
-		e.Str(s.Object)
-	}
+func (s *PlanList) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("text")
-		e.Str(s.Text)
+		e.FieldStart("plans")
+		e.ArrStart()
+		for _, elem := range s.Plans {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
 	}
 }
 
-var jsonFieldsNameOfPlanItem = [2]string{
-	0: "object",
-	1: "text",
+var jsonFieldsNameOfPlanList = [1]string{
+	0: "plans",
 }
 
-// Decode decodes PlanItem from json.
-func (s *PlanItem) Decode(d *jx.Decoder) error {
+// Decode decodes PlanList from json.
+func (s *PlanList) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode PlanItem to nil")
+		return errors.New("invalid: unable to decode PlanList to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "object":
+		case "plans":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Str()
-				s.Object = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"object\"")
-			}
-		case "text":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				v, err := d.Str()
-				s.Text = string(v)
-				if err != nil {
+				s.Plans = make([]Plan, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Plan
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Plans = append(s.Plans, elem)
+					return nil
+				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"text\"")
+				return errors.Wrap(err, "decode field \"plans\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode PlanItem")
+		return errors.Wrap(err, "decode PlanList")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -3413,8 +3325,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPlanItem) {
-					name = jsonFieldsNameOfPlanItem[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPlanList) {
+					name = jsonFieldsNameOfPlanList[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -3435,177 +3347,71 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *PlanItem) MarshalJSON() ([]byte, error) {
+func (s *PlanList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PlanList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes PlanState as json.
+func (s PlanState) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes PlanState from json.
+func (s *PlanState) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PlanState to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch PlanState(v) {
+	case PlanStateProposed:
+		*s = PlanStateProposed
+	case PlanStateConfirmed:
+		*s = PlanStateConfirmed
+	case PlanStateWithdrawn:
+		*s = PlanStateWithdrawn
+	case PlanStateStale:
+		*s = PlanStateStale
+	default:
+		*s = PlanState(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s PlanState) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PlanItem) UnmarshalJSON(data []byte) error {
+func (s *PlanState) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *PlanList) Encode(e *jx.Encoder) {
+func (s *PlatformState) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PlanList) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("plans")
-		e.ArrStart()
-		for _, elem := range s.Plans {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
-	}
-}
-
-var jsonFieldsNameOfPlanList = [1]string{
-	0: "plans",
-}
-
-// Decode decodes PlanList from json.
-func (s *PlanList) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode PlanList to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "plans":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				s.Plans = make([]Plan, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Plan
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Plans = append(s.Plans, elem)
-					return nil
-				}); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"plans\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode PlanList")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000001,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfPlanList) {
-					name = jsonFieldsNameOfPlanList[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *PlanList) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PlanList) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes PlanPhase as json.
-func (s PlanPhase) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes PlanPhase from json.
-func (s *PlanPhase) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode PlanPhase to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch PlanPhase(v) {
-	case PlanPhaseProposed:
-		*s = PlanPhaseProposed
-	case PlanPhaseConfirmed:
-		*s = PlanPhaseConfirmed
-	case PlanPhaseWithdrawn:
-		*s = PlanPhaseWithdrawn
-	case PlanPhaseStale:
-		*s = PlanPhaseStale
-	default:
-		*s = PlanPhase(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s PlanPhase) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PlanPhase) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode implements json.Marshaler.
-func (s *PlatformState) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *PlatformState) encodeFields(e *jx.Encoder) {
+func (s *PlatformState) encodeFields(e *jx.Encoder) {
 	{
 		e.FieldStart("reachable")
 		e.Bool(s.Reachable)
@@ -4548,24 +4354,16 @@
 // encodeFields encodes fields.
 func (s *Retirement) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("name")
-		e.Str(s.Name)
-	}
-	{
-		e.FieldStart("kind")
-		s.Kind.Encode(e)
-	}
-	{
-		e.FieldStart("target")
-		e.Str(s.Target)
+		e.FieldStart("version")
+		e.UInt64(s.Version)
 	}
 	{
-		e.FieldStart("phase")
-		s.Phase.Encode(e)
+		e.FieldStart("spec")
+		s.Spec.Encode(e)
 	}
 	{
-		e.FieldStart("version")
-		e.UInt64(s.Version)
+		e.FieldStart("calls")
+		e.UInt64(s.Calls)
 	}
 	{
 		e.FieldStart("refused")
@@ -4581,14 +4379,12 @@
 	}
 }
 
-var jsonFieldsNameOfRetirement = [7]string{
-	0: "name",
-	1: "kind",
-	2: "target",
-	3: "phase",
-	4: "version",
-	5: "refused",
-	6: "callers",
+var jsonFieldsNameOfRetirement = [5]string{
+	0: "version",
+	1: "spec",
+	2: "calls",
+	3: "refused",
+	4: "callers",
 }
 
 // Decode decodes Retirement from json.
@@ -4600,64 +4396,42 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "name":
+		case "version":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Str()
-				s.Name = string(v)
+				v, err := d.UInt64()
+				s.Version = uint64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"name\"")
+				return errors.Wrap(err, "decode field \"version\"")
 			}
-		case "kind":
+		case "spec":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				if err := s.Kind.Decode(d); err != nil {
+				if err := s.Spec.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"kind\"")
+				return errors.Wrap(err, "decode field \"spec\"")
 			}
-		case "target":
+		case "calls":
 			requiredBitSet[0] |= 1 << 2
-			if err := func() error {
-				v, err := d.Str()
-				s.Target = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"target\"")
-			}
-		case "phase":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				if err := s.Phase.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"phase\"")
-			}
-		case "version":
-			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.UInt64()
-				s.Version = uint64(v)
+				s.Calls = uint64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"version\"")
+				return errors.Wrap(err, "decode field \"calls\"")
 			}
 		case "refused":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.UInt64()
 				s.Refused = uint64(v)
@@ -4669,11 +4443,11 @@
 				return errors.Wrap(err, "decode field \"refused\"")
 			}
 		case "callers":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				s.Callers = make([]Caller, 0)
+				s.Callers = make([]Use, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Caller
+					var elem Use
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
@@ -4696,7 +4470,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b01111111,
+		0b00011111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -4742,48 +4516,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes RetirementKind as json.
-func (s RetirementKind) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes RetirementKind from json.
-func (s *RetirementKind) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode RetirementKind to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch RetirementKind(v) {
-	case RetirementKindFeature:
-		*s = RetirementKindFeature
-	case RetirementKindJob:
-		*s = RetirementKindJob
-	case RetirementKindEndpoint:
-		*s = RetirementKindEndpoint
-	default:
-		*s = RetirementKind(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s RetirementKind) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *RetirementKind) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *RetirementList) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -4962,37 +4694,194 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *Rollout) Encode(e *jx.Encoder) {
+func (s *RetirementSpec) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Rollout) encodeFields(e *jx.Encoder) {
+func (s *RetirementSpec) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("newest")
-		e.ArrStart()
-		for _, elem := range s.Newest {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.FieldStart("name")
+		e.Str(s.Name)
 	}
 	{
-		e.FieldStart("hosts")
-		e.ArrStart()
-		for _, elem := range s.Hosts {
-			elem.Encode(e)
+		e.FieldStart("kind")
+		s.Kind.Encode(e)
+	}
+	{
+		e.FieldStart("target")
+		e.Str(s.Target)
+	}
+	{
+		if s.Service.Set {
+			e.FieldStart("service")
+			s.Service.Encode(e)
 		}
-		e.ArrEnd()
+	}
+	{
+		e.FieldStart("phase")
+		s.Phase.Encode(e)
 	}
 }
 
-var jsonFieldsNameOfRollout = [2]string{
-	0: "newest",
-	1: "hosts",
-}
-
+var jsonFieldsNameOfRetirementSpec = [5]string{
+	0: "name",
+	1: "kind",
+	2: "target",
+	3: "service",
+	4: "phase",
+}
+
+// Decode decodes RetirementSpec from json.
+func (s *RetirementSpec) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RetirementSpec to nil")
+	}
+	var requiredBitSet [1]uint8
+	s.setDefaults()
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "kind":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				if err := s.Kind.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
+		case "target":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Target = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"target\"")
+			}
+		case "service":
+			if err := func() error {
+				s.Service.Reset()
+				if err := s.Service.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "phase":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				if err := s.Phase.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"phase\"")
+			}
+		default:
+			return errors.Errorf("unexpected field %q", k)
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RetirementSpec")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00010111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRetirementSpec) {
+					name = jsonFieldsNameOfRetirementSpec[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RetirementSpec) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RetirementSpec) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Rollout) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Rollout) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("newest")
+		e.UInt64(s.Newest)
+	}
+	{
+		e.FieldStart("hosts")
+		e.ArrStart()
+		for _, elem := range s.Hosts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfRollout = [2]string{
+	0: "newest",
+	1: "hosts",
+}
+
 // Decode decodes Rollout from json.
 func (s *Rollout) Decode(d *jx.Decoder) error {
 	if s == nil {
@@ -5005,15 +4894,9 @@
 		case "newest":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				s.Newest = make([]ObjectVersion, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem ObjectVersion
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Newest = append(s.Newest, elem)
-					return nil
-				}); err != nil {
+				v, err := d.UInt64()
+				s.Newest = uint64(v)
+				if err != nil {
 					return err
 				}
 				return nil
@@ -5513,11 +5396,7 @@
 	}
 	{
 		e.FieldStart("configuration")
-		e.ArrStart()
-		for _, elem := range s.Configuration {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		s.Configuration.Encode(e)
 	}
 	{
 		e.FieldStart("members")
@@ -5612,15 +5491,7 @@
 		case "configuration":
 			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				s.Configuration = make([]ObjectVersion, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem ObjectVersion
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Configuration = append(s.Configuration, elem)
-					return nil
-				}); err != nil {
+				if err := s.Configuration.Decode(d); err != nil {
 					return err
 				}
 				return nil
@@ -5737,6 +5608,48 @@
 	return s.Decode(d)
 }
 
+// Encode encodes TargetKind as json.
+func (s TargetKind) Encode(e *jx.Encoder) {
+	e.Str(string(s))
+}
+
+// Decode decodes TargetKind from json.
+func (s *TargetKind) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode TargetKind to nil")
+	}
+	v, err := d.StrBytes()
+	if err != nil {
+		return err
+	}
+	// Try to use constant string.
+	switch TargetKind(v) {
+	case TargetKindFeature:
+		*s = TargetKindFeature
+	case TargetKindJob:
+		*s = TargetKindJob
+	case TargetKindEndpoint:
+		*s = TargetKindEndpoint
+	default:
+		*s = TargetKind(v)
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s TargetKind) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *TargetKind) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Timeline) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -5871,3 +5784,400 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Use) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Use) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("host")
+		e.Str(s.Host)
+	}
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("feature")
+		e.Str(s.Feature)
+	}
+	{
+		e.FieldStart("job")
+		e.Str(s.Job)
+	}
+	{
+		e.FieldStart("rank")
+		e.Str(s.Rank)
+	}
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("caller")
+		e.Str(s.Caller)
+	}
+	{
+		e.FieldStart("calls")
+		e.UInt64(s.Calls)
+	}
+	{
+		e.FieldStart("refused")
+		e.UInt64(s.Refused)
+	}
+	{
+		e.FieldStart("firstSeen")
+		json.EncodeDateTime(e, s.FirstSeen)
+	}
+	{
+		e.FieldStart("lastSeen")
+		json.EncodeDateTime(e, s.LastSeen)
+	}
+}
+
+var jsonFieldsNameOfUse = [11]string{
+	0:  "host",
+	1:  "service",
+	2:  "feature",
+	3:  "job",
+	4:  "rank",
+	5:  "endpoint",
+	6:  "caller",
+	7:  "calls",
+	8:  "refused",
+	9:  "firstSeen",
+	10: "lastSeen",
+}
+
+// Decode decodes Use from json.
+func (s *Use) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Use to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "feature":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Feature = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"feature\"")
+			}
+		case "job":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Job = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"job\"")
+			}
+		case "rank":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Rank = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rank\"")
+			}
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "caller":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Str()
+				s.Caller = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"caller\"")
+			}
+		case "calls":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Calls = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"calls\"")
+			}
+		case "refused":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.UInt64()
+				s.Refused = uint64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused\"")
+			}
+		case "firstSeen":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.FirstSeen = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"firstSeen\"")
+			}
+		case "lastSeen":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.LastSeen = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"lastSeen\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Use")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfUse) {
+					name = jsonFieldsNameOfUse[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Use) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Use) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Warning) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Warning) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("kind")
+		e.Str(s.Kind)
+	}
+	{
+		e.FieldStart("object")
+		e.Str(s.Object)
+	}
+	{
+		e.FieldStart("text")
+		e.Str(s.Text)
+	}
+}
+
+var jsonFieldsNameOfWarning = [3]string{
+	0: "kind",
+	1: "object",
+	2: "text",
+}
+
+// Decode decodes Warning from json.
+func (s *Warning) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Warning to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "kind":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Kind = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"kind\"")
+			}
+		case "object":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Object = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"object\"")
+			}
+		case "text":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Text = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"text\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Warning")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWarning) {
+					name = jsonFieldsNameOfWarning[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Warning) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Warning) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/api/admin/oas_parameters_gen.go
+++ b/api/admin/oas_parameters_gen.go
@@ -199,7 +199,7 @@
 	Object OptString `json:",omitempty,omitzero"`
 	// Only events of this host.
 	Host OptString `json:",omitempty,omitzero"`
-	// Only this event, its causes, and the events that they led to.
+	// Only this event, its causes, and the events that they led to, each after its cause.
 	Story OptString `json:",omitempty,omitzero"`
 	// The newest events, at most this many.
 	Limit OptInt `json:",omitempty,omitzero"`
@@ -774,18 +774,18 @@
 
 // ListPlansParams is parameters of listPlans operation.
 type ListPlansParams struct {
-	// Lists only the plans in this phase.
-	Phase OptPlanPhase `json:",omitempty,omitzero"`
+	// Lists only the plans in this state.
+	State OptPlanState `json:",omitempty,omitzero"`
 }
 
 func unpackListPlansParams(packed middleware.Parameters) (params ListPlansParams) {
 	{
 		key := middleware.ParameterKey{
-			Name: "phase",
+			Name: "state",
 			In:   "query",
 		}
 		if v, ok := packed[key]; ok {
-			params.Phase = v.(OptPlanPhase)
+			params.State = v.(OptPlanState)
 		}
 	}
 	return params
@@ -793,17 +793,17 @@
 
 func decodeListPlansParams(args [0]string, argsEscaped bool, r *http.Request) (params ListPlansParams, _ error) {
 	q := uri.NewQueryDecoder(r.URL.Query())
-	// Decode query: phase.
+	// Decode query: state.
 	if err := func() error {
 		cfg := uri.QueryParameterDecodingConfig{
-			Name:    "phase",
+			Name:    "state",
 			Style:   uri.QueryStyleForm,
 			Explode: true,
 		}
 
 		if err := q.HasParam(cfg); err == nil {
 			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
-				var paramsDotPhaseVal PlanPhase
+				var paramsDotStateVal PlanState
 				if err := func() error {
 					val, err := d.DecodeValue()
 					if err != nil {
@@ -815,18 +815,18 @@
 						return err
 					}
 
-					paramsDotPhaseVal = PlanPhase(c)
+					paramsDotStateVal = PlanState(c)
 					return nil
 				}(); err != nil {
 					return err
 				}
-				params.Phase.SetTo(paramsDotPhaseVal)
+				params.State.SetTo(paramsDotStateVal)
 				return nil
 			}); err != nil {
 				return err
 			}
 			if err := func() error {
-				if value, ok := params.Phase.Get(); ok {
+				if value, ok := params.State.Get(); ok {
 					if err := func() error {
 						if err := value.Validate(); err != nil {
 							return err
@@ -844,7 +844,7 @@
 		return nil
 	}(); err != nil {
 		return params, &ogenerrors.DecodeParamError{
-			Name: "phase",
+			Name: "state",
 			In:   "query",
 			Err:  err,
 		}
--- a/api/admin/oas_request_encoders_gen.go
+++ b/api/admin/oas_request_encoders_gen.go
@@ -10,20 +10,6 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
-func encodeConfirmPlanRequest(
-	req *Operation,
-	r *http.Request,
-) error {
-	const contentType = "application/json"
-	e := new(jx.Encoder)
-	{
-		req.Encode(e)
-	}
-	encoded := e.Bytes()
-	ht.SetBody(r, bytes.NewReader(encoded), contentType)
-	return nil
-}
-
 func encodeCreatePlanRequest(
 	req *Intent,
 	r *http.Request,
@@ -37,17 +23,3 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
-
-func encodeWithdrawPlanRequest(
-	req *Operation,
-	r *http.Request,
-) error {
-	const contentType = "application/json"
-	e := new(jx.Encoder)
-	{
-		req.Encode(e)
-	}
-	encoded := e.Bytes()
-	ht.SetBody(r, bytes.NewReader(encoded), contentType)
-	return nil
-}
--- a/api/admin/oas_router_gen.go
+++ b/api/admin/oas_router_gen.go
@@ -22,10 +22,10 @@
 		"GET": "Authorization",
 	}
 	rn3AllowedHeaders = map[string]string{
-		"POST": "Authorization,Content-Type",
+		"POST": "Authorization",
 	}
 	rn16AllowedHeaders = map[string]string{
-		"POST": "Authorization,Content-Type",
+		"POST": "Authorization",
 	}
 	rn11AllowedHeaders = map[string]string{
 		"GET": "Authorization",
@@ -215,7 +215,7 @@
 									s.notAllowed(w, r, notAllowedParams{
 										allowedMethods: "POST",
 										allowedHeaders: rn3AllowedHeaders,
-										acceptPost:     "application/json",
+										acceptPost:     "",
 										acceptPatch:    "",
 									})
 								}
@@ -242,7 +242,7 @@
 									s.notAllowed(w, r, notAllowedParams{
 										allowedMethods: "POST",
 										allowedHeaders: rn16AllowedHeaders,
-										acceptPost:     "application/json",
+										acceptPost:     "",
 										acceptPatch:    "",
 									})
 								}
--- a/api/admin/oas_schemas_gen.go
+++ b/api/admin/oas_schemas_gen.go
@@ -13,79 +13,47 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
-// Ref: #/components/schemas/Caller
-type Caller struct {
-	// The host that saw the caller.
-	Host     string    `json:"host"`
-	Feature  string    `json:"feature"`
-	Job      string    `json:"job"`
-	Address  string    `json:"address"`
-	Count    uint64    `json:"count"`
-	LastSeen time.Time `json:"lastSeen"`
-}
-
-// GetHost returns the value of Host.
-func (s *Caller) GetHost() string {
-	return s.Host
-}
-
-// GetFeature returns the value of Feature.
-func (s *Caller) GetFeature() string {
-	return s.Feature
-}
-
-// GetJob returns the value of Job.
-func (s *Caller) GetJob() string {
-	return s.Job
-}
-
-// GetAddress returns the value of Address.
-func (s *Caller) GetAddress() string {
-	return s.Address
-}
-
-// GetCount returns the value of Count.
-func (s *Caller) GetCount() uint64 {
-	return s.Count
+// Ref: #/components/schemas/Configuration
+type Configuration struct {
+	// The newest version of any object in force.
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+	// Whether the configuration was received as a whole.
+	Complete bool `json:"complete"`
 }
 
-// GetLastSeen returns the value of LastSeen.
-func (s *Caller) GetLastSeen() time.Time {
-	return s.LastSeen
+// GetVersion returns the value of Version.
+func (s *Configuration) GetVersion() uint64 {
+	return s.Version
 }
 
-// SetHost sets the value of Host.
-func (s *Caller) SetHost(val string) {
-	s.Host = val
+// GetDigest returns the value of Digest.
+func (s *Configuration) GetDigest() string {
+	return s.Digest
 }
 
-// SetFeature sets the value of Feature.
-func (s *Caller) SetFeature(val string) {
-	s.Feature = val
+// GetComplete returns the value of Complete.
+func (s *Configuration) GetComplete() bool {
+	return s.Complete
 }
 
-// SetJob sets the value of Job.
-func (s *Caller) SetJob(val string) {
-	s.Job = val
-}
-
-// SetAddress sets the value of Address.
-func (s *Caller) SetAddress(val string) {
-	s.Address = val
+// SetVersion sets the value of Version.
+func (s *Configuration) SetVersion(val uint64) {
+	s.Version = val
 }
 
-// SetCount sets the value of Count.
-func (s *Caller) SetCount(val uint64) {
-	s.Count = val
+// SetDigest sets the value of Digest.
+func (s *Configuration) SetDigest(val string) {
+	s.Digest = val
 }
 
-// SetLastSeen sets the value of LastSeen.
-func (s *Caller) SetLastSeen(val time.Time) {
-	s.LastSeen = val
+// SetComplete sets the value of Complete.
+func (s *Configuration) SetComplete(val bool) {
+	s.Complete = val
 }
 
-// Accepted: the plan is in force. refused: nothing happened. unknown: the platform has not answered;
-// repeat the request to find out.
+// Accepted: the plan's changes are stored. refused: nothing happened. unknown: the platform has not
+// answered; repeating the request is safe and finds out.
 // Ref: #/components/schemas/ConfirmResult
 type ConfirmResult string
 
@@ -140,12 +108,12 @@
 	Plan    string        `json:"plan"`
 	Result  ConfirmResult `json:"result"`
 	Message string        `json:"message"`
-	// The objects that changed since the plan was made.
-	Moved []MovedObject `json:"moved"`
+	// The object that changed since the plan was made; empty for none.
+	Moved string `json:"moved"`
 	// The versions that the confirmation wrote.
 	Written []ObjectVersion `json:"written"`
-	// A new plan for the same intent, where the old one is stale.
-	Next OptString `json:"next"`
+	// A new plan for the same intent, if this one is stale; empty for none.
+	Next string `json:"next"`
 }
 
 // GetPlan returns the value of Plan.
@@ -164,7 +132,7 @@
 }
 
 // GetMoved returns the value of Moved.
-func (s *Confirmation) GetMoved() []MovedObject {
+func (s *Confirmation) GetMoved() string {
 	return s.Moved
 }
 
@@ -174,7 +142,7 @@
 }
 
 // GetNext returns the value of Next.
-func (s *Confirmation) GetNext() OptString {
+func (s *Confirmation) GetNext() string {
 	return s.Next
 }
 
@@ -194,7 +162,7 @@
 }
 
 // SetMoved sets the value of Moved.
-func (s *Confirmation) SetMoved(val []MovedObject) {
+func (s *Confirmation) SetMoved(val string) {
 	s.Moved = val
 }
 
@@ -204,16 +172,44 @@
 }
 
 // SetNext sets the value of Next.
-func (s *Confirmation) SetNext(val OptString) {
+func (s *Confirmation) SetNext(val string) {
 	s.Next = val
 }
 
+// Ref: #/components/schemas/Count
+type Count struct {
+	Name  string `json:"name"`
+	Value int64  `json:"value"`
+}
+
+// GetName returns the value of Name.
+func (s *Count) GetName() string {
+	return s.Name
+}
+
+// GetValue returns the value of Value.
+func (s *Count) GetValue() int64 {
+	return s.Value
+}
+
+// SetName sets the value of Name.
+func (s *Count) SetName(val string) {
+	s.Name = val
+}
+
+// SetValue sets the value of Value.
+func (s *Count) SetValue(val int64) {
+	s.Value = val
+}
+
 // Ref: #/components/schemas/DatabaseSpec
 type DatabaseSpec struct {
 	ID string `json:"id"`
 	// The number of the endpoint set; kept by the system.
-	Set       OptUint32      `json:"set"`
-	Endpoints []EndpointSpec `json:"endpoints"`
+	Set OptUint32 `json:"set"`
+	// The set before the current one, while the change is not complete; kept by the system.
+	PreviousEndpoints []EndpointSpec `json:"previousEndpoints"`
+	Endpoints         []EndpointSpec `json:"endpoints"`
 }
 
 // GetID returns the value of ID.
@@ -226,6 +222,11 @@
 	return s.Set
 }
 
+// GetPreviousEndpoints returns the value of PreviousEndpoints.
+func (s *DatabaseSpec) GetPreviousEndpoints() []EndpointSpec {
+	return s.PreviousEndpoints
+}
+
 // GetEndpoints returns the value of Endpoints.
 func (s *DatabaseSpec) GetEndpoints() []EndpointSpec {
 	return s.Endpoints
@@ -241,6 +242,11 @@
 	s.Set = val
 }
 
+// SetPreviousEndpoints sets the value of PreviousEndpoints.
+func (s *DatabaseSpec) SetPreviousEndpoints(val []EndpointSpec) {
+	s.PreviousEndpoints = val
+}
+
 // SetEndpoints sets the value of Endpoints.
 func (s *DatabaseSpec) SetEndpoints(val []EndpointSpec) {
 	s.Endpoints = val
@@ -739,9 +745,12 @@
 	Logical uint32 `json:"logical"`
 	Kind    string `json:"kind"`
 	Object  string `json:"object"`
-	// The operator who caused the event; empty for none.
-	Author string `json:"author"`
-	Text   string `json:"text"`
+	// The operator who asked for the action; empty for none.
+	Author string  `json:"author"`
+	Text   string  `json:"text"`
+	Counts []Count `json:"counts"`
+	// The number of events between this one and the first cause of the story; 0 outside a story.
+	Depth int `json:"depth"`
 }
 
 // GetID returns the value of ID.
@@ -789,6 +798,16 @@
 	return s.Text
 }
 
+// GetCounts returns the value of Counts.
+func (s *Event) GetCounts() []Count {
+	return s.Counts
+}
+
+// GetDepth returns the value of Depth.
+func (s *Event) GetDepth() int {
+	return s.Depth
+}
+
 // SetID sets the value of ID.
 func (s *Event) SetID(val string) {
 	s.ID = val
@@ -834,13 +853,26 @@
 	s.Text = val
 }
 
+// SetCounts sets the value of Counts.
+func (s *Event) SetCounts(val []Count) {
+	s.Counts = val
+}
+
+// SetDepth sets the value of Depth.
+func (s *Event) SetDepth(val int) {
+	s.Depth = val
+}
+
 // Ref: #/components/schemas/HostRollout
 type HostRollout struct {
 	Host       string `json:"host"`
 	DataCentre string `json:"dataCentre"`
 	Reachable  bool   `json:"reachable"`
-	// The versions in force that are older than the newest ones.
-	Lagging []ObjectVersion `json:"lagging"`
+	// The newest version of any object in force on the host.
+	Version uint64 `json:"version"`
+	// A hash of the versions of all objects, equal on hosts with the same configuration.
+	Digest  string `json:"digest"`
+	Lagging bool   `json:"lagging"`
 }
 
 // GetHost returns the value of Host.
@@ -858,8 +890,18 @@
 	return s.Reachable
 }
 
+// GetVersion returns the value of Version.
+func (s *HostRollout) GetVersion() uint64 {
+	return s.Version
+}
+
+// GetDigest returns the value of Digest.
+func (s *HostRollout) GetDigest() string {
+	return s.Digest
+}
+
 // GetLagging returns the value of Lagging.
-func (s *HostRollout) GetLagging() []ObjectVersion {
+func (s *HostRollout) GetLagging() bool {
 	return s.Lagging
 }
 
@@ -878,8 +920,18 @@
 	s.Reachable = val
 }
 
+// SetVersion sets the value of Version.
+func (s *HostRollout) SetVersion(val uint64) {
+	s.Version = val
+}
+
+// SetDigest sets the value of Digest.
+func (s *HostRollout) SetDigest(val string) {
+	s.Digest = val
+}
+
 // SetLagging sets the value of Lagging.
-func (s *HostRollout) SetLagging(val []ObjectVersion) {
+func (s *HostRollout) SetLagging(val bool) {
 	s.Lagging = val
 }
 
@@ -932,19 +984,15 @@
 	}
 }
 
-// What an operator wants. The kind says which of the other properties apply: service and rank hold a
-// whole specification; name is the feature, job, endpoint, service, rank or retirement; primary takes
-// database and endpoint.
+// What an operator wants. The kind says which of the other properties is needed: service, rank or
+// retirement hold a whole definition; name is the service, rank or retirement to remove.
 // Ref: #/components/schemas/Intent
 type Intent struct {
-	Kind     IntentKind     `json:"kind"`
-	Service  OptServiceSpec `json:"service"`
-	Rank     OptRankSpec    `json:"rank"`
-	Name     OptString      `json:"name"`
-	Database OptString      `json:"database"`
-	Endpoint OptString      `json:"endpoint"`
-	// The operator's reason, shown with the plan.
-	Note OptString `json:"note"`
+	Kind       IntentKind        `json:"kind"`
+	Service    OptServiceSpec    `json:"service"`
+	Rank       OptRankSpec       `json:"rank"`
+	Retirement OptRetirementSpec `json:"retirement"`
+	Name       OptString         `json:"name"`
 }
 
 // GetKind returns the value of Kind.
@@ -962,26 +1010,16 @@
 	return s.Rank
 }
 
+// GetRetirement returns the value of Retirement.
+func (s *Intent) GetRetirement() OptRetirementSpec {
+	return s.Retirement
+}
+
 // GetName returns the value of Name.
 func (s *Intent) GetName() OptString {
 	return s.Name
 }
 
-// GetDatabase returns the value of Database.
-func (s *Intent) GetDatabase() OptString {
-	return s.Database
-}
-
-// GetEndpoint returns the value of Endpoint.
-func (s *Intent) GetEndpoint() OptString {
-	return s.Endpoint
-}
-
-// GetNote returns the value of Note.
-func (s *Intent) GetNote() OptString {
-	return s.Note
-}
-
 // SetKind sets the value of Kind.
 func (s *Intent) SetKind(val IntentKind) {
 	s.Kind = val
@@ -997,77 +1035,55 @@
 	s.Rank = val
 }
 
+// SetRetirement sets the value of Retirement.
+func (s *Intent) SetRetirement(val OptRetirementSpec) {
+	s.Retirement = val
+}
+
 // SetName sets the value of Name.
 func (s *Intent) SetName(val OptString) {
 	s.Name = val
 }
 
-// SetDatabase sets the value of Database.
-func (s *Intent) SetDatabase(val OptString) {
-	s.Database = val
-}
-
-// SetEndpoint sets the value of Endpoint.
-func (s *Intent) SetEndpoint(val OptString) {
-	s.Endpoint = val
-}
-
-// SetNote sets the value of Note.
-func (s *Intent) SetNote(val OptString) {
-	s.Note = val
-}
-
 // Ref: #/components/schemas/IntentKind
 type IntentKind string
 
 const (
-	IntentKindService          IntentKind = "service"
+	IntentKindPutService       IntentKind = "put_service"
 	IntentKindRemoveService    IntentKind = "remove_service"
-	IntentKindRank             IntentKind = "rank"
+	IntentKindPutRank          IntentKind = "put_rank"
 	IntentKindRemoveRank       IntentKind = "remove_rank"
-	IntentKindRetireFeature    IntentKind = "retire_feature"
-	IntentKindRetireJob        IntentKind = "retire_job"
-	IntentKindRetireEndpoint   IntentKind = "retire_endpoint"
+	IntentKindRetire           IntentKind = "retire"
 	IntentKindCancelRetirement IntentKind = "cancel_retirement"
-	IntentKindPrimary          IntentKind = "primary"
 )
 
 // AllValues returns all IntentKind values.
 func (IntentKind) AllValues() []IntentKind {
 	return []IntentKind{
-		IntentKindService,
+		IntentKindPutService,
 		IntentKindRemoveService,
-		IntentKindRank,
+		IntentKindPutRank,
 		IntentKindRemoveRank,
-		IntentKindRetireFeature,
-		IntentKindRetireJob,
-		IntentKindRetireEndpoint,
+		IntentKindRetire,
 		IntentKindCancelRetirement,
-		IntentKindPrimary,
 	}
 }
 
 // MarshalText implements encoding.TextMarshaler.
 func (s IntentKind) MarshalText() ([]byte, error) {
 	switch s {
-	case IntentKindService:
+	case IntentKindPutService:
 		return []byte(s), nil
 	case IntentKindRemoveService:
 		return []byte(s), nil
-	case IntentKindRank:
+	case IntentKindPutRank:
 		return []byte(s), nil
 	case IntentKindRemoveRank:
 		return []byte(s), nil
-	case IntentKindRetireFeature:
-		return []byte(s), nil
-	case IntentKindRetireJob:
-		return []byte(s), nil
-	case IntentKindRetireEndpoint:
+	case IntentKindRetire:
 		return []byte(s), nil
 	case IntentKindCancelRetirement:
 		return []byte(s), nil
-	case IntentKindPrimary:
-		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -1076,33 +1092,24 @@
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (s *IntentKind) UnmarshalText(data []byte) error {
 	switch IntentKind(data) {
-	case IntentKindService:
-		*s = IntentKindService
+	case IntentKindPutService:
+		*s = IntentKindPutService
 		return nil
 	case IntentKindRemoveService:
 		*s = IntentKindRemoveService
 		return nil
-	case IntentKindRank:
-		*s = IntentKindRank
+	case IntentKindPutRank:
+		*s = IntentKindPutRank
 		return nil
 	case IntentKindRemoveRank:
 		*s = IntentKindRemoveRank
 		return nil
-	case IntentKindRetireFeature:
-		*s = IntentKindRetireFeature
-		return nil
-	case IntentKindRetireJob:
-		*s = IntentKindRetireJob
-		return nil
-	case IntentKindRetireEndpoint:
-		*s = IntentKindRetireEndpoint
+	case IntentKindRetire:
+		*s = IntentKindRetire
 		return nil
 	case IntentKindCancelRetirement:
 		*s = IntentKindCancelRetirement
 		return nil
-	case IntentKindPrimary:
-		*s = IntentKindPrimary
-		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
@@ -1148,11 +1155,12 @@
 
 // Ref: #/components/schemas/Member
 type Member struct {
-	Host        string      `json:"host"`
-	DataCentre  string      `json:"dataCentre"`
-	Address     string      `json:"address"`
-	State       MemberState `json:"state"`
-	Incarnation uint64      `json:"incarnation"`
+	Host          string      `json:"host"`
+	DataCentre    string      `json:"dataCentre"`
+	MeshAddress   string      `json:"meshAddress"`
+	GossipAddress string      `json:"gossipAddress"`
+	State         MemberState `json:"state"`
+	Incarnation   uint64      `json:"incarnation"`
 }
 
 // GetHost returns the value of Host.
@@ -1165,9 +1173,14 @@
 	return s.DataCentre
 }
 
-// GetAddress returns the value of Address.
-func (s *Member) GetAddress() string {
-	return s.Address
+// GetMeshAddress returns the value of MeshAddress.
+func (s *Member) GetMeshAddress() string {
+	return s.MeshAddress
+}
+
+// GetGossipAddress returns the value of GossipAddress.
+func (s *Member) GetGossipAddress() string {
+	return s.GossipAddress
 }
 
 // GetState returns the value of State.
@@ -1190,9 +1203,14 @@
 	s.DataCentre = val
 }
 
-// SetAddress sets the value of Address.
-func (s *Member) SetAddress(val string) {
-	s.Address = val
+// SetMeshAddress sets the value of MeshAddress.
+func (s *Member) SetMeshAddress(val string) {
+	s.MeshAddress = val
+}
+
+// SetGossipAddress sets the value of GossipAddress.
+func (s *Member) SetGossipAddress(val string) {
+	s.GossipAddress = val
 }
 
 // SetState sets the value of State.
@@ -1261,54 +1279,6 @@
 	}
 }
 
-// Ref: #/components/schemas/MovedObject
-type MovedObject struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Planned uint64 `json:"planned"`
-	Current uint64 `json:"current"`
-}
-
-// GetKind returns the value of Kind.
-func (s *MovedObject) GetKind() string {
-	return s.Kind
-}
-
-// GetName returns the value of Name.
-func (s *MovedObject) GetName() string {
-	return s.Name
-}
-
-// GetPlanned returns the value of Planned.
-func (s *MovedObject) GetPlanned() uint64 {
-	return s.Planned
-}
-
-// GetCurrent returns the value of Current.
-func (s *MovedObject) GetCurrent() uint64 {
-	return s.Current
-}
-
-// SetKind sets the value of Kind.
-func (s *MovedObject) SetKind(val string) {
-	s.Kind = val
-}
-
-// SetName sets the value of Name.
-func (s *MovedObject) SetName(val string) {
-	s.Name = val
-}
-
-// SetPlanned sets the value of Planned.
-func (s *MovedObject) SetPlanned(val uint64) {
-	s.Planned = val
-}
-
-// SetCurrent sets the value of Current.
-func (s *MovedObject) SetCurrent(val uint64) {
-	s.Current = val
-}
-
 // Ref: #/components/schemas/ObjectVersion
 type ObjectVersion struct {
 	// The kind of the object, for instance "service".
@@ -1348,22 +1318,6 @@
 	s.Version = val
 }
 
-// Ref: #/components/schemas/Operation
-type Operation struct {
-	// An id that the client chooses; the same one when it repeats the request.
-	Operation string `json:"operation"`
-}
-
-// GetOperation returns the value of Operation.
-func (s *Operation) GetOperation() string {
-	return s.Operation
-}
-
-// SetOperation sets the value of Operation.
-func (s *Operation) SetOperation(val string) {
-	s.Operation = val
-}
-
 // NewOptBool returns new OptBool with value set to v.
 func NewOptBool(v bool) OptBool {
 	return OptBool{
@@ -1502,38 +1456,38 @@
 	return d
 }
 
-// NewOptPlanPhase returns new OptPlanPhase with value set to v.
-func NewOptPlanPhase(v PlanPhase) OptPlanPhase {
-	return OptPlanPhase{
+// NewOptPlanState returns new OptPlanState with value set to v.
+func NewOptPlanState(v PlanState) OptPlanState {
+	return OptPlanState{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptPlanPhase is optional PlanPhase.
-type OptPlanPhase struct {
-	Value PlanPhase
+// OptPlanState is optional PlanState.
+type OptPlanState struct {
+	Value PlanState
 	Set   bool
 }
 
-// IsSet returns true if OptPlanPhase was set.
-func (o OptPlanPhase) IsSet() bool { return o.Set }
+// IsSet returns true if OptPlanState was set.
+func (o OptPlanState) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptPlanPhase) Reset() {
-	var v PlanPhase
+func (o *OptPlanState) Reset() {
+	var v PlanState
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptPlanPhase) SetTo(v PlanPhase) {
+func (o *OptPlanState) SetTo(v PlanState) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptPlanPhase) Get() (v PlanPhase, ok bool) {
+func (o OptPlanState) Get() (v PlanState, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -1541,7 +1495,7 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptPlanPhase) Or(d PlanPhase) PlanPhase {
+func (o OptPlanState) Or(d PlanState) PlanState {
 	if v, ok := o.Get(); ok {
 		return v
 	}
@@ -1640,6 +1594,52 @@
 	return d
 }
 
+// NewOptRetirementSpec returns new OptRetirementSpec with value set to v.
+func NewOptRetirementSpec(v RetirementSpec) OptRetirementSpec {
+	return OptRetirementSpec{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptRetirementSpec is optional RetirementSpec.
+type OptRetirementSpec struct {
+	Value RetirementSpec
+	Set   bool
+}
+
+// IsSet returns true if OptRetirementSpec was set.
+func (o OptRetirementSpec) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptRetirementSpec) Reset() {
+	var v RetirementSpec
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptRetirementSpec) SetTo(v RetirementSpec) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptRetirementSpec) Get() (v RetirementSpec, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptRetirementSpec) Or(d RetirementSpec) RetirementSpec {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptServiceSpec returns new OptServiceSpec with value set to v.
 func NewOptServiceSpec(v ServiceSpec) OptServiceSpec {
 	return OptServiceSpec{
@@ -1826,21 +1826,22 @@
 
 // Ref: #/components/schemas/Plan
 type Plan struct {
-	ID      string    `json:"id"`
-	Phase   PlanPhase `json:"phase"`
-	Author  string    `json:"author"`
-	Created time.Time `json:"created"`
-	Intent  Intent    `json:"intent"`
-	// What will change.
-	Changes []PlanItem `json:"changes"`
-	// What will stop.
-	Stops []PlanItem `json:"stops"`
+	ID     string    `json:"id"`
+	State  PlanState `json:"state"`
+	Author string    `json:"author"`
+	Intent Intent    `json:"intent"`
+	// What will change, in words.
+	Changes []string `json:"changes"`
+	// What will stop, in words.
+	Stops []string `json:"stops"`
 	// Who still uses what will stop.
-	Users []Caller `json:"users"`
+	Uses []Use `json:"uses"`
 	// What is unsafe about the plan.
-	Hazards []PlanItem `json:"hazards"`
-	// The versions that the plan was made from.
+	Warnings []Warning `json:"warnings"`
+	// The versions that the plan rests on.
 	Versions []ObjectVersion `json:"versions"`
+	// The object that made the plan stale; empty for none.
+	Moved string `json:"moved"`
 }
 
 // GetID returns the value of ID.
@@ -1848,9 +1849,9 @@
 	return s.ID
 }
 
-// GetPhase returns the value of Phase.
-func (s *Plan) GetPhase() PlanPhase {
-	return s.Phase
+// GetState returns the value of State.
+func (s *Plan) GetState() PlanState {
+	return s.State
 }
 
 // GetAuthor returns the value of Author.
@@ -1858,34 +1859,29 @@
 	return s.Author
 }
 
-// GetCreated returns the value of Created.
-func (s *Plan) GetCreated() time.Time {
-	return s.Created
-}
-
 // GetIntent returns the value of Intent.
 func (s *Plan) GetIntent() Intent {
 	return s.Intent
 }
 
 // GetChanges returns the value of Changes.
-func (s *Plan) GetChanges() []PlanItem {
+func (s *Plan) GetChanges() []string {
 	return s.Changes
 }
 
 // GetStops returns the value of Stops.
-func (s *Plan) GetStops() []PlanItem {
+func (s *Plan) GetStops() []string {
 	return s.Stops
 }
 
-// GetUsers returns the value of Users.
-func (s *Plan) GetUsers() []Caller {
-	return s.Users
+// GetUses returns the value of Uses.
+func (s *Plan) GetUses() []Use {
+	return s.Uses
 }
 
-// GetHazards returns the value of Hazards.
-func (s *Plan) GetHazards() []PlanItem {
-	return s.Hazards
+// GetWarnings returns the value of Warnings.
+func (s *Plan) GetWarnings() []Warning {
+	return s.Warnings
 }
 
 // GetVersions returns the value of Versions.
@@ -1893,14 +1889,19 @@
 	return s.Versions
 }
 
+// GetMoved returns the value of Moved.
+func (s *Plan) GetMoved() string {
+	return s.Moved
+}
+
 // SetID sets the value of ID.
 func (s *Plan) SetID(val string) {
 	s.ID = val
 }
 
-// SetPhase sets the value of Phase.
-func (s *Plan) SetPhase(val PlanPhase) {
-	s.Phase = val
+// SetState sets the value of State.
+func (s *Plan) SetState(val PlanState) {
+	s.State = val
 }
 
 // SetAuthor sets the value of Author.
@@ -1908,34 +1909,29 @@
 	s.Author = val
 }
 
-// SetCreated sets the value of Created.
-func (s *Plan) SetCreated(val time.Time) {
-	s.Created = val
-}
-
 // SetIntent sets the value of Intent.
 func (s *Plan) SetIntent(val Intent) {
 	s.Intent = val
 }
 
 // SetChanges sets the value of Changes.
-func (s *Plan) SetChanges(val []PlanItem) {
+func (s *Plan) SetChanges(val []string) {
 	s.Changes = val
 }
 
 // SetStops sets the value of Stops.
-func (s *Plan) SetStops(val []PlanItem) {
+func (s *Plan) SetStops(val []string) {
 	s.Stops = val
 }
 
-// SetUsers sets the value of Users.
-func (s *Plan) SetUsers(val []Caller) {
-	s.Users = val
+// SetUses sets the value of Uses.
+func (s *Plan) SetUses(val []Use) {
+	s.Uses = val
 }
 
-// SetHazards sets the value of Hazards.
-func (s *Plan) SetHazards(val []PlanItem) {
-	s.Hazards = val
+// SetWarnings sets the value of Warnings.
+func (s *Plan) SetWarnings(val []Warning) {
+	s.Warnings = val
 }
 
 // SetVersions sets the value of Versions.
@@ -1943,30 +1939,9 @@
 	s.Versions = val
 }
 
-// Ref: #/components/schemas/PlanItem
-type PlanItem struct {
-	Object string `json:"object"`
-	Text   string `json:"text"`
-}
-
-// GetObject returns the value of Object.
-func (s *PlanItem) GetObject() string {
-	return s.Object
-}
-
-// GetText returns the value of Text.
-func (s *PlanItem) GetText() string {
-	return s.Text
-}
-
-// SetObject sets the value of Object.
-func (s *PlanItem) SetObject(val string) {
-	s.Object = val
-}
-
-// SetText sets the value of Text.
-func (s *PlanItem) SetText(val string) {
-	s.Text = val
+// SetMoved sets the value of Moved.
+func (s *Plan) SetMoved(val string) {
+	s.Moved = val
 }
 
 // Ref: #/components/schemas/PlanList
@@ -1984,36 +1959,36 @@
 	s.Plans = val
 }
 
-// Ref: #/components/schemas/PlanPhase
-type PlanPhase string
+// Ref: #/components/schemas/PlanState
+type PlanState string
 
 const (
-	PlanPhaseProposed  PlanPhase = "proposed"
-	PlanPhaseConfirmed PlanPhase = "confirmed"
-	PlanPhaseWithdrawn PlanPhase = "withdrawn"
-	PlanPhaseStale     PlanPhase = "stale"
+	PlanStateProposed  PlanState = "proposed"
+	PlanStateConfirmed PlanState = "confirmed"
+	PlanStateWithdrawn PlanState = "withdrawn"
+	PlanStateStale     PlanState = "stale"
 )
 
-// AllValues returns all PlanPhase values.
-func (PlanPhase) AllValues() []PlanPhase {
-	return []PlanPhase{
-		PlanPhaseProposed,
-		PlanPhaseConfirmed,
-		PlanPhaseWithdrawn,
-		PlanPhaseStale,
+// AllValues returns all PlanState values.
+func (PlanState) AllValues() []PlanState {
+	return []PlanState{
+		PlanStateProposed,
+		PlanStateConfirmed,
+		PlanStateWithdrawn,
+		PlanStateStale,
 	}
 }
 
 // MarshalText implements encoding.TextMarshaler.
-func (s PlanPhase) MarshalText() ([]byte, error) {
+func (s PlanState) MarshalText() ([]byte, error) {
 	switch s {
-	case PlanPhaseProposed:
+	case PlanStateProposed:
 		return []byte(s), nil
-	case PlanPhaseConfirmed:
+	case PlanStateConfirmed:
 		return []byte(s), nil
-	case PlanPhaseWithdrawn:
+	case PlanStateWithdrawn:
 		return []byte(s), nil
-	case PlanPhaseStale:
+	case PlanStateStale:
 		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
@@ -2021,19 +1996,19 @@
 }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
-func (s *PlanPhase) UnmarshalText(data []byte) error {
-	switch PlanPhase(data) {
-	case PlanPhaseProposed:
-		*s = PlanPhaseProposed
+func (s *PlanState) UnmarshalText(data []byte) error {
+	switch PlanState(data) {
+	case PlanStateProposed:
+		*s = PlanStateProposed
 		return nil
-	case PlanPhaseConfirmed:
-		*s = PlanPhaseConfirmed
+	case PlanStateConfirmed:
+		*s = PlanStateConfirmed
 		return nil
-	case PlanPhaseWithdrawn:
-		*s = PlanPhaseWithdrawn
+	case PlanStateWithdrawn:
+		*s = PlanStateWithdrawn
 		return nil
-	case PlanPhaseStale:
-		*s = PlanPhaseStale
+	case PlanStateStale:
+		*s = PlanStateStale
 		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
@@ -2341,40 +2316,29 @@
 
 // Ref: #/components/schemas/Retirement
 type Retirement struct {
-	Name string         `json:"name"`
-	Kind RetirementKind `json:"kind"`
-	// The feature, job or endpoint that leaves.
-	Target  string          `json:"target"`
-	Phase   RetirementPhase `json:"phase"`
-	Version uint64          `json:"version"`
-	// The requests refused because of the retirement.
-	Refused uint64   `json:"refused"`
-	Callers []Caller `json:"callers"`
-}
-
-// GetName returns the value of Name.
-func (s *Retirement) GetName() string {
-	return s.Name
-}
-
-// GetKind returns the value of Kind.
-func (s *Retirement) GetKind() RetirementKind {
-	return s.Kind
+	Version uint64         `json:"version"`
+	Spec    RetirementSpec `json:"spec"`
+	// The transactions that named the target.
+	Calls uint64 `json:"calls"`
+	// The transactions refused because of the retirement.
+	Refused uint64 `json:"refused"`
+	// The callers that remain.
+	Callers []Use `json:"callers"`
 }
 
-// GetTarget returns the value of Target.
-func (s *Retirement) GetTarget() string {
-	return s.Target
+// GetVersion returns the value of Version.
+func (s *Retirement) GetVersion() uint64 {
+	return s.Version
 }
 
-// GetPhase returns the value of Phase.
-func (s *Retirement) GetPhase() RetirementPhase {
-	return s.Phase
+// GetSpec returns the value of Spec.
+func (s *Retirement) GetSpec() RetirementSpec {
+	return s.Spec
 }
 
-// GetVersion returns the value of Version.
-func (s *Retirement) GetVersion() uint64 {
-	return s.Version
+// GetCalls returns the value of Calls.
+func (s *Retirement) GetCalls() uint64 {
+	return s.Calls
 }
 
 // GetRefused returns the value of Refused.
@@ -2383,33 +2347,23 @@
 }
 
 // GetCallers returns the value of Callers.
-func (s *Retirement) GetCallers() []Caller {
+func (s *Retirement) GetCallers() []Use {
 	return s.Callers
 }
 
-// SetName sets the value of Name.
-func (s *Retirement) SetName(val string) {
-	s.Name = val
-}
-
-// SetKind sets the value of Kind.
-func (s *Retirement) SetKind(val RetirementKind) {
-	s.Kind = val
-}
-
-// SetTarget sets the value of Target.
-func (s *Retirement) SetTarget(val string) {
-	s.Target = val
+// SetVersion sets the value of Version.
+func (s *Retirement) SetVersion(val uint64) {
+	s.Version = val
 }
 
-// SetPhase sets the value of Phase.
-func (s *Retirement) SetPhase(val RetirementPhase) {
-	s.Phase = val
+// SetSpec sets the value of Spec.
+func (s *Retirement) SetSpec(val RetirementSpec) {
+	s.Spec = val
 }
 
-// SetVersion sets the value of Version.
-func (s *Retirement) SetVersion(val uint64) {
-	s.Version = val
+// SetCalls sets the value of Calls.
+func (s *Retirement) SetCalls(val uint64) {
+	s.Calls = val
 }
 
 // SetRefused sets the value of Refused.
@@ -2418,59 +2372,10 @@
 }
 
 // SetCallers sets the value of Callers.
-func (s *Retirement) SetCallers(val []Caller) {
+func (s *Retirement) SetCallers(val []Use) {
 	s.Callers = val
 }
 
-// Ref: #/components/schemas/RetirementKind
-type RetirementKind string
-
-const (
-	RetirementKindFeature  RetirementKind = "feature"
-	RetirementKindJob      RetirementKind = "job"
-	RetirementKindEndpoint RetirementKind = "endpoint"
-)
-
-// AllValues returns all RetirementKind values.
-func (RetirementKind) AllValues() []RetirementKind {
-	return []RetirementKind{
-		RetirementKindFeature,
-		RetirementKindJob,
-		RetirementKindEndpoint,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s RetirementKind) MarshalText() ([]byte, error) {
-	switch s {
-	case RetirementKindFeature:
-		return []byte(s), nil
-	case RetirementKindJob:
-		return []byte(s), nil
-	case RetirementKindEndpoint:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *RetirementKind) UnmarshalText(data []byte) error {
-	switch RetirementKind(data) {
-	case RetirementKindFeature:
-		*s = RetirementKindFeature
-		return nil
-	case RetirementKindJob:
-		*s = RetirementKindJob
-		return nil
-	case RetirementKindEndpoint:
-		*s = RetirementKindEndpoint
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
 // Ref: #/components/schemas/RetirementList
 type RetirementList struct {
 	Retirements []Retirement `json:"retirements"`
@@ -2547,14 +2452,76 @@
 	}
 }
 
+// Ref: #/components/schemas/RetirementSpec
+type RetirementSpec struct {
+	Name string     `json:"name"`
+	Kind TargetKind `json:"kind"`
+	// The feature, job or endpoint that leaves.
+	Target string `json:"target"`
+	// Limits the retirement to one service; required for endpoints.
+	Service OptString       `json:"service"`
+	Phase   RetirementPhase `json:"phase"`
+}
+
+// GetName returns the value of Name.
+func (s *RetirementSpec) GetName() string {
+	return s.Name
+}
+
+// GetKind returns the value of Kind.
+func (s *RetirementSpec) GetKind() TargetKind {
+	return s.Kind
+}
+
+// GetTarget returns the value of Target.
+func (s *RetirementSpec) GetTarget() string {
+	return s.Target
+}
+
+// GetService returns the value of Service.
+func (s *RetirementSpec) GetService() OptString {
+	return s.Service
+}
+
+// GetPhase returns the value of Phase.
+func (s *RetirementSpec) GetPhase() RetirementPhase {
+	return s.Phase
+}
+
+// SetName sets the value of Name.
+func (s *RetirementSpec) SetName(val string) {
+	s.Name = val
+}
+
+// SetKind sets the value of Kind.
+func (s *RetirementSpec) SetKind(val TargetKind) {
+	s.Kind = val
+}
+
+// SetTarget sets the value of Target.
+func (s *RetirementSpec) SetTarget(val string) {
+	s.Target = val
+}
+
+// SetService sets the value of Service.
+func (s *RetirementSpec) SetService(val OptString) {
+	s.Service = val
+}
+
+// SetPhase sets the value of Phase.
+func (s *RetirementSpec) SetPhase(val RetirementPhase) {
+	s.Phase = val
+}
+
 // Ref: #/components/schemas/Rollout
 type Rollout struct {
-	Newest []ObjectVersion `json:"newest"`
-	Hosts  []HostRollout   `json:"hosts"`
+	// The newest version in force on any host.
+	Newest uint64        `json:"newest"`
+	Hosts  []HostRollout `json:"hosts"`
 }
 
 // GetNewest returns the value of Newest.
-func (s *Rollout) GetNewest() []ObjectVersion {
+func (s *Rollout) GetNewest() uint64 {
 	return s.Newest
 }
 
@@ -2564,7 +2531,7 @@
 }
 
 // SetNewest sets the value of Newest.
-func (s *Rollout) SetNewest(val []ObjectVersion) {
+func (s *Rollout) SetNewest(val uint64) {
 	s.Newest = val
 }
 
@@ -2677,12 +2644,11 @@
 
 // Ref: #/components/schemas/Status
 type Status struct {
-	Host       string        `json:"host"`
-	DataCentre string        `json:"dataCentre"`
-	State      HostState     `json:"state"`
-	Platform   PlatformState `json:"platform"`
-	// The versions of the configuration in force.
-	Configuration []ObjectVersion  `json:"configuration"`
+	Host          string           `json:"host"`
+	DataCentre    string           `json:"dataCentre"`
+	State         HostState        `json:"state"`
+	Platform      PlatformState    `json:"platform"`
+	Configuration Configuration    `json:"configuration"`
 	Members       []Member         `json:"members"`
 	Databases     []DatabaseStatus `json:"databases"`
 	// The admission level of each rank at this host's edge.
@@ -2710,7 +2676,7 @@
 }
 
 // GetConfiguration returns the value of Configuration.
-func (s *Status) GetConfiguration() []ObjectVersion {
+func (s *Status) GetConfiguration() Configuration {
 	return s.Configuration
 }
 
@@ -2750,7 +2716,7 @@
 }
 
 // SetConfiguration sets the value of Configuration.
-func (s *Status) SetConfiguration(val []ObjectVersion) {
+func (s *Status) SetConfiguration(val Configuration) {
 	s.Configuration = val
 }
 
@@ -2769,6 +2735,55 @@
 	s.Ranks = val
 }
 
+// Ref: #/components/schemas/TargetKind
+type TargetKind string
+
+const (
+	TargetKindFeature  TargetKind = "feature"
+	TargetKindJob      TargetKind = "job"
+	TargetKindEndpoint TargetKind = "endpoint"
+)
+
+// AllValues returns all TargetKind values.
+func (TargetKind) AllValues() []TargetKind {
+	return []TargetKind{
+		TargetKindFeature,
+		TargetKindJob,
+		TargetKindEndpoint,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s TargetKind) MarshalText() ([]byte, error) {
+	switch s {
+	case TargetKindFeature:
+		return []byte(s), nil
+	case TargetKindJob:
+		return []byte(s), nil
+	case TargetKindEndpoint:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *TargetKind) UnmarshalText(data []byte) error {
+	switch TargetKind(data) {
+	case TargetKindFeature:
+		*s = TargetKindFeature
+		return nil
+	case TargetKindJob:
+		*s = TargetKindJob
+		return nil
+	case TargetKindEndpoint:
+		*s = TargetKindEndpoint
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Timeline
 type Timeline struct {
 	Events []Event `json:"events"`
@@ -2862,3 +2877,168 @@
 func (s *Token) SetRoles(val []string) {
 	s.Roles = val
 }
+
+// Ref: #/components/schemas/Use
+type Use struct {
+	// The host that saw the caller.
+	Host     string `json:"host"`
+	Service  string `json:"service"`
+	Feature  string `json:"feature"`
+	Job      string `json:"job"`
+	Rank     string `json:"rank"`
+	Endpoint string `json:"endpoint"`
+	// The caller's address without its port.
+	Caller    string    `json:"caller"`
+	Calls     uint64    `json:"calls"`
+	Refused   uint64    `json:"refused"`
+	FirstSeen time.Time `json:"firstSeen"`
+	LastSeen  time.Time `json:"lastSeen"`
+}
+
+// GetHost returns the value of Host.
+func (s *Use) GetHost() string {
+	return s.Host
+}
+
+// GetService returns the value of Service.
+func (s *Use) GetService() string {
+	return s.Service
+}
+
+// GetFeature returns the value of Feature.
+func (s *Use) GetFeature() string {
+	return s.Feature
+}
+
+// GetJob returns the value of Job.
+func (s *Use) GetJob() string {
+	return s.Job
+}
+
+// GetRank returns the value of Rank.
+func (s *Use) GetRank() string {
+	return s.Rank
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Use) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetCaller returns the value of Caller.
+func (s *Use) GetCaller() string {
+	return s.Caller
+}
+
+// GetCalls returns the value of Calls.
+func (s *Use) GetCalls() uint64 {
+	return s.Calls
+}
+
+// GetRefused returns the value of Refused.
+func (s *Use) GetRefused() uint64 {
+	return s.Refused
+}
+
+// GetFirstSeen returns the value of FirstSeen.
+func (s *Use) GetFirstSeen() time.Time {
+	return s.FirstSeen
+}
+
+// GetLastSeen returns the value of LastSeen.
+func (s *Use) GetLastSeen() time.Time {
+	return s.LastSeen
+}
+
+// SetHost sets the value of Host.
+func (s *Use) SetHost(val string) {
+	s.Host = val
+}
+
+// SetService sets the value of Service.
+func (s *Use) SetService(val string) {
+	s.Service = val
+}
+
+// SetFeature sets the value of Feature.
+func (s *Use) SetFeature(val string) {
+	s.Feature = val
+}
+
+// SetJob sets the value of Job.
+func (s *Use) SetJob(val string) {
+	s.Job = val
+}
+
+// SetRank sets the value of Rank.
+func (s *Use) SetRank(val string) {
+	s.Rank = val
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Use) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetCaller sets the value of Caller.
+func (s *Use) SetCaller(val string) {
+	s.Caller = val
+}
+
+// SetCalls sets the value of Calls.
+func (s *Use) SetCalls(val uint64) {
+	s.Calls = val
+}
+
+// SetRefused sets the value of Refused.
+func (s *Use) SetRefused(val uint64) {
+	s.Refused = val
+}
+
+// SetFirstSeen sets the value of FirstSeen.
+func (s *Use) SetFirstSeen(val time.Time) {
+	s.FirstSeen = val
+}
+
+// SetLastSeen sets the value of LastSeen.
+func (s *Use) SetLastSeen(val time.Time) {
+	s.LastSeen = val
+}
+
+// Ref: #/components/schemas/Warning
+type Warning struct {
+	// The kind of warning, for instance "no majority left".
+	Kind   string `json:"kind"`
+	Object string `json:"object"`
+	Text   string `json:"text"`
+}
+
+// GetKind returns the value of Kind.
+func (s *Warning) GetKind() string {
+	return s.Kind
+}
+
+// GetObject returns the value of Object.
+func (s *Warning) GetObject() string {
+	return s.Object
+}
+
+// GetText returns the value of Text.
+func (s *Warning) GetText() string {
+	return s.Text
+}
+
+// SetKind sets the value of Kind.
+func (s *Warning) SetKind(val string) {
+	s.Kind = val
+}
+
+// SetObject sets the value of Object.
+func (s *Warning) SetObject(val string) {
+	s.Object = val
+}
+
+// SetText sets the value of Text.
+func (s *Warning) SetText(val string) {
+	s.Text = val
+}
--- a/api/admin/oas_server_gen.go
+++ b/api/admin/oas_server_gen.go
@@ -10,11 +10,10 @@
 type Handler interface {
 	// ConfirmPlan implements confirmPlan operation.
 	//
-	// Puts a plan into force. A confirmation may be repeated, with the same operation id or another: a
-	// plan is applied at most once.
+	// Puts a plan into force. Repeating a confirmation is safe: a plan is applied at most once.
 	//
 	// POST /v1/plans/{plan}/confirm
-	ConfirmPlan(ctx context.Context, req *Operation, params ConfirmPlanParams) (*Confirmation, error)
+	ConfirmPlan(ctx context.Context, params ConfirmPlanParams) (*Confirmation, error)
 	// CreatePlan implements createPlan operation.
 	//
 	// Makes a plan from an intent. Nothing changes until it is confirmed.
@@ -81,7 +80,7 @@
 	// Withdraws a plan that is not confirmed.
 	//
 	// POST /v1/plans/{plan}/withdraw
-	WithdrawPlan(ctx context.Context, req *Operation, params WithdrawPlanParams) (*Confirmation, error)
+	WithdrawPlan(ctx context.Context, params WithdrawPlanParams) (*Confirmation, error)
 	// NewError creates *ErrorStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/admin/oas_validators_gen.go
+++ b/api/admin/oas_validators_gen.go
@@ -39,17 +39,6 @@
 			Error: err,
 		})
 	}
-	if err := func() error {
-		if s.Moved == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "moved",
-			Error: err,
-		})
-	}
 	if err := func() error {
 		if s.Written == nil {
 			return errors.New("nil is invalid value")
@@ -96,6 +85,31 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		var failures []validate.FieldError
+		for i, elem := range s.PreviousEndpoints {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "previousEndpoints",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Endpoints == nil {
 			return errors.New("nil is invalid value")
@@ -394,20 +408,20 @@
 	return nil
 }
 
-func (s *HostRollout) Validate() error {
+func (s *Event) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Lagging == nil {
+		if s.Counts == nil {
 			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "lagging",
+			Name:  "counts",
 			Error: err,
 		})
 	}
@@ -484,52 +498,10 @@
 		})
 	}
 	if err := func() error {
-		if value, ok := s.Name.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     128,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "name",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Database.Get(); ok {
+		if value, ok := s.Retirement.Get(); ok {
 			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     128,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
+				if err := value.Validate(); err != nil {
+					return err
 				}
 				return nil
 			}(); err != nil {
@@ -539,12 +511,12 @@
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "database",
+			Name:  "retirement",
 			Error: err,
 		})
 	}
 	if err := func() error {
-		if value, ok := s.Endpoint.Get(); ok {
+		if value, ok := s.Name.Get(); ok {
 			if err := func() error {
 				if err := (validate.String{
 					MinLength:     0,
@@ -569,37 +541,7 @@
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "endpoint",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if value, ok := s.Note.Get(); ok {
-			if err := func() error {
-				if err := (validate.String{
-					MinLength:     0,
-					MinLengthSet:  false,
-					MaxLength:     1024,
-					MaxLengthSet:  true,
-					Email:         false,
-					Hostname:      false,
-					Regex:         nil,
-					MinNumeric:    0,
-					MinNumericSet: false,
-					MaxNumeric:    0,
-					MaxNumericSet: false,
-				}).Validate(string(value)); err != nil {
-					return errors.Wrap(err, "string")
-				}
-				return nil
-			}(); err != nil {
-				return err
-			}
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "note",
+			Name:  "name",
 			Error: err,
 		})
 	}
@@ -611,24 +553,18 @@
 
 func (s IntentKind) Validate() error {
 	switch s {
-	case "service":
+	case "put_service":
 		return nil
 	case "remove_service":
 		return nil
-	case "rank":
+	case "put_rank":
 		return nil
 	case "remove_rank":
 		return nil
-	case "retire_feature":
-		return nil
-	case "retire_job":
-		return nil
-	case "retire_endpoint":
+	case "retire":
 		return nil
 	case "cancel_retirement":
 		return nil
-	case "primary":
-		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
@@ -695,41 +631,6 @@
 	}
 }
 
-func (s *Operation) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if err := (validate.String{
-			MinLength:     1,
-			MinLengthSet:  true,
-			MaxLength:     128,
-			MaxLengthSet:  true,
-			Email:         false,
-			Hostname:      false,
-			Regex:         nil,
-			MinNumeric:    0,
-			MinNumericSet: false,
-			MaxNumeric:    0,
-			MaxNumericSet: false,
-		}).Validate(string(s.Operation)); err != nil {
-			return errors.Wrap(err, "string")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "operation",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
 func (s *Plan) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -737,13 +638,13 @@
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if err := s.Phase.Validate(); err != nil {
+		if err := s.State.Validate(); err != nil {
 			return err
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "phase",
+			Name:  "state",
 			Error: err,
 		})
 	}
@@ -781,24 +682,24 @@
 		})
 	}
 	if err := func() error {
-		if s.Users == nil {
+		if s.Uses == nil {
 			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "users",
+			Name:  "uses",
 			Error: err,
 		})
 	}
 	if err := func() error {
-		if s.Hazards == nil {
+		if s.Warnings == nil {
 			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "hazards",
+			Name:  "warnings",
 			Error: err,
 		})
 	}
@@ -859,7 +760,7 @@
 	return nil
 }
 
-func (s PlanPhase) Validate() error {
+func (s PlanState) Validate() error {
 	switch s {
 	case "proposed":
 		return nil
@@ -1099,24 +1000,13 @@
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if err := s.Kind.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "kind",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := s.Phase.Validate(); err != nil {
+		if err := s.Spec.Validate(); err != nil {
 			return err
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "phase",
+			Name:  "spec",
 			Error: err,
 		})
 	}
@@ -1137,19 +1027,6 @@
 	return nil
 }
 
-func (s RetirementKind) Validate() error {
-	switch s {
-	case "feature":
-		return nil
-	case "job":
-		return nil
-	case "endpoint":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
 func (s *RetirementList) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -1214,43 +1091,125 @@
 	}
 }
 
-func (s *Rollout) Validate() error {
+func (s *RetirementSpec) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Newest == nil {
-			return errors.New("nil is invalid value")
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     128,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Name)); err != nil {
+			return errors.Wrap(err, "string")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "newest",
+			Name:  "name",
 			Error: err,
 		})
 	}
 	if err := func() error {
-		if s.Hosts == nil {
-			return errors.New("nil is invalid value")
+		if err := s.Kind.Validate(); err != nil {
+			return err
 		}
-		var failures []validate.FieldError
-		for i, elem := range s.Hosts {
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "kind",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.String{
+			MinLength:     1,
+			MinLengthSet:  true,
+			MaxLength:     128,
+			MaxLengthSet:  true,
+			Email:         false,
+			Hostname:      false,
+			Regex:         nil,
+			MinNumeric:    0,
+			MinNumericSet: false,
+			MaxNumeric:    0,
+			MaxNumericSet: false,
+		}).Validate(string(s.Target)); err != nil {
+			return errors.Wrap(err, "string")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "target",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Service.Get(); ok {
 			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
 				}
 				return nil
 			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
+				return err
 			}
 		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "service",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := s.Phase.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "phase",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *Rollout) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Hosts == nil {
+			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
@@ -1476,17 +1435,6 @@
 			Error: err,
 		})
 	}
-	if err := func() error {
-		if s.Configuration == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "configuration",
-			Error: err,
-		})
-	}
 	if err := func() error {
 		if s.Members == nil {
 			return errors.New("nil is invalid value")
@@ -1577,6 +1525,19 @@
 	return nil
 }
 
+func (s TargetKind) Validate() error {
+	switch s {
+	case "feature":
+		return nil
+	case "job":
+		return nil
+	case "endpoint":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *Timeline) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -1587,6 +1548,23 @@
 		if s.Events == nil {
 			return errors.New("nil is invalid value")
 		}
+		var failures []validate.FieldError
+		for i, elem := range s.Events {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
--- /dev/null
+++ b/node/admin/decode.go
@@ -0,0 +1,166 @@
+package admin
+
+import (
+	"net/netip"
+
+	api "baobabfield.example/api/admin"
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/types"
+)
+
+// decodeIntent translates an intent of the API.
+func decodeIntent(in *api.Intent) (config.Intent, error) {
+	if err := checkProperties(in); err != nil {
+		return nil, err
+	}
+	switch in.Kind {
+	case api.IntentKindPutService:
+		spec, err := decodeService(in.Service.Value)
+		return config.PutService{Spec: spec}, err
+	case api.IntentKindRemoveService:
+		return config.RemoveService{Name: types.Service(in.Name.Value)}, nil
+	case api.IntentKindPutRank:
+		spec, err := decodeRank(in.Rank.Value)
+		return config.PutRank{Spec: spec}, err
+	case api.IntentKindRemoveRank:
+		return config.RemoveRank{Name: types.Rank(in.Name.Value)}, nil
+	case api.IntentKindRetire:
+		return config.Retire{Retirement: decodeRetirement(in.Retirement.Value)}, nil
+	case api.IntentKindCancelRetirement:
+		return config.CancelRetirement{Name: in.Name.Value}, nil
+	}
+	return nil, Malformed("kind", "kind %q is not a kind of intent", in.Kind)
+}
+
+// checkProperties checks that the intent has the property that its kind needs,
+// and no other.
+func checkProperties(in *api.Intent) error {
+	needed := propertyOf(in.Kind)
+	given := []struct {
+		name string
+		set  bool
+	}{
+		{"service", in.Service.Set},
+		{"rank", in.Rank.Set},
+		{"retirement", in.Retirement.Set},
+		{"name", in.Name.Set && in.Name.Value != ""},
+	}
+	for _, property := range given {
+		if property.name == needed && !property.set {
+			return Malformed(needed, "an intent of kind %q needs the property %q", in.Kind, needed)
+		}
+		if property.name != needed && property.set {
+			return Malformed(property.name, "an intent of kind %q does not take the property %q", in.Kind, property.name)
+		}
+	}
+	return nil
+}
+
+// propertyOf names the property that an intent of the kind needs.
+func propertyOf(kind api.IntentKind) string {
+	switch kind {
+	case api.IntentKindPutService:
+		return "service"
+	case api.IntentKindPutRank:
+		return "rank"
+	case api.IntentKindRetire:
+		return "retirement"
+	case api.IntentKindRemoveService, api.IntentKindRemoveRank, api.IntentKindCancelRetirement:
+		return "name"
+	}
+	return ""
+}
+
+func decodeService(in api.ServiceSpec) (types.ServiceSpec, error) {
+	spec := types.ServiceSpec{
+		Name:        types.Service(in.Name),
+		Promise:     types.Promise(in.Promise.Or(api.PromiseReplicated)),
+		Slots:       in.Slots,
+		Connections: in.Connections,
+	}
+	for _, database := range in.Databases {
+		decoded, err := decodeDatabase(database)
+		if err != nil {
+			return spec, err
+		}
+		spec.Databases = append(spec.Databases, decoded)
+	}
+	return spec, nil
+}
+
+func decodeDatabase(in api.DatabaseSpec) (types.DatabaseSpec, error) {
+	spec := types.DatabaseSpec{ID: types.Database(in.ID), Set: in.Set.Value}
+	var err error
+	if spec.Endpoints, err = decodeEndpoints(in.Endpoints); err != nil {
+		return spec, err
+	}
+	spec.PreviousEndpoints, err = decodeEndpoints(in.PreviousEndpoints)
+	return spec, err
+}
+
+func decodeEndpoints(in []api.EndpointSpec) ([]types.EndpointSpec, error) {
+	var specs []types.EndpointSpec
+	for _, endpoint := range in {
+		if _, err := netip.ParseAddrPort(endpoint.Address); err != nil {
+			return nil, Malformed(endpoint.ID, "the address %q of endpoint %q is not an IP address and port",
+				endpoint.Address, endpoint.ID)
+		}
+		specs = append(specs, types.EndpointSpec{
+			ID:         types.Endpoint(endpoint.ID),
+			DataCentre: types.DataCentre(endpoint.DataCentre),
+			Address:    endpoint.Address,
+			Leaving:    endpoint.Leaving.Value,
+		})
+	}
+	return specs, nil
+}
+
+func decodeRank(in api.RankSpec) (types.RankSpec, error) {
+	if in.Target <= 0 {
+		return types.RankSpec{}, Malformed("target", "the target of rank %q is %v, want more than 0", in.Name, in.Target)
+	}
+	return types.RankSpec{
+		Name:   types.Rank(in.Name),
+		Target: in.Target,
+		Worth:  in.Worth,
+		Floor:  in.Floor,
+		Order:  in.Order,
+	}, nil
+}
+
+func decodeRetirement(in api.RetirementSpec) config.Retirement {
+	return config.Retirement{
+		Name:    in.Name,
+		Kind:    config.TargetKind(in.Kind),
+		Target:  in.Target,
+		Service: types.Service(in.Service.Value),
+		Phase:   config.Phase(in.Phase),
+	}
+}
+
+// intentObject names the object that an intent is about.
+func intentObject(intent config.Intent) string {
+	switch intent := intent.(type) {
+	case config.PutService:
+		return string(intent.Spec.Name)
+	case config.RemoveService:
+		return string(intent.Name)
+	case config.PutRank:
+		return string(intent.Spec.Name)
+	case config.RemoveRank:
+		return string(intent.Name)
+	case config.Retire:
+		return intent.Retirement.Name
+	case config.CancelRetirement:
+		return intent.Name
+	}
+	return ""
+}
+
+// nanoseconds returns the nanoseconds since the Unix epoch, 0 for no time.
+func nanoseconds(t api.OptDateTime) int64 {
+	if !t.Set {
+		return 0
+	}
+	return t.Value.UnixNano()
+}
--- /dev/null
+++ b/node/admin/encode.go
@@ -0,0 +1,216 @@
+package admin
+
+import (
+	"fmt"
+	"time"
+
+	api "baobabfield.example/api/admin"
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/timeline"
+	"baobabfield.example/core/types"
+)
+
+// each translates every element of a list; the result is never nil.
+func each[S, T any](in []S, translate func(S) T) []T {
+	out := make([]T, 0, len(in))
+	for _, element := range in {
+		out = append(out, translate(element))
+	}
+	return out
+}
+
+func encodeHosts(hosts []types.Host) []string {
+	return each(hosts, func(h types.Host) string { return string(h) })
+}
+
+func encodeDigest(digest uint64) string { return fmt.Sprintf("%016x", digest) }
+
+// wallTime returns the time that is the given nanoseconds after the Unix epoch.
+func wallTime(nanoseconds int64) time.Time { return time.Unix(0, nanoseconds).UTC() }
+
+func encodeServices(snapshot config.Snapshot) *api.ServiceList {
+	list := &api.ServiceList{Services: []api.ServiceEntry{}}
+	for _, object := range snapshot.Objects() {
+		if service, ok := object.Body.(config.ServiceObject); ok {
+			entry := api.ServiceEntry{Version: uint64(object.Version), Spec: encodeService(service.Spec)}
+			list.Services = append(list.Services, entry)
+		}
+	}
+	return list
+}
+
+func encodeService(spec types.ServiceSpec) api.ServiceSpec {
+	return api.ServiceSpec{
+		Name:        string(spec.Name),
+		Promise:     api.NewOptPromise(api.Promise(spec.Promise)),
+		Slots:       spec.Slots,
+		Connections: spec.Connections,
+		Databases:   each(spec.Databases, encodeDatabase),
+	}
+}
+
+func encodeDatabase(spec types.DatabaseSpec) api.DatabaseSpec {
+	database := api.DatabaseSpec{
+		ID:        string(spec.ID),
+		Set:       api.NewOptUint32(spec.Set),
+		Endpoints: each(spec.Endpoints, encodeEndpoint),
+	}
+	if len(spec.PreviousEndpoints) > 0 {
+		database.PreviousEndpoints = each(spec.PreviousEndpoints, encodeEndpoint)
+	}
+	return database
+}
+
+func encodeEndpoint(spec types.EndpointSpec) api.EndpointSpec {
+	return api.EndpointSpec{
+		ID:         string(spec.ID),
+		DataCentre: string(spec.DataCentre),
+		Address:    spec.Address,
+		Leaving:    api.NewOptBool(spec.Leaving),
+	}
+}
+
+func encodeRanks(snapshot config.Snapshot) *api.RankList {
+	list := &api.RankList{Ranks: []api.RankEntry{}}
+	for _, rank := range snapshot.Ranks() {
+		object, _ := snapshot.Object(config.RankObject{Spec: rank}.Key())
+		entry := api.RankEntry{Version: uint64(object.Version), Spec: encodeRank(rank)}
+		list.Ranks = append(list.Ranks, entry)
+	}
+	return list
+}
+
+func encodeRank(spec types.RankSpec) api.RankSpec {
+	return api.RankSpec{
+		Name:   string(spec.Name),
+		Order:  spec.Order,
+		Target: spec.Target,
+		Worth:  spec.Worth,
+		Floor:  spec.Floor,
+	}
+}
+
+func encodeIntent(intent config.Intent) api.Intent {
+	switch intent := intent.(type) {
+	case config.PutService:
+		return api.Intent{
+			Kind:    api.IntentKindPutService,
+			Service: api.NewOptServiceSpec(encodeService(intent.Spec)),
+		}
+	case config.RemoveService:
+		return api.Intent{Kind: api.IntentKindRemoveService, Name: api.NewOptString(string(intent.Name))}
+	case config.PutRank:
+		return api.Intent{Kind: api.IntentKindPutRank, Rank: api.NewOptRankSpec(encodeRank(intent.Spec))}
+	case config.RemoveRank:
+		return api.Intent{Kind: api.IntentKindRemoveRank, Name: api.NewOptString(string(intent.Name))}
+	case config.Retire:
+		return api.Intent{
+			Kind:       api.IntentKindRetire,
+			Retirement: api.NewOptRetirementSpec(encodeRetirement(intent.Retirement)),
+		}
+	case config.CancelRetirement:
+		return api.Intent{Kind: api.IntentKindCancelRetirement, Name: api.NewOptString(intent.Name)}
+	}
+	return api.Intent{}
+}
+
+func encodePlan(plan config.Plan) *api.Plan {
+	return &api.Plan{
+		ID:       plan.ID,
+		State:    api.PlanState(plan.State),
+		Author:   plan.Author,
+		Intent:   encodeIntent(plan.Intent),
+		Changes:  append([]string{}, plan.Changes...),
+		Stops:    append([]string{}, plan.Stops...),
+		Uses:     each(plan.Uses, encodeUse),
+		Warnings: each(plan.Warnings, encodeWarning),
+		Versions: each(plan.Rests, encodeBasis),
+		Moved:    plan.Moved,
+	}
+}
+
+func encodeWarning(w config.Warning) api.Warning {
+	return api.Warning{Kind: string(w.Kind), Object: w.Object, Text: w.Text}
+}
+
+func encodeBasis(b config.Basis) api.ObjectVersion {
+	return api.ObjectVersion{Kind: b.Key.Kind.String(), Name: b.Key.Name, Version: uint64(b.Version)}
+}
+
+func encodeWritten(o config.Object) api.ObjectVersion {
+	return api.ObjectVersion{Kind: o.Key.Kind.String(), Name: o.Key.Name, Version: uint64(o.Version)}
+}
+
+func encodeUse(u config.Use) api.Use {
+	return api.Use{
+		Host:      string(u.Host),
+		Service:   string(u.Service),
+		Feature:   string(u.Feature),
+		Job:       string(u.Job),
+		Rank:      string(u.Rank),
+		Endpoint:  string(u.Endpoint),
+		Caller:    u.Caller,
+		Calls:     u.Calls,
+		Refused:   u.Refused,
+		FirstSeen: wallTime(u.FirstSeen),
+		LastSeen:  wallTime(u.LastSeen),
+	}
+}
+
+var confirmResults = map[config.ConfirmState]api.ConfirmResult{
+	config.ConfirmAccepted:    api.ConfirmResultAccepted,
+	config.ConfirmRefused:     api.ConfirmResultRefused,
+	config.ConfirmNotYetKnown: api.ConfirmResultUnknown,
+	config.ConfirmRunning:     api.ConfirmResultUnknown,
+}
+
+func encodeConfirmation(id string, confirmed config.Confirmed, next string) *api.Confirmation {
+	moved := ""
+	if none := (config.Key{}); confirmed.Moved != none {
+		moved = confirmed.Moved.String()
+	}
+	return &api.Confirmation{
+		Plan:    id,
+		Result:  confirmResults[confirmed.State],
+		Message: confirmed.Text,
+		Moved:   moved,
+		Written: each(confirmed.Written, encodeWritten),
+		Next:    next,
+	}
+}
+
+func encodeEvents(steps []timeline.Step) []api.Event {
+	return each(steps, func(step timeline.Step) api.Event {
+		e := step.Event
+		return api.Event{
+			ID:      e.ID.String(),
+			Cause:   encodeCause(e.Cause),
+			Host:    string(e.Host),
+			At:      wallTime(e.Stamp.Wall),
+			Logical: e.Stamp.Logical,
+			Kind:    string(e.Kind),
+			Object:  e.Object,
+			Author:  e.Author,
+			Text:    e.Text,
+			Counts:  each(e.Counts, encodeCount),
+			Depth:   step.Depth,
+		}
+	})
+}
+
+func encodeCause(id timeline.EventID) string {
+	if id.IsZero() {
+		return ""
+	}
+	return id.String()
+}
+
+func encodeCount(c timeline.Count) api.Count { return api.Count{Name: c.Name, Value: c.Value} }
+
+func encodeLeaving(leaving Leaving) *api.Leaving {
+	return &api.Leaving{
+		Host:     string(leaving.Host),
+		State:    api.HostState(leaving.State),
+		InFlight: leaving.InFlight,
+	}
+}
--- /dev/null
+++ b/node/admin/encode_status.go
@@ -0,0 +1,76 @@
+package admin
+
+import (
+	api "baobabfield.example/api/admin"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/types"
+)
+
+func encodeStatus(s Status) *api.Status {
+	return &api.Status{
+		Host:       string(s.Host),
+		DataCentre: string(s.DataCentre),
+		State:      api.HostState(s.State),
+		Platform:   api.PlatformState{Reachable: s.PlatformReachable, LastAnswer: s.PlatformSilence},
+		Configuration: api.Configuration{
+			Version:  uint64(s.Configuration.Version),
+			Digest:   encodeDigest(s.Configuration.Digest),
+			Complete: s.Configuration.Complete,
+		},
+		Members:   each(s.Members, encodeMember),
+		Databases: each(s.Databases, encodeDatabaseStatus),
+		Ranks:     each(s.Ranks, encodeRankLevel),
+	}
+}
+
+func encodeMember(m membership.Member) api.Member {
+	return api.Member{
+		Host:          string(m.Host),
+		DataCentre:    string(m.DataCentre),
+		MeshAddress:   m.MeshAddress,
+		GossipAddress: m.GossipAddress,
+		State:         api.MemberState(m.State.String()),
+		Incarnation:   uint64(m.Incarnation),
+	}
+}
+
+func encodeDatabaseStatus(d Database) api.DatabaseStatus {
+	return api.DatabaseStatus{
+		Service:   string(d.Service),
+		Database:  string(d.ID),
+		Set:       d.Term.Set(),
+		Campaign:  d.Term.Campaign(),
+		Primary:   string(d.Primary),
+		Authority: d.Authority,
+		Endpoints: each(d.Endpoints, encodeEndpointStatus),
+	}
+}
+
+func encodeEndpointStatus(e Endpoint) api.EndpointStatus {
+	return api.EndpointStatus{
+		Endpoint:    string(e.ID),
+		DataCentre:  string(e.DataCentre),
+		Address:     e.Address,
+		State:       api.EndpointState(e.State),
+		Position:    encodePosition(e.Position),
+		Age:         e.Age,
+		Owner:       string(e.Owner),
+		StandBy:     string(e.StandBy),
+		Slots:       e.Slots,
+		SlotsInUse:  e.SlotsInUse,
+		Connections: e.Connections,
+		Queues:      each(e.Queues, encodeQueue),
+	}
+}
+
+func encodePosition(p types.LogPoint) api.Position {
+	return api.Position{Set: p.Term.Set(), Campaign: p.Term.Campaign(), Position: uint64(p.Position)}
+}
+
+func encodeQueue(q Queue) api.Queue {
+	return api.Queue{Rank: string(q.Rank), Length: q.Length, Level: q.Level}
+}
+
+func encodeRankLevel(l RankLevel) api.RankLevel {
+	return api.RankLevel{Rank: string(l.Rank), Level: l.Level, Admitted: l.Admitted, Refused: l.Refused}
+}
--- /dev/null
+++ b/node/admin/health.go
@@ -0,0 +1,21 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// writeHealth answers 200 if the host serves callers and 503 if it does not.
+func (t *tasks) writeHealth(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	status, err := t.status(r.Context())
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = fmt.Fprintln(w, err)
+		return
+	}
+	if status.State != HostServing {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = fmt.Fprintln(w, status.State)
+}
--- /dev/null
+++ b/node/admin/rollout.go
@@ -0,0 +1,47 @@
+package admin
+
+import (
+	api "baobabfield.example/api/admin"
+	"baobabfield.example/core/config"
+)
+
+// encodeRollout marks the hosts whose configuration differs from the newest one.
+func encodeRollout(hosts []HostVersion) *api.Rollout {
+	newest, digest := newestVersion(hosts)
+	return &api.Rollout{
+		Newest: uint64(newest),
+		Hosts: each(hosts, func(h HostVersion) api.HostRollout {
+			return api.HostRollout{
+				Host:       string(h.Host),
+				DataCentre: string(h.DataCentre),
+				Reachable:  h.Reachable,
+				Version:    uint64(h.Version),
+				Digest:     encodeDigest(h.Digest),
+				Lagging:    h.Reachable && (h.Version != newest || h.Digest != digest),
+			}
+		}),
+	}
+}
+
+// newestVersion returns the newest version in force on a reachable host, and
+// the digest that most of the hosts with that version have.
+func newestVersion(hosts []HostVersion) (config.Version, uint64) {
+	var newest config.Version
+	for _, host := range hosts {
+		if host.Reachable {
+			newest = max(newest, host.Version)
+		}
+	}
+	counts := map[uint64]int{}
+	var digest uint64
+	for _, host := range hosts {
+		if !host.Reachable || host.Version != newest {
+			continue
+		}
+		counts[host.Digest]++
+		if counts[host.Digest] > counts[digest] {
+			digest = host.Digest
+		}
+	}
+	return newest, digest
+}
--- /dev/null
+++ b/node/admin/server.go
@@ -0,0 +1,152 @@
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	api "baobabfield.example/api/admin"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	shutdownTimeout   = 10 * time.Second
+	// maxBodyBytes is the size of the largest request body; the platform holds
+	// objects of up to a megabyte.
+	maxBodyBytes = 1 << 20
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// Settings configure the admin server.
+type Settings struct {
+	// Address is the IP address and port that the server listens on.
+	Address string
+	// CertFile and KeyFile hold the server's certificate and key; both empty
+	// for plain HTTP.
+	CertFile string
+	KeyFile  string
+	Tokens   []Token
+	// AnswerTimeout bounds the wait for the tasks that own the state.
+	AnswerTimeout time.Duration
+}
+
+// Check reports the first setting that is not valid.
+func (s *Settings) Check() error {
+	if len(s.Tokens) == 0 {
+		return errors.New("the admin API has no token")
+	}
+	if s.AnswerTimeout <= 0 {
+		return errors.Errorf("the admin API's answer timeout is %v, want more than 0", s.AnswerTimeout)
+	}
+	if (s.CertFile == "") != (s.KeyFile == "") {
+		return errors.New("the admin API needs both a certificate file and a key file, or neither")
+	}
+	return nil
+}
+
+// Server is the task that serves the admin API.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	log      *zap.Logger
+}
+
+// Listen opens the server's socket. Requests go to the channel; each one must
+// be answered or dropped, and is abandoned after the answer timeout.
+func Listen(settings Settings, requests chan<- Request, log *zap.Logger) (*Server, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	handler, err := newHandler(settings, requests)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := listen(settings)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      readTimeout + settings.AnswerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(log),
+	}
+	return &Server{listener: listener, http: server, log: log}, nil
+}
+
+func listen(settings Settings) (net.Listener, error) {
+	listener, err := net.Listen("tcp", settings.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for admin requests on %q", settings.Address)
+	}
+	if settings.CertFile == "" {
+		return listener, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(settings.CertFile, settings.KeyFile)
+	if err != nil {
+		_ = listener.Close()
+		return nil, errors.Wrapf(err, "load the admin certificate %q", settings.CertFile)
+	}
+	config := &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		MinVersion:   tls.VersionTLS12,
+	}
+	return tls.NewListener(listener, config), nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+// Run serves until ctx is cancelled, then lets running requests finish.
+func (s *Server) Run(ctx context.Context) error {
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(s.listener) }()
+	s.log.Info("admin API is listening", zap.Stringer("address", s.Addr()))
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve the admin API")
+	case <-ctx.Done():
+	}
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(stopping); err != nil {
+		return errors.Wrap(err, "stop the admin API")
+	}
+	return nil
+}
+
+func newHandler(settings Settings, requests chan<- Request) (http.Handler, error) {
+	tasks := &tasks{requests: requests, timeout: settings.AnswerTimeout}
+	server, err := api.NewServer(
+		&handler{tasks: tasks},
+		&guard{tokens: settings.Tokens},
+		api.WithErrorHandler(writeError),
+		api.WithNotFound(writeNotFound),
+		api.WithMethodNotAllowed(writeNotAllowed),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up the admin API")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", http.MaxBytesHandler(server, maxBodyBytes))
+	mux.HandleFunc("GET /metrics", writeMetrics)
+	mux.HandleFunc("GET /healthz", tasks.writeHealth)
+	return mux, nil
+}
+
+func writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metrics.WritePrometheus(w, true)
+}
--- /dev/null
+++ b/node/admin/status.go
@@ -0,0 +1,113 @@
+package admin
+
+import (
+	"time"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/types"
+)
+
+// HostState says what a host is doing.
+type HostState string
+
+// The states of a host.
+const (
+	HostStarting HostState = "starting"
+	HostServing  HostState = "serving"
+	HostLeaving  HostState = "leaving"
+)
+
+// EndpointState is what a host believes about an endpoint.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointPrimary     EndpointState = "primary"
+	EndpointReplica     EndpointState = "replica"
+	EndpointUnreachable EndpointState = "unreachable"
+	EndpointLeaving     EndpointState = "leaving"
+	EndpointUnknown     EndpointState = "unknown"
+)
+
+// AgeUnknown is the age of a replica whose staleness has no known bound.
+const AgeUnknown time.Duration = -1
+
+// Status is the state of one host as it knows it.
+type Status struct {
+	Host       types.Host
+	DataCentre types.DataCentre
+	State      HostState
+	// PlatformReachable reports whether the platform answered the last call.
+	PlatformReachable bool
+	// PlatformSilence is the time since the platform's last answer.
+	PlatformSilence time.Duration
+	Configuration   Configuration
+	Members         []membership.Member
+	Databases       []Database
+	Ranks           []RankLevel
+}
+
+// Configuration summarises the configuration in force on a host.
+type Configuration struct {
+	// Version is the newest version of any object.
+	Version config.Version
+	// Digest is equal on hosts with the same configuration.
+	Digest uint64
+	// Complete reports whether the configuration was received as a whole.
+	Complete bool
+}
+
+// Database is the state of a database.
+type Database struct {
+	Service types.Service
+	ID      types.Database
+	Term    types.Term
+	// Primary is empty where the primary is not known.
+	Primary types.Endpoint
+	// Authority reports whether this host may acknowledge writes now.
+	Authority bool
+	Endpoints []Endpoint
+}
+
+// Endpoint is the state of an endpoint.
+type Endpoint struct {
+	ID         types.Endpoint
+	DataCentre types.DataCentre
+	Address    string
+	State      EndpointState
+	Position   types.LogPoint
+	// Age bounds the staleness of the endpoint's data; AgeUnknown for no bound.
+	Age         time.Duration
+	Owner       types.Host
+	StandBy     types.Host
+	Slots       int
+	SlotsInUse  int
+	Connections int
+	Queues      []Queue
+}
+
+// Queue is the state of one rank's queue at an endpoint's owner.
+type Queue struct {
+	Rank   types.Rank
+	Length int
+	// Level is the share of the rank's statements that is admitted, from 0 to 1.
+	Level float64
+}
+
+// RankLevel is the admission of a rank at the host's edge.
+type RankLevel struct {
+	Rank types.Rank
+	// Level is the share of the rank's statements that is admitted, from 0 to 1.
+	Level    float64
+	Admitted uint64
+	Refused  uint64
+}
+
+// Leaving is the progress of the host's planned stop.
+type Leaving struct {
+	Host  types.Host
+	State HostState
+	// InFlight is the number of requests that run on the host.
+	InFlight int
+}
