--- /dev/null
+++ b/cmd/baobabctl/client.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	api "baobabfield.example/api/admin"
+)
+
+// Globals are the flags that all commands take.
+type Globals struct {
+	Admin   string        `help:"Address of a host's admin API: IP:PORT or a URL." env:"BAOBAB_ADMIN" default:"127.0.0.1:7600" placeholder:"ADDRESS"`
+	Token   string        `help:"Token of the admin API." env:"BAOBAB_TOKEN" placeholder:"TOKEN"`
+	Output  string        `help:"Form of the output: text or json." env:"BAOBAB_OUTPUT" enum:"text,json" default:"text"`
+	CA      string        `help:"File of certificates that the host's certificate is checked against; turns TLS on." name:"ca" env:"BAOBAB_CA" placeholder:"FILE" type:"existingfile"`
+	Cert    string        `help:"File of the client's certificate and key; turns TLS on." env:"BAOBAB_CERT" placeholder:"FILE" type:"existingfile"`
+	Timeout time.Duration `help:"Wait at most this long for an answer." env:"BAOBAB_TIMEOUT" default:"30s"`
+}
+
+// tokenSource gives the client its token.
+type tokenSource string
+
+// Token returns the token.
+func (s tokenSource) Token(context.Context, api.OperationName) (api.Token, error) {
+	return api.Token{Token: string(s)}, nil
+}
+
+// client returns a client of the admin API.
+func (g *Globals) client() (*api.Client, error) {
+	if g.Token == "" {
+		return nil, usagef("no token: give --token or set BAOBAB_TOKEN")
+	}
+	config, err := g.tlsConfig()
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}
+	httpClient := &http.Client{Transport: transport, Timeout: g.Timeout}
+	client, err := api.NewClient(g.url(config != nil), tokenSource(g.Token), api.WithClient(httpClient))
+	if err != nil {
+		return nil, usagef("--admin: address %q is not valid: %v", g.Admin, err)
+	}
+	return client, nil
+}
+
+// url returns the URL of the admin API.
+func (g *Globals) url(secure bool) string {
+	switch {
+	case strings.Contains(g.Admin, "://"):
+		return g.Admin
+	case secure:
+		return "https://" + g.Admin
+	}
+	return "http://" + g.Admin
+}
+
+// tlsConfig returns the settings of TLS, or nil if no flag turns it on.
+func (g *Globals) tlsConfig() (*tls.Config, error) {
+	if g.CA == "" && g.Cert == "" {
+		return nil, nil
+	}
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if g.CA != "" {
+		pem, err := os.ReadFile(g.CA)
+		if err != nil {
+			return nil, usageError(errors.Wrap(err, "--ca"))
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, usagef("--ca: file %q holds no certificate", g.CA)
+		}
+	}
+	if g.Cert != "" {
+		certificate, err := tls.LoadX509KeyPair(g.Cert, g.Cert)
+		if err != nil {
+			return nil, usageError(errors.Wrap(err, "--cert"))
+		}
+		config.Certificates = []tls.Certificate{certificate}
+	}
+	return config, nil
+}
+
+var exitOfCode = map[api.ErrorCode]int{
+	api.ErrorCodeUnknown:     exitNotYetKnown,
+	api.ErrorCodeUnavailable: exitUnreachable,
+}
+
+// readError translates the error of a request that changes nothing.
+func (g *Globals) readError(err error) error { return g.callError(err, exitUnreachable) }
+
+// changeError translates the error of a request that changes something.
+func (g *Globals) changeError(err error) error {
+	if neverSent(err) {
+		return g.callError(err, exitUnreachable)
+	}
+	return g.callError(err, exitNotYetKnown)
+}
+
+// callError translates the error of a request; lost is the exit code if no
+// answer came.
+func (g *Globals) callError(err error, lost int) error {
+	if err == nil {
+		return nil
+	}
+	var answer *api.ErrorStatusCode
+	if !errors.As(err, &answer) {
+		return &exitError{code: lost, err: errors.Wrapf(err, "no answer from the admin API at %q", g.Admin)}
+	}
+	code, ok := exitOfCode[answer.Response.Code]
+	if !ok {
+		code = exitRefused
+	}
+	return &exitError{code: code, err: errors.Errorf("%s: %s", answer.Response.Code, answer.Response.Message)}
+}
+
+// neverSent reports whether the request failed before it could be sent.
+func neverSent(err error) bool {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return true
+	}
+	var certificate *tls.CertificateVerificationError
+	return errors.As(err, &certificate)
+}
--- /dev/null
+++ b/cmd/baobabctl/exit.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// The exit codes.
+const (
+	exitDone        = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitNotYetKnown = 3
+	exitUnreachable = 4
+)
+
+// exitError is an error that decides the exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func (e *exitError) Unwrap() error { return e.err }
+
+func usageError(err error) error { return &exitError{code: exitUsage, err: err} }
+
+// usagef returns a usage error with a formatted message.
+func usagef(format string, args ...any) error { return usageError(errors.Errorf(format, args...)) }
+
+// report writes the error, if any, and returns the exit code.
+func report(w io.Writer, err error) int {
+	if err == nil {
+		return exitDone
+	}
+	_, _ = fmt.Fprintln(w, "baobabctl:", err)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return exitRefused
+}
--- /dev/null
+++ b/cmd/baobabctl/status.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	api "baobabfield.example/api/admin"
+)
+
+// StatusCmd shows the state of one host.
+type StatusCmd struct{}
+
+// Run shows the state of the host.
+func (c *StatusCmd) Run(ctx context.Context, g *Globals, p *Printer) error {
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.GetStatus(ctx)
+	if err != nil {
+		return g.readError(err)
+	}
+	return p.print(status, func(page *page) { printStatus(page, status) })
+}
+
+func printStatus(p *page, s *api.Status) {
+	p.line("Host %s in %s is %s", s.Host, s.DataCentre, s.State)
+	p.line("Configuration: version %d, digest %s%s", s.Configuration.Version, s.Configuration.Digest, incomplete(s))
+	p.line("Platform: %s, last answer %v ago", reachability(s.Platform), s.Platform.LastAnswer)
+	p.line("")
+	printMembers(p, s.Members)
+	p.line("")
+	printDatabases(p, s.Databases)
+	p.line("")
+	printRankLevels(p, s.Ranks)
+}
+
+func incomplete(s *api.Status) string {
+	if s.Configuration.Complete {
+		return ""
+	}
+	return ", not complete yet"
+}
+
+func reachability(platform api.PlatformState) string {
+	if platform.Reachable {
+		return "reachable"
+	}
+	return "not reachable"
+}
+
+func printMembers(p *page, members []api.Member) {
+	rows := make([][]string, 0, len(members))
+	for _, m := range members {
+		rows = append(rows, []string{m.Host, m.DataCentre, m.MeshAddress, string(m.State)})
+	}
+	p.table("", []string{"HOST", "DATA CENTRE", "ADDRESS", "STATE"}, rows)
+}
+
+func printDatabases(p *page, databases []api.DatabaseStatus) {
+	for _, d := range databases {
+		p.line("Database %s of %s: term %d.%d, primary %s, %s",
+			d.Database, d.Service, d.Set, d.Campaign, orDash(d.Primary), authority(d))
+		rows := make([][]string, 0, len(d.Endpoints))
+		for _, e := range d.Endpoints {
+			rows = append(rows, endpointRow(e))
+		}
+		header := []string{"ENDPOINT", "DATA CENTRE", "STATE", "POSITION", "AGE", "OWNER", "STAND-BY", "SLOTS", "CONNECTIONS", "QUEUES"}
+		p.table("  ", header, rows)
+	}
+}
+
+func authority(d api.DatabaseStatus) string {
+	if d.Authority {
+		return "this host may acknowledge writes"
+	}
+	return "this host acknowledges no writes"
+}
+
+func endpointRow(e api.EndpointStatus) []string {
+	return []string{
+		e.Endpoint, e.DataCentre, string(e.State),
+		fmt.Sprintf("%d.%d/%d", e.Position.Set, e.Position.Campaign, e.Position.Position),
+		formatAge(e.Age), orDash(e.Owner), orDash(e.StandBy),
+		fmt.Sprintf("%d/%d", e.SlotsInUse, e.Slots), strconv.Itoa(e.Connections), formatQueues(e.Queues),
+	}
+}
+
+func formatAge(age time.Duration) string {
+	if age < 0 {
+		return "unknown"
+	}
+	return age.String()
+}
+
+func formatQueues(queues []api.Queue) string {
+	parts := make([]string, 0, len(queues))
+	for _, q := range queues {
+		parts = append(parts, fmt.Sprintf("%s %d at %.0f%%", q.Rank, q.Length, q.Level*100))
+	}
+	return orDash(strings.Join(parts, ", "))
+}
+
+func printRankLevels(p *page, levels []api.RankLevel) {
+	rows := make([][]string, 0, len(levels))
+	for _, l := range levels {
+		rows = append(rows, []string{
+			l.Rank, fmt.Sprintf("%.0f%%", l.Level*100), formatCount(l.Admitted), formatCount(l.Refused),
+		})
+	}
+	p.table("", []string{"RANK", "ADMITTED SHARE", "ADMITTED", "REFUSED"}, rows)
+}
--- /dev/null
+++ b/cmd/baobabctl/timeline.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	api "baobabfield.example/api/admin"
+)
+
+// TimelineCmd shows the time line.
+type TimelineCmd struct {
+	Since  string `help:"Only events since this time, or this long ago: 2026-05-01T10:00:00Z or 15m." placeholder:"TIME"`
+	Until  string `help:"Only events until this time, or until this long ago." placeholder:"TIME"`
+	Kind   string `help:"Only events of this kind, for instance \"promoted\"."`
+	Object string `help:"Only events about this object, for instance an endpoint."`
+	Host   string `help:"Only events of this host."`
+	Scope  string `help:"Ask all hosts, or only the one that --admin names: all or host." enum:"all,host" default:"all"`
+	Limit  int    `help:"Only the newest events, at most this many." default:"1000"`
+	Story  string `help:"Only this event, what led to it and what followed." placeholder:"EVENT"`
+	Format string `help:"Form of the output: text, json or trace (Chrome trace events). Default: the form that --output names." enum:",text,json,trace" default:""`
+}
+
+// Help returns examples.
+func (c *TimelineCmd) Help() string {
+	return `Examples:
+  baobabctl timeline --since 15m
+  baobabctl timeline --kind promoted
+  baobabctl timeline --story rs-3/412
+  baobabctl timeline --since 1h --format trace > trace.json
+
+A trace opens in ui.perfetto.dev or chrome://tracing: each host is a process,
+each object a thread, and arrows lead from causes to effects.`
+}
+
+// Run shows the time line.
+func (c *TimelineCmd) Run(ctx context.Context, g *Globals, p *Printer) error {
+	params, err := c.params(time.Now())
+	if err != nil {
+		return usageError(err)
+	}
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	timeline, err := client.GetTimeline(ctx, params)
+	if err != nil {
+		return g.readError(err)
+	}
+	switch c.Format {
+	case "trace":
+		return p.printJSON(traceOf(timeline.Events))
+	case "json":
+		return p.printJSON(timeline)
+	case "text":
+		p.json = false
+	}
+	return p.print(timeline, func(page *page) { printTimeline(page, timeline) })
+}
+
+func (c *TimelineCmd) params(now time.Time) (api.GetTimelineParams, error) {
+	params := api.GetTimelineParams{
+		Scope: api.NewOptTimelineScope(api.TimelineScope(c.Scope)),
+		Limit: api.NewOptInt(c.Limit),
+	}
+	var err error
+	if params.Since, err = parseTime("--since", c.Since, now); err != nil {
+		return params, err
+	}
+	if params.Until, err = parseTime("--until", c.Until, now); err != nil {
+		return params, err
+	}
+	params.Kind = optional(c.Kind)
+	params.Object = optional(c.Object)
+	params.Host = optional(c.Host)
+	params.Story = optional(c.Story)
+	return params, nil
+}
+
+func optional(s string) api.OptString {
+	return api.OptString{Value: s, Set: s != ""}
+}
+
+// parseTime parses a time, or a duration before now.
+func parseTime(flag, text string, now time.Time) (api.OptDateTime, error) {
+	if text == "" {
+		return api.OptDateTime{}, nil
+	}
+	if age, err := time.ParseDuration(text); err == nil {
+		return api.NewOptDateTime(now.Add(-age)), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return api.OptDateTime{}, errors.Errorf("%s: %q is neither a time like 2026-05-01T10:00:00Z nor a duration like 15m", flag, text)
+	}
+	return api.NewOptDateTime(at), nil
+}
+
+func printTimeline(p *page, timeline *api.Timeline) {
+	rows := make([][]string, 0, len(timeline.Events))
+	for _, e := range timeline.Events {
+		indent := strings.Repeat("  ", e.Depth)
+		rows = append(rows, []string{
+			formatTime(e.At), e.ID, indent + e.Kind, orDash(e.Object), describeEvent(e),
+		})
+	}
+	p.table("", []string{"TIME", "EVENT", "KIND", "OBJECT", "WHAT"}, rows)
+	printMissing(p, timeline.Missing)
+}
+
+func describeEvent(e api.Event) string {
+	var parts []string
+	if e.Text != "" {
+		parts = append(parts, e.Text)
+	}
+	for _, count := range e.Counts {
+		parts = append(parts, fmt.Sprintf("%s=%d", count.Name, count.Value))
+	}
+	if e.Author != "" {
+		parts = append(parts, "by "+e.Author)
+	}
+	if e.Cause != "" {
+		parts = append(parts, "after "+e.Cause)
+	}
+	return orDash(strings.Join(parts, ", "))
+}
