--- a/api/admin/oas_client_gen.go
+++ b/api/admin/oas_client_gen.go
@@ -612,7 +612,7 @@
 
 		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
 			if val, ok := params.Since.Get(); ok {
-				return e.EncodeValue(conv.DateTimeToString(val))
+				return e.EncodeValue(val.Format("2006-01-02T15:04:05.999999999Z07:00"))
 			}
 			return nil
 		}); err != nil {
@@ -629,7 +629,7 @@
 
 		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
 			if val, ok := params.Until.Get(); ok {
-				return e.EncodeValue(conv.DateTimeToString(val))
+				return e.EncodeValue(val.Format("2006-01-02T15:04:05.999999999Z07:00"))
 			}
 			return nil
 		}); err != nil {
--- a/api/admin/oas_json_gen.go
+++ b/api/admin/oas_json_gen.go
@@ -1548,7 +1548,7 @@
 	}
 	{
 		e.FieldStart("at")
-		json.EncodeDateTime(e, s.At)
+		json.EncodeTimeFormat(e, s.At, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("logical")
@@ -1646,7 +1646,7 @@
 		case "at":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.At = v
 				if err != nil {
 					return err
@@ -5832,11 +5832,11 @@
 	}
 	{
 		e.FieldStart("firstSeen")
-		json.EncodeDateTime(e, s.FirstSeen)
+		json.EncodeTimeFormat(e, s.FirstSeen, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 	{
 		e.FieldStart("lastSeen")
-		json.EncodeDateTime(e, s.LastSeen)
+		json.EncodeTimeFormat(e, s.LastSeen, "2006-01-02T15:04:05.999999999Z07:00")
 	}
 }
 
@@ -5974,7 +5974,7 @@
 		case "firstSeen":
 			requiredBitSet[1] |= 1 << 1
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.FirstSeen = v
 				if err != nil {
 					return err
@@ -5986,7 +5986,7 @@
 		case "lastSeen":
 			requiredBitSet[1] |= 1 << 2
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
+				v, err := json.DecodeTimeFormat(d, "2006-01-02T15:04:05.999999999Z07:00")
 				s.LastSeen = v
 				if err != nil {
 					return err
--- a/api/admin/oas_parameters_gen.go
+++ b/api/admin/oas_parameters_gen.go
@@ -361,7 +361,7 @@
 						return err
 					}
 
-					c, err := conv.ToDateTime(val)
+					c, err := time.Parse("2006-01-02T15:04:05.999999999Z07:00", val)
 					if err != nil {
 						return err
 					}
@@ -402,7 +402,7 @@
 						return err
 					}
 
-					c, err := conv.ToDateTime(val)
+					c, err := time.Parse("2006-01-02T15:04:05.999999999Z07:00", val)
 					if err != nil {
 						return err
 					}
--- a/cmd/baobabctl/create.go
+++ b/cmd/baobabctl/create.go
@@ -38,6 +38,9 @@
 
 // createPlan sends an intent and shows the plan that it gives.
 func createPlan(ctx context.Context, g *Globals, p *Printer, intent *api.Intent) error {
+	if err := intent.Validate(); err != nil {
+		return usageError(errors.WithMessage(err, "intent"))
+	}
 	client, err := g.client()
 	if err != nil {
 		return err
@@ -88,7 +91,7 @@
 	if err := intent.UnmarshalJSON(data); err != nil {
 		return nil, errors.Wrapf(err, "intent file %q", name)
 	}
-	return &intent, errors.Wrapf(intent.Validate(), "intent file %q", name)
+	return &intent, nil
 }
 
 func readFile(name string) ([]byte, error) {
--- /dev/null
+++ b/cmd/baobabctl/fake_test.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/timeline"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/admin"
+)
+
+const (
+	testAuthor = "ana"
+	testSecret = "correct-horse-battery"
+)
+
+// seen is the fixed time of the tests, in nanoseconds since the Unix epoch.
+var seen = time.Date(2026, 5, 4, 10, 20, 30, 0, time.UTC).UnixNano()
+
+// fakeTasks answers the server's requests in place of the host's tasks. It
+// belongs to one goroutine.
+type fakeTasks struct {
+	store    *config.Store
+	plans    []config.Plan
+	versions map[config.Key]config.Version
+	// lose is the number of confirmations whose answer gets lost after their effect.
+	lose   int
+	events []timeline.Event
+}
+
+func newFakeTasks() *fakeTasks {
+	f := &fakeTasks{store: config.NewStore(), versions: map[config.Key]config.Version{}}
+	for i, body := range testBodies {
+		version := config.Version(i + 11)
+		f.store.Apply(config.Object{Key: body.Key(), Version: version, Body: body})
+		f.versions[body.Key()] = version
+	}
+	f.events = append(f.events, testEvents...)
+	return f
+}
+
+// serve answers requests until the context ends.
+func (f *fakeTasks) serve(ctx context.Context, requests <-chan admin.Request) {
+	for {
+		select {
+		case request := <-requests:
+			f.answer(request)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func reply[T any](to admin.Reply[T], value T) { to <- admin.Answer[T]{Value: value} }
+
+func refuse[T any](to admin.Reply[T], failure *admin.Failure) { to <- admin.Answer[T]{Failure: failure} }
+
+func (f *fakeTasks) answer(request admin.Request) {
+	switch r := request.(type) {
+	case admin.StatusRequest:
+		reply(r.Reply, testStatus)
+	case admin.SnapshotRequest:
+		reply(r.Reply, f.store.Snapshot())
+	case admin.RolloutRequest:
+		reply(r.Reply, testRollout)
+	case admin.UsesRequest:
+		reply(r.Reply, admin.Uses{Uses: testUses, Missing: []types.Host{"rs-9"}})
+	case admin.TimelineRequest:
+		reply(r.Reply, admin.Events{Events: r.Filter.Select(f.events)})
+	case admin.RecordRequest:
+		reply(r.Reply, f.record(r.Event))
+	case admin.PlansRequest:
+		reply(r.Reply, f.plans)
+	case admin.PlanRequest:
+		f.show(r)
+	case admin.CreatePlanRequest:
+		reply(r.Reply, f.create(r))
+	case admin.ConfirmPlanRequest:
+		f.change(r.ID, r.Reply, f.confirm)
+	case admin.WithdrawPlanRequest:
+		f.change(r.ID, r.Reply, f.withdraw)
+	case admin.LeaveRequest:
+		reply(r.Reply, admin.Leaving{Host: "rs-1", State: admin.HostLeaving, InFlight: 3})
+	}
+}
+
+func (f *fakeTasks) record(e timeline.Event) timeline.EventID {
+	e.ID = timeline.EventID{Host: "rs-1", Counter: uint64(len(f.events) + 100)}
+	e.Host = "rs-1"
+	e.Stamp = timeline.Stamp{Wall: seen + int64(len(f.events))*int64(time.Second)}
+	f.events = append(f.events, e)
+	return e.ID
+}
+
+func (f *fakeTasks) find(id string) *config.Plan {
+	for i := range f.plans {
+		if f.plans[i].ID == id {
+			return &f.plans[i]
+		}
+	}
+	return nil
+}
+
+func (f *fakeTasks) show(r admin.PlanRequest) {
+	plan := f.find(r.ID)
+	if plan == nil {
+		refuse(r.Reply, admin.NotFound("plan", r.ID))
+		return
+	}
+	reply(r.Reply, *plan)
+}
+
+func (f *fakeTasks) create(r admin.CreatePlanRequest) config.Plan {
+	plan := config.Plan{
+		ID:     fmt.Sprintf("p-%d", len(f.plans)+1),
+		Author: r.Author,
+		Intent: r.Intent,
+		State:  config.PlanProposed,
+	}
+	var key config.Key
+	switch intent := r.Intent.(type) {
+	case config.PutRank:
+		key = config.RankObject{Spec: intent.Spec}.Key()
+		plan.Changes = []string{"rank \"urgent\": target 50ms instead of 100ms"}
+	case config.Retire:
+		key = intent.Retirement.Key()
+		plan.Stops = []string{"new transactions of feature \"reports\""}
+		plan.Uses = testUses
+		plan.Warnings = []config.Warning{{Kind: config.WarnInUse, Object: "reports", Text: "2 callers called it 41 times"}}
+	}
+	plan.Rests = []config.Basis{{Key: key, Version: f.versions[key]}}
+	f.plans = append(f.plans, plan)
+	return plan
+}
+
+// change answers a request that changes the plan.
+func (f *fakeTasks) change(id string, to admin.Reply[config.Confirmed], apply func(*config.Plan) config.Confirmed) {
+	plan := f.find(id)
+	if plan == nil {
+		refuse(to, admin.NotFound("plan", id))
+		return
+	}
+	reply(to, apply(plan))
+}
+
+func (f *fakeTasks) confirm(plan *config.Plan) config.Confirmed {
+	if plan.State == config.PlanConfirmed {
+		return config.Confirmed{State: config.ConfirmAccepted, Written: f.written(plan)}
+	}
+	for _, basis := range plan.Rests {
+		if f.versions[basis.Key] != basis.Version {
+			plan.State = config.PlanStale
+			plan.Moved = basis.Key.String()
+			return config.Confirmed{State: config.ConfirmRefused, Moved: basis.Key, Text: "the plan is stale"}
+		}
+	}
+	for _, basis := range plan.Rests {
+		f.versions[basis.Key] = basis.Version + 100
+	}
+	plan.State = config.PlanConfirmed
+	if f.lose > 0 {
+		f.lose--
+		return config.Confirmed{State: config.ConfirmNotYetKnown, Text: "the platform did not answer"}
+	}
+	return config.Confirmed{State: config.ConfirmAccepted, Written: f.written(plan)}
+}
+
+func (f *fakeTasks) written(plan *config.Plan) []config.Object {
+	var objects []config.Object
+	for _, basis := range plan.Rests {
+		objects = append(objects, config.Object{Key: basis.Key, Version: f.versions[basis.Key]})
+	}
+	return objects
+}
+
+func (f *fakeTasks) withdraw(plan *config.Plan) config.Confirmed {
+	if plan.State != config.PlanProposed {
+		return config.Confirmed{State: config.ConfirmRefused, Text: "the plan is " + string(plan.State)}
+	}
+	plan.State = config.PlanWithdrawn
+	return config.Confirmed{State: config.ConfirmAccepted}
+}
+
+// startAdmin runs the admin server on the fake and returns its address.
+func startAdmin(t *testing.T, fake *fakeTasks, settings admin.Settings) string {
+	t.Helper()
+	is := is.New(t)
+	token, err := admin.NewToken(testAuthor, testSecret)
+	is.NoErr(err)
+	settings.Address = "127.0.0.1:0"
+	settings.Tokens = []admin.Token{token}
+	settings.AnswerTimeout = time.Minute
+	requests := make(chan admin.Request)
+	server, err := admin.Listen(settings, requests, zap.NewNop())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Run(ctx) }()
+	go fake.serve(ctx, requests)
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-stopped)
+	})
+	return server.Addr().String()
+}
+
+var testBodies = []config.Body{
+	config.ServiceObject{Spec: types.ServiceSpec{
+		Name: "ramp-logs", Promise: types.PromiseReplicated, Slots: 3, Connections: 50,
+		Databases: []types.DatabaseSpec{{ID: "logs-1", Set: 1, Endpoints: []types.EndpointSpec{
+			{ID: "logs-1a", DataCentre: "sao-jose", Address: "127.0.0.1:6001"},
+			{ID: "logs-1b", DataCentre: "pelotas", Address: "127.0.0.1:6002"},
+		}}},
+	}},
+	config.RankObject{Spec: types.RankSpec{Name: "urgent", Target: 100 * time.Millisecond, Worth: 100, Floor: 50}},
+	config.RankObject{Spec: types.RankSpec{Name: "browse", Target: time.Second, Worth: 10, Floor: 20, Order: 1}},
+	config.Retirement{Name: "old-reports", Kind: config.TargetFeature, Target: "reports", Phase: config.PhaseAnnounced},
+}
+
+var testUses = []config.Use{
+	{
+		UseKey: config.UseKey{Service: "ramp-logs", Feature: "reports", Job: "nightly", Caller: "127.0.0.7"},
+		Host:   "rs-1", Calls: 40, Refused: 2, FirstSeen: seen, LastSeen: seen,
+	},
+	{
+		UseKey: config.UseKey{Service: "ramp-logs", Feature: "reports", Caller: "127.0.0.8"},
+		Host:   "rs-2", Calls: 1, FirstSeen: seen, LastSeen: seen,
+	},
+}
+
+var testStatus = admin.Status{
+	Host: "rs-1", DataCentre: "sao-jose", State: admin.HostServing,
+	PlatformReachable: true, PlatformSilence: 250 * time.Millisecond,
+	Configuration: admin.Configuration{Version: 14, Digest: 0xfeed, Complete: true},
+	Members: []membership.Member{
+		{Host: "rs-1", DataCentre: "sao-jose", MeshAddress: "127.0.0.1:7500", Incarnation: 1},
+		{Host: "rs-2", DataCentre: "pelotas", MeshAddress: "127.0.0.1:7501", State: membership.Suspect},
+	},
+	Databases: []admin.Database{{
+		Service: "ramp-logs", ID: "logs-1", Term: types.MakeTerm(1, 4), Primary: "logs-1a", Authority: true,
+		Endpoints: []admin.Endpoint{
+			{
+				ID: "logs-1a", DataCentre: "sao-jose", State: admin.EndpointPrimary, Owner: "rs-1", StandBy: "rs-3",
+				Position: types.LogPoint{Term: types.MakeTerm(1, 4), Position: 77}, Slots: 3, SlotsInUse: 2, Connections: 12,
+				Queues: []admin.Queue{{Rank: "urgent", Level: 1}, {Rank: "browse", Length: 9, Level: 0.4}},
+			},
+			{ID: "logs-1b", DataCentre: "pelotas", State: admin.EndpointUnreachable, Age: admin.AgeUnknown, Owner: "rs-2"},
+		},
+	}},
+	Ranks: []admin.RankLevel{{Rank: "urgent", Level: 1, Admitted: 1200}, {Rank: "browse", Level: 0.4, Admitted: 70, Refused: 33}},
+}
+
+var testRollout = []admin.HostVersion{
+	{Host: "rs-1", DataCentre: "sao-jose", Reachable: true, Version: 14, Digest: 0xfeed},
+	{Host: "rs-2", DataCentre: "pelotas", Reachable: true, Version: 13, Digest: 0xbeef},
+	{Host: "rs-3", DataCentre: "rio-grande", Reachable: true, Version: 14, Digest: 0xfeed},
+	{Host: "rs-9", DataCentre: "pelotas"},
+}
+
+var testEvents = []timeline.Event{
+	testEvent("rs-2", 7, 0, timeline.KindEndpointSuspected, "logs-1a", timeline.EventID{}),
+	testEvent("rs-3", 4, time.Millisecond, timeline.KindCampaign, "logs-1", timeline.EventID{Host: "rs-2", Counter: 7}),
+	testEvent("rs-1", 9, 2*time.Millisecond, timeline.KindConfigApplied, "urgent", timeline.EventID{}),
+	testEvent("rs-3", 5, 3*time.Millisecond, timeline.KindPromoted, "logs-1b", timeline.EventID{Host: "rs-3", Counter: 4}),
+}
+
+func testEvent(host types.Host, n uint64, after time.Duration, kind timeline.Kind, object string, cause timeline.EventID) timeline.Event {
+	return timeline.Event{
+		ID:    timeline.EventID{Host: host, Counter: n},
+		Host:  host,
+		Stamp: timeline.Stamp{Wall: seen + int64(after)},
+		Kind:  kind, Object: object, Cause: cause,
+		Counts: []timeline.Count{{Name: "term", Value: int64(n)}},
+	}
+}
--- /dev/null
+++ b/node/admin/server_test.go
@@ -0,0 +1,244 @@
+package admin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/timeline"
+)
+
+const testSecret = "correct-horse-battery"
+
+// serve starts a server whose requests answer handles, one at a time.
+func serve(t *testing.T, answer func(Request)) *httptest.Server {
+	t.Helper()
+	is := is.New(t)
+	token, err := NewToken("ana", testSecret)
+	is.NoErr(err)
+	requests := make(chan Request)
+	handler, err := newHandler(Settings{Tokens: []Token{token}, AnswerTimeout: time.Minute}, requests)
+	is.NoErr(err)
+	server := httptest.NewServer(handler)
+	go func() {
+		for request := range requests {
+			answer(request)
+		}
+	}()
+	t.Cleanup(func() {
+		server.Close()
+		close(requests)
+	})
+	return server
+}
+
+// call sends a request and returns the status and the body of the answer.
+func call(t *testing.T, method, url, secret, body string) (int, string) {
+	t.Helper()
+	is := is.New(t)
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer "+secret)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	return response.StatusCode, strings.TrimSpace(string(content))
+}
+
+// forbid fails the test if a request reaches the tasks.
+func forbid(t *testing.T) func(Request) {
+	return func(r Request) { t.Errorf("request %T reached the tasks", r) }
+}
+
+func TestRefusalsNameTheValue(t *testing.T) {
+	server := serve(t, forbid(t))
+	rank := `{"kind":"put_rank","rank":{"name":"r","order":0,"target":"1s","worth":1,"floor":%s}}`
+	cases := []struct {
+		name, method, path, secret, body string
+		status                           int
+		want                             string
+	}{
+		{"wrong token", "GET", "/v1/status", "not-the-right-secret", "", 401, `"object":"Authorization"`},
+		{"empty token", "GET", "/v1/status", "", "", 401, `"code":"unauthorized"`},
+		{"unknown path", "GET", "/v1/nothing", testSecret, "", 404, `"object":"/v1/nothing"`},
+		{"wrong method", "DELETE", "/v1/status", testSecret, "", 405, `"object":"DELETE"`},
+		{"bad limit", "GET", "/v1/timeline?limit=0", testSecret, "", 400, `"object":"limit"`},
+		{"bad time", "GET", "/v1/timeline?since=noon", testSecret, "", 400, `"object":"since"`},
+		{"bad state", "GET", "/v1/plans?state=lost", testSecret, "", 400, `"object":"state"`},
+		{"bad story", "GET", "/v1/timeline?story=x", testSecret, "", 400, `"object":"story"`},
+		{"bad floor", "POST", "/v1/plans", testSecret, strings.ReplaceAll(rank, "%s", "101"), 400, `"object":"rank.floor"`},
+		{"unknown field", "POST", "/v1/plans", testSecret, `{"kind":"retire","colour":1}`, 400, `colour`},
+		{"garbage", "POST", "/v1/plans", testSecret, `{`, 400, `"code":"malformed"`},
+		{"too large", "POST", "/v1/plans", testSecret, strings.Repeat(" ", maxBodyBytes+1), 400, `more than 1048576 bytes`},
+		{"other property", "POST", "/v1/plans", testSecret, `{"kind":"remove_rank","name":"r","service":{"name":"s","databases":[{"id":"d","endpoints":[{"id":"e","dataCentre":"c","address":"127.0.0.1:1"}]}],"slots":1,"connections":1}}`, 400, `"object":"service"`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			status, body := call(t, c.method, server.URL+c.path, c.secret, c.body)
+			is.Equal(status, c.status)
+			if !strings.Contains(body, c.want) {
+				t.Errorf("answer %s does not contain %s", body, c.want)
+			}
+		})
+	}
+}
+
+func TestChangeIsRecordedFirst(t *testing.T) {
+	is := is.New(t)
+	var recorded timeline.Event
+	var confirmed ConfirmPlanRequest
+	server := serve(t, func(request Request) {
+		switch r := request.(type) {
+		case RecordRequest:
+			recorded = r.Event
+			r.Reply <- Answer[timeline.EventID]{Value: timeline.EventID{Host: "h", Counter: 7}}
+		case ConfirmPlanRequest:
+			confirmed = r
+			r.Reply <- Answer[config.Confirmed]{Value: config.Confirmed{State: config.ConfirmAccepted}}
+		}
+	})
+	status, _ := call(t, "POST", server.URL+"/v1/plans/p-1/confirm", testSecret, "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(recorded.Kind, timeline.KindAdminCall)
+	is.Equal(recorded.Author, "ana")
+	is.Equal(recorded.Object, "p-1")
+	is.Equal(confirmed.Cause, timeline.EventID{Host: "h", Counter: 7})
+	is.Equal(confirmed.Author, "ana")
+}
+
+func TestChangeThatCannotBeRecordedIsNotCarriedOut(t *testing.T) {
+	is := is.New(t)
+	server := serve(t, func(request Request) {
+		r, ok := request.(RecordRequest)
+		if !ok {
+			t.Errorf("request %T reached the tasks", request)
+			return
+		}
+		r.Reply <- Answer[timeline.EventID]{Failure: Unavailable("the time line does not answer")}
+	})
+	status, body := call(t, "POST", server.URL+"/v1/leave", testSecret, "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, "the time line does not answer"))
+}
+
+func TestHealthAndMetricsNeedNoToken(t *testing.T) {
+	is := is.New(t)
+	state := HostServing
+	server := serve(t, func(request Request) {
+		if r, ok := request.(StatusRequest); ok {
+			r.Reply <- Answer[Status]{Value: Status{State: state}}
+		}
+	})
+	status, body := call(t, "GET", server.URL+"/healthz", "", "")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "serving")
+	state = HostLeaving
+	status, body = call(t, "GET", server.URL+"/healthz", "", "")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, "leaving")
+	status, body = call(t, "GET", server.URL+"/metrics", "", "")
+	is.Equal(status, http.StatusOK)
+	is.True(strings.Contains(body, "process_"))
+}
+
+// askForStatus asks with the given context, which decides when the wait ends.
+func askForStatus(ctx context.Context, requests chan<- Request, lost Failure) error {
+	t := &tasks{requests: requests, timeout: time.Hour}
+	_, err := ask(ctx, t, lost, func(r Reply[Status]) Request { return StatusRequest{Reply: r} })
+	return err
+}
+
+func TestRequestThatNobodyTookChangedNothing(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.Equal(failureOf(askForStatus(ctx, nil, lostChange)).Code, FailureUnavailable)
+}
+
+func TestLostAnswerOfAChangeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	requests := make(chan Request)
+	go func() {
+		<-requests
+		cancel()
+	}()
+	err := askForStatus(ctx, requests, lostChange)
+	is.True(isUnknown(err))
+}
+
+func TestReadTokens(t *testing.T) {
+	is := is.New(t)
+	tokens, err := ReadTokens(strings.NewReader("# tokens\n\nana " + testSecret + "\nrui another-long-secret\n"))
+	is.NoErr(err)
+	author, ok := authorOf(tokens, "another-long-secret")
+	is.True(ok)
+	is.Equal(author, "rui")
+	_, ok = authorOf(tokens, "")
+	is.True(!ok)
+
+	for text, want := range map[string]string{
+		"ana":                         "line 1 of the tokens has 1 fields",
+		"# x\nana short":              `author "ana" has 5 characters`,
+		"ana " + testSecret + " more": "line 1 of the tokens has 3 fields",
+	} {
+		_, err := ReadTokens(strings.NewReader(text))
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), want))
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	token, err := NewToken("ana", testSecret)
+	is.NoErr(err)
+	valid := Settings{Tokens: []Token{token}, AnswerTimeout: time.Second}
+	is.NoErr(valid.Check())
+	for _, spoil := range []func(*Settings){
+		func(s *Settings) { s.Tokens = nil },
+		func(s *Settings) { s.AnswerTimeout = 0 },
+		func(s *Settings) { s.CertFile = "cert.pem" },
+	} {
+		spoiled := valid
+		spoil(&spoiled)
+		is.True(spoiled.Check() != nil)
+	}
+}
+
+func TestFailuresKeepTheirCode(t *testing.T) {
+	is := is.New(t)
+	wrapped := errors.Wrap(NotFound("plan", "p-9"), "show")
+	status := errorStatus(failureOf(wrapped))
+	is.Equal(status.StatusCode, http.StatusNotFound)
+	is.Equal(status.Response.Object, "p-9")
+	is.Equal(failureOf(errors.New("broken")).Code, FailureUnavailable)
+}
+
+func TestRolloutFindsHostsThatLag(t *testing.T) {
+	is := is.New(t)
+	rollout := encodeRollout([]HostVersion{
+		{Host: "a", Reachable: true, Version: 9, Digest: 1},
+		{Host: "b", Reachable: true, Version: 9, Digest: 1},
+		{Host: "c", Reachable: true, Version: 9, Digest: 2}, // lacks an older object
+		{Host: "d", Reachable: true, Version: 8, Digest: 3},
+		{Host: "e", Version: 12},
+	})
+	is.Equal(rollout.Newest, uint64(9))
+	var lagging []bool
+	for _, host := range rollout.Hosts {
+		lagging = append(lagging, host.Lagging)
+	}
+	is.Equal(lagging, []bool{false, false, true, true, false})
+}
