--- a/api/admin/oas_json_gen.go
+++ b/api/admin/oas_json_gen.go
@@ -2062,14 +2062,21 @@
 			s.Name.Encode(e)
 		}
 	}
+	{
+		if s.Database.Set {
+			e.FieldStart("database")
+			s.Database.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfIntent = [5]string{
+var jsonFieldsNameOfIntent = [6]string{
 	0: "kind",
 	1: "service",
 	2: "rank",
 	3: "retirement",
 	4: "name",
+	5: "database",
 }
 
 // Decode decodes Intent from json.
@@ -2131,6 +2138,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"name\"")
 			}
+		case "database":
+			if err := func() error {
+				s.Database.Reset()
+				if err := s.Database.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"database\"")
+			}
 		default:
 			return errors.Errorf("unexpected field %q", k)
 		}
@@ -2215,6 +2232,8 @@
 		*s = IntentKindRetire
 	case IntentKindCancelRetirement:
 		*s = IntentKindCancelRetirement
+	case IntentKindCompleteSet:
+		*s = IntentKindCompleteSet
 	default:
 		*s = IntentKind(v)
 	}
--- a/api/admin/oas_schemas_gen.go
+++ b/api/admin/oas_schemas_gen.go
@@ -985,7 +985,8 @@
 }
 
 // What an operator wants. The kind says which of the other properties is needed: service, rank or
-// retirement hold a whole definition; name is the service, rank or retirement to remove.
+// retirement hold a whole definition; name is the service, rank or retirement to remove; complete_set
+// takes a service by name and a database.
 // Ref: #/components/schemas/Intent
 type Intent struct {
 	Kind       IntentKind        `json:"kind"`
@@ -993,6 +994,7 @@
 	Rank       OptRankSpec       `json:"rank"`
 	Retirement OptRetirementSpec `json:"retirement"`
 	Name       OptString         `json:"name"`
+	Database   OptString         `json:"database"`
 }
 
 // GetKind returns the value of Kind.
@@ -1020,6 +1022,11 @@
 	return s.Name
 }
 
+// GetDatabase returns the value of Database.
+func (s *Intent) GetDatabase() OptString {
+	return s.Database
+}
+
 // SetKind sets the value of Kind.
 func (s *Intent) SetKind(val IntentKind) {
 	s.Kind = val
@@ -1045,6 +1052,11 @@
 	s.Name = val
 }
 
+// SetDatabase sets the value of Database.
+func (s *Intent) SetDatabase(val OptString) {
+	s.Database = val
+}
+
 // Ref: #/components/schemas/IntentKind
 type IntentKind string
 
@@ -1055,6 +1067,7 @@
 	IntentKindRemoveRank       IntentKind = "remove_rank"
 	IntentKindRetire           IntentKind = "retire"
 	IntentKindCancelRetirement IntentKind = "cancel_retirement"
+	IntentKindCompleteSet      IntentKind = "complete_set"
 )
 
 // AllValues returns all IntentKind values.
@@ -1066,6 +1079,7 @@
 		IntentKindRemoveRank,
 		IntentKindRetire,
 		IntentKindCancelRetirement,
+		IntentKindCompleteSet,
 	}
 }
 
@@ -1084,6 +1098,8 @@
 		return []byte(s), nil
 	case IntentKindCancelRetirement:
 		return []byte(s), nil
+	case IntentKindCompleteSet:
+		return []byte(s), nil
 	default:
 		return nil, errors.Errorf("invalid value: %q", s)
 	}
@@ -1110,6 +1126,9 @@
 	case IntentKindCancelRetirement:
 		*s = IntentKindCancelRetirement
 		return nil
+	case IntentKindCompleteSet:
+		*s = IntentKindCompleteSet
+		return nil
 	default:
 		return errors.Errorf("invalid value: %q", data)
 	}
--- a/api/admin/oas_validators_gen.go
+++ b/api/admin/oas_validators_gen.go
@@ -545,6 +545,36 @@
 			Error: err,
 		})
 	}
+	if err := func() error {
+		if value, ok := s.Database.Get(); ok {
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     128,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(value)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "database",
+			Error: err,
+		})
+	}
 	if len(failures) > 0 {
 		return &validate.Error{Fields: failures}
 	}
@@ -565,6 +595,8 @@
 		return nil
 	case "cancel_retirement":
 		return nil
+	case "complete_set":
+		return nil
 	default:
 		return errors.Errorf("invalid value: %v", s)
 	}
--- a/cmd/baobabctl/client.go
+++ b/cmd/baobabctl/client.go
@@ -17,7 +17,7 @@
 
 // Globals are the flags that all commands take.
 type Globals struct {
-	Admin   string        `help:"Address of a host's admin API: IP:PORT or a URL." env:"BAOBAB_ADMIN" default:"127.0.0.1:7600" placeholder:"ADDRESS"`
+	Admin   string        `help:"Address of a host's admin API: IP:PORT or a URL." env:"BAOBAB_ADMIN" default:"127.0.0.1:7003" placeholder:"ADDRESS"`
 	Token   string        `help:"Token of the admin API." env:"BAOBAB_TOKEN" placeholder:"TOKEN"`
 	Output  string        `help:"Form of the output: text or json." env:"BAOBAB_OUTPUT" enum:"text,json" default:"text"`
 	CA      string        `help:"File of certificates that the host's certificate is checked against; turns TLS on." name:"ca" env:"BAOBAB_CA" placeholder:"FILE" type:"existingfile"`
--- a/cmd/baobabctl/create.go
+++ b/cmd/baobabctl/create.go
@@ -25,6 +25,7 @@
 	Retire  CreateRetireCmd  `cmd:"" help:"Retire a feature, a job or an endpoint."`
 	Cancel  CreateCancelCmd  `cmd:"" help:"Cancel a retirement, so that its target is served again."`
 	Remove  CreateRemoveCmd  `cmd:"" help:"Remove a service or a rank."`
+	Set     CreateSetCmd     `cmd:"" name:"complete-set" help:"End the change of a database's endpoint set."`
 }
 
 // Help returns examples.
@@ -65,7 +66,8 @@
                   "phase": "announced"}}
 
 The kinds are put_service (with "service"), put_rank ("rank"), retire
-("retirement"), and remove_service, remove_rank and cancel_retirement ("name").
+("retirement"), remove_service, remove_rank and cancel_retirement ("name"), and
+complete_set ("name" and "database").
 "baobabctl services --output json" shows a service in the same form.`
 }
 
@@ -267,6 +269,21 @@
 	})
 }
 
+// CreateSetCmd ends the change of an endpoint set.
+type CreateSetCmd struct {
+	Service  string `arg:"" help:"The service's name."`
+	Database string `arg:"" help:"The database's id."`
+}
+
+// Run makes the plan.
+func (c *CreateSetCmd) Run(ctx context.Context, g *Globals, p *Printer) error {
+	return createPlan(ctx, g, p, &api.Intent{
+		Kind:     api.IntentKindCompleteSet,
+		Name:     api.NewOptString(c.Service),
+		Database: api.NewOptString(c.Database),
+	})
+}
+
 // CreateRemoveCmd groups the removals.
 type CreateRemoveCmd struct {
 	Service RemoveServiceCmd `cmd:"" help:"Remove a service."`
--- a/cmd/baobabctl/describe.go
+++ b/cmd/baobabctl/describe.go
@@ -28,6 +28,8 @@
 		return fmt.Sprintf("remove rank %q", intent.Name.Value)
 	case api.IntentKindRetire:
 		return describeRetirement(intent.Retirement.Value)
+	case api.IntentKindCompleteSet:
+		return fmt.Sprintf("complete the endpoint set of database %q of service %q", intent.Database.Value, intent.Name.Value)
 	case api.IntentKindCancelRetirement:
 		return fmt.Sprintf("cancel retirement %q", intent.Name.Value)
 	}
--- a/cmd/baobabctl/fake_test.go
+++ b/cmd/baobabctl/fake_test.go
@@ -24,28 +24,40 @@
 // seen is the fixed time of the tests, in nanoseconds since the Unix epoch.
 var seen = time.Date(2026, 5, 4, 10, 20, 30, 0, time.UTC).UnixNano()
 
-// fakeTasks answers the server's requests in place of the host's tasks. It
-// belongs to one goroutine.
+// fakeTasks answers the server's requests in place of the host's tasks, with
+// the platform's objects in memory. It belongs to one goroutine.
 type fakeTasks struct {
-	store    *config.Store
-	plans    []config.Plan
-	versions map[config.Key]config.Version
-	// lose is the number of confirmations whose answer gets lost after their effect.
-	lose   int
+	store   *config.Store
+	objects map[config.Key]config.Object
+	version config.Version
+	plans   []string
+	// down is the number of confirmations whose answers from the platform get
+	// lost after the writes have taken effect.
+	down   int
 	events []timeline.Event
 }
 
 func newFakeTasks() *fakeTasks {
-	f := &fakeTasks{store: config.NewStore(), versions: map[config.Key]config.Version{}}
-	for i, body := range testBodies {
-		version := config.Version(i + 11)
-		f.store.Apply(config.Object{Key: body.Key(), Version: version, Body: body})
-		f.versions[body.Key()] = version
+	f := &fakeTasks{store: config.NewStore(), objects: map[config.Key]config.Object{}, version: 10}
+	for _, body := range testBodies {
+		f.put(config.Write{Key: body.Key(), Body: body})
 	}
 	f.events = append(f.events, testEvents...)
 	return f
 }
 
+// put performs a conditional update.
+func (f *fakeTasks) put(w config.Write) config.PutAnswered {
+	if f.objects[w.Key].Version != w.IfVersion {
+		return config.PutAnswered{Result: config.PutConflict}
+	}
+	f.version++
+	object := config.Object{Key: w.Key, Version: f.version, Body: w.Body, Operations: w.Operations}
+	f.objects[w.Key] = object
+	f.store.Apply(object)
+	return config.PutAnswered{Result: config.PutApplied, Version: f.version}
+}
+
 // serve answers requests until the context ends.
 func (f *fakeTasks) serve(ctx context.Context, requests <-chan admin.Request) {
 	for {
@@ -60,8 +72,6 @@
 
 func reply[T any](to admin.Reply[T], value T) { to <- admin.Answer[T]{Value: value} }
 
-func refuse[T any](to admin.Reply[T], failure *admin.Failure) { to <- admin.Answer[T]{Failure: failure} }
-
 func (f *fakeTasks) answer(request admin.Request) {
 	switch r := request.(type) {
 	case admin.StatusRequest:
@@ -77,15 +87,16 @@
 	case admin.RecordRequest:
 		reply(r.Reply, f.record(r.Event))
 	case admin.PlansRequest:
-		reply(r.Reply, f.plans)
+		reply(r.Reply, f.allPlans())
 	case admin.PlanRequest:
-		f.show(r)
+		plan, failure := f.plan(r.ID)
+		r.Reply <- admin.Answer[config.Plan]{Value: plan, Failure: failure}
 	case admin.CreatePlanRequest:
-		reply(r.Reply, f.create(r))
+		r.Reply <- f.create(r)
 	case admin.ConfirmPlanRequest:
-		f.change(r.ID, r.Reply, f.confirm)
+		reply(r.Reply, f.confirm(r.ID))
 	case admin.WithdrawPlanRequest:
-		f.change(r.ID, r.Reply, f.withdraw)
+		reply(r.Reply, f.withdraw(r.ID))
 	case admin.LeaveRequest:
 		reply(r.Reply, admin.Leaving{Host: "rs-1", State: admin.HostLeaving, InFlight: 3})
 	}
@@ -99,92 +110,64 @@
 	return e.ID
 }
 
-func (f *fakeTasks) find(id string) *config.Plan {
-	for i := range f.plans {
-		if f.plans[i].ID == id {
-			return &f.plans[i]
-		}
-	}
-	return nil
-}
-
-func (f *fakeTasks) show(r admin.PlanRequest) {
-	plan := f.find(r.ID)
-	if plan == nil {
-		refuse(r.Reply, admin.NotFound("plan", r.ID))
-		return
+func (f *fakeTasks) plan(id string) (config.Plan, *admin.Failure) {
+	plan, ok := f.objects[config.Key{Kind: config.KindPlan, Name: id}].Body.(config.Plan)
+	if !ok {
+		return plan, admin.NotFound("plan", id)
 	}
-	reply(r.Reply, *plan)
+	return plan, nil
 }
 
-func (f *fakeTasks) create(r admin.CreatePlanRequest) config.Plan {
-	plan := config.Plan{
-		ID:     fmt.Sprintf("p-%d", len(f.plans)+1),
-		Author: r.Author,
-		Intent: r.Intent,
-		State:  config.PlanProposed,
+func (f *fakeTasks) allPlans() []config.Plan {
+	var plans []config.Plan
+	for _, id := range f.plans {
+		plan, _ := f.plan(id)
+		plans = append(plans, plan)
 	}
-	var key config.Key
-	switch intent := r.Intent.(type) {
-	case config.PutRank:
-		key = config.RankObject{Spec: intent.Spec}.Key()
-		plan.Changes = []string{"rank \"urgent\": target 50ms instead of 100ms"}
-	case config.Retire:
-		key = intent.Retirement.Key()
-		plan.Stops = []string{"new transactions of feature \"reports\""}
-		plan.Uses = testUses
-		plan.Warnings = []config.Warning{{Kind: config.WarnInUse, Object: "reports", Text: "2 callers called it 41 times"}}
-	}
-	plan.Rests = []config.Basis{{Key: key, Version: f.versions[key]}}
-	f.plans = append(f.plans, plan)
-	return plan
+	return plans
 }
 
-// change answers a request that changes the plan.
-func (f *fakeTasks) change(id string, to admin.Reply[config.Confirmed], apply func(*config.Plan) config.Confirmed) {
-	plan := f.find(id)
-	if plan == nil {
-		refuse(to, admin.NotFound("plan", id))
-		return
+func (f *fakeTasks) create(r admin.CreatePlanRequest) admin.Answer[config.Plan] {
+	plan, err := config.BuildPlan(config.PlanRequest{
+		ID:       fmt.Sprintf("p-%d", len(f.plans)+1),
+		Author:   r.Author,
+		Intent:   r.Intent,
+		Snapshot: f.store.Snapshot(),
+		Uses:     testUses,
+	})
+	if err != nil {
+		return admin.Answer[config.Plan]{Failure: admin.Refused("", err)}
 	}
-	reply(to, apply(plan))
+	f.put(config.ProposeWrite(plan))
+	f.plans = append(f.plans, plan.ID)
+	return admin.Answer[config.Plan]{Value: plan}
 }
 
-func (f *fakeTasks) confirm(plan *config.Plan) config.Confirmed {
-	if plan.State == config.PlanConfirmed {
-		return config.Confirmed{State: config.ConfirmAccepted, Written: f.written(plan)}
-	}
-	for _, basis := range plan.Rests {
-		if f.versions[basis.Key] != basis.Version {
-			plan.State = config.PlanStale
-			plan.Moved = basis.Key.String()
-			return config.Confirmed{State: config.ConfirmRefused, Moved: basis.Key, Text: "the plan is stale"}
+func (f *fakeTasks) confirm(id string) config.Confirmed {
+	c := config.NewConfirmation(id)
+	lost := f.down > 0
+	f.down--
+	for effect := c.Start(); ; {
+		switch e := effect.(type) {
+		case config.ReadObject:
+			effect = c.Step(config.ReadAnswered{Object: f.objects[e.Key]})
+		case config.PutObject:
+			effect = c.Step(f.put(e.Write))
+		case config.Confirmed:
+			if lost {
+				return config.Confirmed{State: config.ConfirmNotYetKnown, Text: "the platform did not answer"}
+			}
+			return e
 		}
 	}
-	for _, basis := range plan.Rests {
-		f.versions[basis.Key] = basis.Version + 100
-	}
-	plan.State = config.PlanConfirmed
-	if f.lose > 0 {
-		f.lose--
-		return config.Confirmed{State: config.ConfirmNotYetKnown, Text: "the platform did not answer"}
-	}
-	return config.Confirmed{State: config.ConfirmAccepted, Written: f.written(plan)}
-}
-
-func (f *fakeTasks) written(plan *config.Plan) []config.Object {
-	var objects []config.Object
-	for _, basis := range plan.Rests {
-		objects = append(objects, config.Object{Key: basis.Key, Version: f.versions[basis.Key]})
-	}
-	return objects
 }
 
-func (f *fakeTasks) withdraw(plan *config.Plan) config.Confirmed {
-	if plan.State != config.PlanProposed {
-		return config.Confirmed{State: config.ConfirmRefused, Text: "the plan is " + string(plan.State)}
+func (f *fakeTasks) withdraw(id string) config.Confirmed {
+	write, err := config.WithdrawWrite(f.objects[config.Key{Kind: config.KindPlan, Name: id}])
+	if err != nil {
+		return config.Confirmed{State: config.ConfirmRefused, Text: err.Error()}
 	}
-	plan.State = config.PlanWithdrawn
+	f.put(write)
 	return config.Confirmed{State: config.ConfirmAccepted}
 }
 
@@ -227,7 +210,7 @@
 var testUses = []config.Use{
 	{
 		UseKey: config.UseKey{Service: "ramp-logs", Feature: "reports", Job: "nightly", Caller: "127.0.0.7"},
-		Host:   "rs-1", Calls: 40, Refused: 2, FirstSeen: seen, LastSeen: seen,
+		Host:   "rs-1", Calls: 40, Refused: 2, FirstSeen: seen - 39*int64(time.Hour), LastSeen: seen,
 	},
 	{
 		UseKey: config.UseKey{Service: "ramp-logs", Feature: "reports", Caller: "127.0.0.8"},
--- a/cmd/baobabctl/lists.go
+++ b/cmd/baobabctl/lists.go
@@ -84,7 +84,7 @@
 progress.
 
 Example:
-  baobabctl --admin 10.0.1.7:7600 leave`
+  baobabctl --admin 10.0.1.7:7003 leave`
 }
 
 // Run makes the host leave.
--- a/cmd/baobabctl/main_test.go
+++ b/cmd/baobabctl/main_test.go
@@ -52,7 +52,7 @@
 		// before are commands that run first.
 		before [][]string
 		args   []string
-		lose   int
+		down   int
 	}{
 		{name: "status", args: []string{"status"}},
 		{name: "services", args: []string{"services"}},
@@ -74,15 +74,15 @@
 		{name: "plan_list", before: [][]string{retire, retire}, args: []string{"plan", "list"}},
 		{name: "plan_list_state", before: [][]string{retire}, args: []string{"plan", "list", "--state", "withdrawn"}},
 		{name: "plan_confirm", before: [][]string{retire}, args: []string{"plan", "confirm", "p-1"}},
-		{name: "plan_confirm_unknown", before: [][]string{retire}, args: []string{"plan", "confirm", "p-1"}, lose: 1},
-		{name: "plan_confirm_wait", before: [][]string{retire}, args: []string{"plan", "confirm", "p-1", "--wait", "10s"}, lose: 1},
+		{name: "plan_confirm_unknown", before: [][]string{retire}, args: []string{"plan", "confirm", "p-1"}, down: 1},
+		{name: "plan_confirm_wait", before: [][]string{retire}, args: []string{"plan", "confirm", "p-1", "--wait", "10s"}, down: 1},
 		{name: "plan_withdraw", before: [][]string{retire}, args: []string{"plan", "withdraw", "p-1"}},
 		{name: "plan_withdraw_late", before: [][]string{retire, {"plan", "confirm", "p-1"}}, args: []string{"plan", "withdraw", "p-1"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			fake := newFakeTasks()
-			fake.lose = c.lose
+			fake.down = c.down
 			address := startAdmin(t, fake, admin.Settings{})
 			for _, args := range c.before {
 				ctl(address, args...)
@@ -113,14 +113,16 @@
 func TestRepeatAfterLostAnswer(t *testing.T) {
 	is := is.New(t)
 	fake := newFakeTasks()
-	fake.lose = 1
+	fake.down = 1
 	address := startAdmin(t, fake, admin.Settings{})
 	is.Equal(ctl(address, "plan", "create", "-f", "testdata/rank.json").code, exitDone)
 	lost := ctl(address, "plan", "confirm", "p-1")
 	is.Equal(lost.code, exitNotYetKnown)
 	again := ctl(address, "plan", "confirm", "p-1")
 	is.Equal(again.code, exitDone)
-	is.True(strings.Contains(again.stdout, "rank/urgent at version 112")) // written once: 12 + 100
+	is.True(strings.Contains(again.stdout, "rank/urgent at version 17"))
+	rival := ctl(address, "plan", "create", "-f", "testdata/rank.json")
+	is.True(strings.Contains(rival.stdout, "rank/urgent at version 17")) // written once
 }
 
 func TestChangesNameTheirAuthor(t *testing.T) {
--- a/cmd/baobabctl/plan.go
+++ b/cmd/baobabctl/plan.go
@@ -234,7 +234,8 @@
 		p.line("To see where it is in force:")
 		p.line("  baobabctl rollout")
 	case api.ConfirmResultRefused:
-		p.line("Plan %s is refused and changed nothing: %s", c.Plan, c.Message)
+		p.line("Plan %s is refused: %s", c.Plan, c.Message)
+		p.line("%s", refusalEffect(c))
 		if c.Moved != "" {
 			p.line("Changed since the plan was made: %s", c.Moved)
 		}
@@ -249,6 +250,15 @@
 	}
 }
 
+// refusalEffect says what a refused plan changed. A plan whose objects changed
+// while it was carried out can have changed some of them.
+func refusalEffect(c *api.Confirmation) string {
+	if len(c.Written) == 0 {
+		return "Nothing was changed."
+	}
+	return "Changed before the refusal: " + strings.Join(describeVersions(c.Written), ", ")
+}
+
 func printWithdrawal(p *page, c *api.Confirmation) {
 	switch c.Result {
 	case api.ConfirmResultAccepted:
--- a/cmd/baobabctl/tls_test.go
+++ b/cmd/baobabctl/tls_test.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
 	"math/big"
@@ -46,7 +47,10 @@
 	is := is.New(t)
 	certFile, keyFile := writeCertificate(t)
 	otherFile, _ := writeCertificate(t)
-	address := startAdmin(t, newFakeTasks(), admin.Settings{CertFile: certFile, KeyFile: keyFile})
+	certificate, err := tls.LoadX509KeyPair(certFile, keyFile)
+	is.NoErr(err)
+	config := &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}
+	address := startAdmin(t, newFakeTasks(), admin.Settings{TLS: config})
 	is.Equal(ctl(address, "--ca", certFile, "status").code, exitDone)
 	is.Equal(ctl(address, "--ca", otherFile, "status").code, exitUnreachable)
 	is.Equal(ctl(address, "--ca", otherFile, "leave").code, exitUnreachable) // nothing was sent
--- a/node/admin/decode.go
+++ b/node/admin/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	api "baobabfield.example/api/admin"
 	"baobabfield.example/core/config"
@@ -28,14 +29,19 @@
 		return config.Retire{Retirement: decodeRetirement(in.Retirement.Value)}, nil
 	case api.IntentKindCancelRetirement:
 		return config.CancelRetirement{Name: in.Name.Value}, nil
+	case api.IntentKindCompleteSet:
+		return config.CompleteSet{
+			Service:  types.Service(in.Name.Value),
+			Database: types.Database(in.Database.Value),
+		}, nil
 	}
 	return nil, Malformed("kind", "kind %q is not a kind of intent", in.Kind)
 }
 
-// checkProperties checks that the intent has the property that its kind needs,
-// and no other.
+// checkProperties checks that the intent has the properties that its kind
+// needs, and no other.
 func checkProperties(in *api.Intent) error {
-	needed := propertyOf(in.Kind)
+	needed := propertiesOf(in.Kind)
 	given := []struct {
 		name string
 		set  bool
@@ -43,32 +49,36 @@
 		{"service", in.Service.Set},
 		{"rank", in.Rank.Set},
 		{"retirement", in.Retirement.Set},
-		{"name", in.Name.Set && in.Name.Value != ""},
+		{"name", in.Name.Value != ""},
+		{"database", in.Database.Value != ""},
 	}
 	for _, property := range given {
-		if property.name == needed && !property.set {
-			return Malformed(needed, "an intent of kind %q needs the property %q", in.Kind, needed)
+		takes := slices.Contains(needed, property.name)
+		if takes && !property.set {
+			return Malformed(property.name, "an intent of kind %q needs the property %q", in.Kind, property.name)
 		}
-		if property.name != needed && property.set {
+		if !takes && property.set {
 			return Malformed(property.name, "an intent of kind %q does not take the property %q", in.Kind, property.name)
 		}
 	}
 	return nil
 }
 
-// propertyOf names the property that an intent of the kind needs.
-func propertyOf(kind api.IntentKind) string {
+// propertiesOf names the properties that an intent of the kind needs.
+func propertiesOf(kind api.IntentKind) []string {
 	switch kind {
 	case api.IntentKindPutService:
-		return "service"
+		return []string{"service"}
 	case api.IntentKindPutRank:
-		return "rank"
+		return []string{"rank"}
 	case api.IntentKindRetire:
-		return "retirement"
+		return []string{"retirement"}
 	case api.IntentKindRemoveService, api.IntentKindRemoveRank, api.IntentKindCancelRetirement:
-		return "name"
+		return []string{"name"}
+	case api.IntentKindCompleteSet:
+		return []string{"name", "database"}
 	}
-	return ""
+	return nil
 }
 
 func decodeService(in api.ServiceSpec) (types.ServiceSpec, error) {
@@ -153,6 +163,8 @@
 		return intent.Retirement.Name
 	case config.CancelRetirement:
 		return intent.Name
+	case config.CompleteSet:
+		return string(intent.Database)
 	}
 	return ""
 }
--- a/node/admin/encode.go
+++ b/node/admin/encode.go
@@ -110,6 +110,12 @@
 		}
 	case config.CancelRetirement:
 		return api.Intent{Kind: api.IntentKindCancelRetirement, Name: api.NewOptString(intent.Name)}
+	case config.CompleteSet:
+		return api.Intent{
+			Kind:     api.IntentKindCompleteSet,
+			Name:     api.NewOptString(string(intent.Service)),
+			Database: api.NewOptString(string(intent.Database)),
+		}
 	}
 	return api.Intent{}
 }
@@ -161,7 +167,6 @@
 	config.ConfirmAccepted:    api.ConfirmResultAccepted,
 	config.ConfirmRefused:     api.ConfirmResultRefused,
 	config.ConfirmNotYetKnown: api.ConfirmResultUnknown,
-	config.ConfirmRunning:     api.ConfirmResultUnknown,
 }
 
 func encodeConfirmation(id string, confirmed config.Confirmed, next string) *api.Confirmation {
--- a/node/admin/failure.go
+++ b/node/admin/failure.go
@@ -38,6 +38,11 @@
 	return &Failure{Code: FailureNotFound, Object: name, Message: fmt.Sprintf("%s %q does not exist", kind, name)}
 }
 
+// Refused returns the failure of a request that was not carried out because of err.
+func Refused(object string, err error) *Failure {
+	return &Failure{Code: FailureRefused, Object: object, Message: err.Error()}
+}
+
 // Unavailable returns the failure of a request that the host cannot answer now.
 func Unavailable(message string) *Failure {
 	return &Failure{Code: FailureUnavailable, Message: message}
--- a/node/admin/retirements.go
+++ b/node/admin/retirements.go
@@ -22,10 +22,7 @@
 // retirementEntry adds up the use of the retirement's target.
 func retirementEntry(retirement config.Retirement, uses []config.Use) api.Retirement {
 	entry := api.Retirement{Spec: encodeRetirement(retirement), Callers: []api.Use{}}
-	for _, use := range uses {
-		if !usesTarget(use, retirement) {
-			continue
-		}
+	for _, use := range config.UsesOf(retirement, uses) {
 		entry.Calls += use.Calls
 		entry.Refused += use.Refused
 		entry.Callers = append(entry.Callers, encodeUse(use))
@@ -33,22 +30,6 @@
 	return entry
 }
 
-// usesTarget reports whether the use is one of the retirement's target.
-func usesTarget(use config.Use, retirement config.Retirement) bool {
-	if retirement.Service != "" && retirement.Service != use.Service {
-		return false
-	}
-	switch retirement.Kind {
-	case config.TargetFeature:
-		return string(use.Feature) == retirement.Target
-	case config.TargetJob:
-		return string(use.Job) == retirement.Target
-	case config.TargetEndpoint:
-		return string(use.Endpoint) == retirement.Target
-	}
-	return false
-}
-
 func encodeRetirement(r config.Retirement) api.RetirementSpec {
 	return api.RetirementSpec{
 		Name:    r.Name,
--- a/node/admin/server.go
+++ b/node/admin/server.go
@@ -30,11 +30,9 @@
 type Settings struct {
 	// Address is the IP address and port that the server listens on.
 	Address string
-	// CertFile and KeyFile hold the server's certificate and key; both empty
-	// for plain HTTP.
-	CertFile string
-	KeyFile  string
-	Tokens   []Token
+	// TLS holds the server's certificate; nil for plain HTTP.
+	TLS    *tls.Config
+	Tokens []Token
 	// AnswerTimeout bounds the wait for the tasks that own the state.
 	AnswerTimeout time.Duration
 }
@@ -47,9 +45,6 @@
 	if s.AnswerTimeout <= 0 {
 		return errors.Errorf("the admin API's answer timeout is %v, want more than 0", s.AnswerTimeout)
 	}
-	if (s.CertFile == "") != (s.KeyFile == "") {
-		return errors.New("the admin API needs both a certificate file and a key file, or neither")
-	}
 	return nil
 }
 
@@ -91,19 +86,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for admin requests on %q", settings.Address)
 	}
-	if settings.CertFile == "" {
+	if settings.TLS == nil {
 		return listener, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(settings.CertFile, settings.KeyFile)
-	if err != nil {
-		_ = listener.Close()
-		return nil, errors.Wrapf(err, "load the admin certificate %q", settings.CertFile)
-	}
-	config := &tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		MinVersion:   tls.VersionTLS12,
-	}
-	return tls.NewListener(listener, config), nil
+	return tls.NewListener(listener, settings.TLS), nil
 }
 
 // Addr returns the address that the server listens on.
--- a/node/admin/server_test.go
+++ b/node/admin/server_test.go
@@ -179,22 +179,24 @@
 	is.True(isUnknown(err))
 }
 
-func TestReadTokens(t *testing.T) {
+func TestTokens(t *testing.T) {
 	is := is.New(t)
-	tokens, err := ReadTokens(strings.NewReader("# tokens\n\nana " + testSecret + "\nrui another-long-secret\n"))
+	ana, err := ParseToken("ana:" + testSecret)
 	is.NoErr(err)
-	author, ok := authorOf(tokens, "another-long-secret")
+	rui, err := ParseToken("rui:another-long:secret")
+	is.NoErr(err)
+	name, ok := authorOf([]Token{ana, rui}, "another-long:secret")
 	is.True(ok)
-	is.Equal(author, "rui")
-	_, ok = authorOf(tokens, "")
+	is.Equal(name, "rui")
+	_, ok = authorOf([]Token{ana, rui}, "")
 	is.True(!ok)
 
 	for text, want := range map[string]string{
-		"ana":                         "line 1 of the tokens has 1 fields",
-		"# x\nana short":              `author "ana" has 5 characters`,
-		"ana " + testSecret + " more": "line 1 of the tokens has 3 fields",
+		"ana":            "author:secret",
+		"ana:short":      `author "ana" has 5 characters`,
+		":" + testSecret: "needs an author",
 	} {
-		_, err := ReadTokens(strings.NewReader(text))
+		_, err := ParseToken(text)
 		is.True(err != nil)
 		is.True(strings.Contains(err.Error(), want))
 	}
@@ -209,7 +211,6 @@
 	for _, spoil := range []func(*Settings){
 		func(s *Settings) { s.Tokens = nil },
 		func(s *Settings) { s.AnswerTimeout = 0 },
-		func(s *Settings) { s.CertFile = "cert.pem" },
 	} {
 		spoiled := valid
 		spoil(&spoiled)
--- a/node/admin/token.go
+++ b/node/admin/token.go
@@ -1,10 +1,8 @@
 package admin
 
 import (
-	"bufio"
 	"crypto/sha256"
 	"crypto/subtle"
-	"io"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -31,26 +29,13 @@
 	return Token{Author: author, digest: sha256.Sum256([]byte(secret))}, nil
 }
 
-// ReadTokens reads tokens from lines of the form "author secret". Empty lines
-// and lines that start with "#" are ignored.
-func ReadTokens(r io.Reader) ([]Token, error) {
-	var tokens []Token
-	lines := bufio.NewScanner(r)
-	for number := 1; lines.Scan(); number++ {
-		fields := strings.Fields(lines.Text())
-		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
-			continue
-		}
-		if len(fields) != 2 {
-			return nil, errors.Errorf("line %d of the tokens has %d fields, want an author and a secret", number, len(fields))
-		}
-		token, err := NewToken(fields[0], fields[1])
-		if err != nil {
-			return nil, errors.Wrapf(err, "line %d of the tokens", number)
-		}
-		tokens = append(tokens, token)
+// ParseToken parses a token of the form "author:secret".
+func ParseToken(text string) (Token, error) {
+	author, secret, ok := strings.Cut(text, ":")
+	if !ok {
+		return Token{}, errors.New("a token is not of the form \"author:secret\"")
 	}
-	return tokens, errors.Wrap(lines.Err(), "read tokens")
+	return NewToken(author, secret)
 }
 
 // authorOf returns the author of the token with the given secret. Its running
