--- /dev/null
+++ b/node/operator/operator.go
@@ -0,0 +1,349 @@
+// Package operator answers the requests of the admin API from the tasks that
+// own the state, on this host and on the others.
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/timeline"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/admin"
+	"baobabfield.example/node/conf"
+	"baobabfield.example/node/events"
+	"baobabfield.example/node/mesh"
+	"baobabfield.example/node/owner"
+	"baobabfield.example/node/router"
+	"baobabfield.example/wire/meshpb"
+	wire "baobabfield.example/wire/operator"
+)
+
+const (
+	// platformTimeout bounds one operation at the platform with its repetitions.
+	platformTimeout = 10 * time.Second
+	// hostTimeout bounds a question to another host.
+	hostTimeout = time.Second
+	// askedAtOnce is the number of hosts asked at a time.
+	askedAtOnce = 64
+	// planIDLength is the length of a plan's generated id.
+	planIDLength = 8
+)
+
+// PlanLister lists the plans that the platform holds.
+type PlanLister interface {
+	Plans(ctx context.Context) ([]config.Object, error)
+}
+
+// Platform is what the operator's requests need of the platform.
+type Platform interface {
+	conf.Platform
+	PlanLister
+}
+
+// Settings connect the task with the others.
+type Settings struct {
+	Host       types.Host
+	DataCentre types.DataCentre
+	Platform   Platform
+	Mesh       *mesh.Task
+	Registry   *owner.Registry
+	Router     *router.Task
+	Conf       *conf.Task
+	Events     *events.Task
+	Recorder   *events.Recorder
+	// Stop starts the planned stop of the host.
+	Stop func()
+}
+
+// Task takes the admin API's requests; it owns the newest views of the
+// configuration and the membership for them.
+type Task struct {
+	set      Settings
+	log      *zap.Logger
+	requests chan admin.Request
+	inbox    chan any
+	snapshot config.Snapshot
+	members  membership.Snapshot
+	leaving  bool
+}
+
+// New returns the task.
+func New(set Settings, log *zap.Logger) *Task {
+	return &Task{set: set, log: log, requests: make(chan admin.Request), inbox: make(chan any, 64)}
+}
+
+// Requests returns the channel for the admin API's requests.
+func (t *Task) Requests() chan<- admin.Request { return t.requests }
+
+// SetConfig replaces the configuration in force.
+func (t *Task) SetConfig(ctx context.Context, s config.Snapshot) { t.post(ctx, s) }
+
+// SetMembers replaces the view of the hosts.
+func (t *Task) SetMembers(ctx context.Context, s membership.Snapshot) { t.post(ctx, s) }
+
+// post sends a message unless the context ends.
+func (t *Task) post(ctx context.Context, msg any) {
+	select {
+	case t.inbox <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// hostQuery asks for this host's answer to another host.
+type hostQuery struct {
+	query *meshpb.HostQuery
+	reply chan *meshpb.HostAnswer
+}
+
+// Run serves until the context ends.
+func (t *Task) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case msg := <-t.inbox:
+			t.handle(ctx, msg)
+		case req := <-t.requests:
+			t.request(ctx, req)
+		}
+	}
+}
+
+func (t *Task) handle(ctx context.Context, msg any) {
+	switch m := msg.(type) {
+	case config.Snapshot:
+		t.snapshot = m
+	case membership.Snapshot:
+		t.members = m
+	case hostQuery:
+		v := t.view()
+		go func() { m.reply <- v.answer(ctx, m.query) }()
+	default:
+		panic(fmt.Sprintf("operator: message %T is not known", msg))
+	}
+}
+
+// view is what a request is answered from; a request's own goroutine has it.
+type view struct {
+	Settings
+	log      *zap.Logger
+	snapshot config.Snapshot
+	members  membership.Snapshot
+	leaving  bool
+}
+
+func (t *Task) view() view {
+	return view{Settings: t.set, log: t.log, snapshot: t.snapshot, members: t.members, leaving: t.leaving}
+}
+
+// request answers a request; those that wait for others get a goroutine.
+func (t *Task) request(ctx context.Context, req admin.Request) {
+	v := t.view()
+	switch r := req.(type) {
+	case admin.SnapshotRequest:
+		succeed(r.Reply, v.snapshot)
+	case admin.RecordRequest:
+		succeed(r.Reply, t.set.Recorder.Record(r.Event))
+	case admin.LeaveRequest:
+		t.leaving = true
+		go t.set.Stop()
+		succeed(r.Reply, admin.Leaving{Host: t.set.Host, State: admin.HostLeaving})
+	default:
+		go v.serve(ctx, req)
+	}
+}
+
+// succeed answers a request with a value.
+func succeed[T any](reply admin.Reply[T], value T) { reply <- admin.Answer[T]{Value: value} }
+
+// fail answers a request with a failure.
+func fail[T any](reply admin.Reply[T], f *admin.Failure) { reply <- admin.Answer[T]{Failure: f} }
+
+// answer answers with a value, or with the failure if there is one.
+func answer[T any](reply admin.Reply[T], value T, f *admin.Failure) {
+	reply <- admin.Answer[T]{Value: value, Failure: f}
+}
+
+func (v view) serve(ctx context.Context, req admin.Request) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	switch r := req.(type) {
+	case admin.StatusRequest:
+		succeed(r.Reply, v.status(ctx))
+	case admin.RolloutRequest:
+		succeed(r.Reply, v.rollout(ctx))
+	case admin.UsesRequest:
+		succeed(r.Reply, v.uses(ctx))
+	case admin.TimelineRequest:
+		succeed(r.Reply, v.timeline(ctx, r))
+	case admin.PlansRequest:
+		plans, f := v.plans(ctx)
+		answer(r.Reply, plans, f)
+	case admin.PlanRequest:
+		plan, _, f := v.plan(ctx, r.ID)
+		answer(r.Reply, plan, f)
+	case admin.CreatePlanRequest:
+		plan, f := v.createPlan(ctx, r)
+		answer(r.Reply, plan, f)
+	case admin.ConfirmPlanRequest:
+		confirmed, f := v.confirm(ctx, r)
+		answer(r.Reply, confirmed, f)
+	case admin.WithdrawPlanRequest:
+		confirmed, f := v.withdraw(ctx, r)
+		answer(r.Reply, confirmed, f)
+	default:
+		panic(fmt.Sprintf("operator: request %T is not known", req))
+	}
+}
+
+// plans lists the plans of the platform in the order of their versions.
+func (v view) plans(ctx context.Context) ([]config.Plan, *admin.Failure) {
+	objects, err := v.Platform.Plans(ctx)
+	if err != nil {
+		return nil, admin.Unavailable(errors.Wrap(err, "list plans").Error())
+	}
+	slices.SortFunc(objects, func(a, b config.Object) int { return int(int64(a.Version) - int64(b.Version)) })
+	plans := make([]config.Plan, 0, len(objects))
+	for _, o := range objects {
+		if p, ok := o.Body.(config.Plan); ok {
+			plans = append(plans, p)
+		}
+	}
+	return plans, nil
+}
+
+// plan reads one plan.
+func (v view) plan(ctx context.Context, id string) (config.Plan, config.Object, *admin.Failure) {
+	o, err := v.Platform.Get(ctx, config.Key{Kind: config.KindPlan, Name: id})
+	if errors.Is(err, conf.ErrNotFound) {
+		return config.Plan{}, o, admin.NotFound("plan", id)
+	}
+	if err != nil {
+		return config.Plan{}, o, admin.Unavailable(errors.Wrapf(err, "read plan %q", id).Error())
+	}
+	p, ok := o.Body.(config.Plan)
+	if !ok {
+		return config.Plan{}, o, admin.NotFound("plan", id)
+	}
+	return p, o, nil
+}
+
+// createPlan makes a plan from an intent and stores it.
+func (v view) createPlan(ctx context.Context, r admin.CreatePlanRequest) (config.Plan, *admin.Failure) {
+	uses := v.uses(ctx)
+	plan, err := config.BuildPlan(config.PlanRequest{
+		ID: uuid.NewString()[:planIDLength], Author: r.Author, Intent: r.Intent, Snapshot: v.snapshot, Uses: uses.Uses,
+	})
+	if err != nil {
+		return config.Plan{}, admin.Malformed("intent", "%s", err)
+	}
+	if _, err := v.Platform.Put(ctx, config.ProposeWrite(plan)); err != nil {
+		return config.Plan{}, admin.Unavailable(errors.Wrap(err, "store plan").Error())
+	}
+	v.record(timeline.KindPlanProposed, plan, r.Call)
+	return plan, nil
+}
+
+// record notes a change of a plan in the time line.
+func (v view) record(kind timeline.Kind, plan config.Plan, c admin.Call) {
+	m := admin.RecordRequest{Event: timeline.Event{
+		Kind: kind, Object: "plan/" + plan.ID, Author: c.Author, Cause: c.Cause,
+	}, Reply: make(chan admin.Answer[timeline.EventID], 1)}
+	v.log.Info("plan changed", zap.String("plan", plan.ID), zap.String("kind", string(kind)), zap.String("author", c.Author))
+	v.Recorder.Record(m.Event)
+}
+
+// confirm puts a plan into force.
+func (v view) confirm(ctx context.Context, r admin.ConfirmPlanRequest) (config.Confirmed, *admin.Failure) {
+	plan, _, f := v.plan(ctx, r.ID)
+	if f != nil && f.Code == admin.FailureNotFound {
+		return config.Confirmed{}, f
+	}
+	confirmed := conf.Confirm(ctx, v.Platform, r.ID)
+	if len(confirmed.Written) > 0 {
+		select {
+		case v.Conf.Written() <- config.Written{Objects: confirmed.Written}:
+		case <-ctx.Done():
+		}
+	}
+	plan.ID = r.ID
+	switch confirmed.State {
+	case config.ConfirmAccepted:
+		v.record(timeline.KindPlanConfirmed, plan, r.Call)
+	case config.ConfirmRefused:
+		v.record(timeline.KindPlanStale, plan, r.Call)
+	}
+	return confirmed, nil
+}
+
+// withdraw marks a proposed plan as withdrawn.
+func (v view) withdraw(ctx context.Context, r admin.WithdrawPlanRequest) (config.Confirmed, *admin.Failure) {
+	plan, stored, f := v.plan(ctx, r.ID)
+	if f != nil {
+		return config.Confirmed{}, f
+	}
+	w, err := config.WithdrawWrite(stored)
+	if err != nil {
+		return config.Confirmed{State: config.ConfirmRefused, Text: err.Error()}, nil
+	}
+	_, err = v.Platform.Put(ctx, w)
+	switch {
+	case errors.Is(err, conf.ErrConflict):
+		return config.Confirmed{State: config.ConfirmRefused, Moved: stored.Key, Text: "the plan has changed"}, nil
+	case err != nil:
+		return config.Confirmed{State: config.ConfirmNotYetKnown, Text: "the platform did not answer: " + err.Error()}, nil
+	}
+	v.record(timeline.KindPlanWithdrawn, plan, r.Call)
+	return config.Confirmed{State: config.ConfirmAccepted}, nil
+}
+
+// Answer answers another host's question.
+func (t *Task) Answer(ctx context.Context, q *meshpb.HostQuery) *meshpb.HostAnswer {
+	m := hostQuery{query: q, reply: make(chan *meshpb.HostAnswer, 1)}
+	t.post(ctx, m)
+	select {
+	case a := <-m.reply:
+		return a
+	case <-ctx.Done():
+		return &meshpb.HostAnswer{}
+	}
+}
+
+// answer collects this host's part.
+func (v view) answer(ctx context.Context, q *meshpb.HostQuery) *meshpb.HostAnswer {
+	a := &meshpb.HostAnswer{
+		ConfigVersion: uint64(v.snapshot.Version()),
+		ConfigDigest:  v.snapshot.Digest(),
+	}
+	if q.GetUses() {
+		a.Uses = wire.EncodeUses(v.Router.Uses(ctx))
+	}
+	if f := q.GetEvents(); f != nil {
+		a.Events = wire.EncodeEvents(v.ownEvents(ctx, wire.DecodeFilter(f)))
+	}
+	return a
+}
+
+// ownEvents reads this host's part of the time line.
+func (v view) ownEvents(ctx context.Context, f timeline.Filter) []timeline.Event {
+	reply := make(chan []timeline.Event, 1)
+	select {
+	case v.Events.Queries() <- events.Query{Filter: f, Reply: reply}:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case list := <-reply:
+		return list
+	case <-ctx.Done():
+		return nil
+	}
+}
