--- a/core/failover/endpoint_test.go
+++ b/core/failover/endpoint_test.go
@@ -154,7 +154,7 @@
 	e.log = append(e.log[:common], p.log[common:n]...)
 	e.starts = startsUpTo(p.starts, n, n == len(p.log))
 	term := e.term
-	e.w.send(string(e.id), string(p.id), 0, func() { p.acknowledged(e.id, term, n) })
+	e.w.send(string(e.id), string(p.id), func() { p.acknowledged(e.id, term, n) })
 }
 
 // startsUpTo returns the starts of the terms that have entries in a log of length n.
--- a/core/failover/host_test.go
+++ b/core/failover/host_test.go
@@ -7,11 +7,6 @@
 	"baobabfield.example/core/types"
 )
 
-const (
-	askBytes    = 100
-	answerBytes = 200
-)
-
 // fakeHost runs a machine as the tasks of a host would.
 type fakeHost struct {
 	w           *world
@@ -35,7 +30,11 @@
 	flight   map[int]bool
 	requests int
 	ended    []failover.PlannedEnded
-	notes    []timedNote
+	// calls counts the commands sent to endpoints, and promoting is when the
+	// last promotion was sent.
+	calls     int
+	promoting time.Duration
+	notes     []timedNote
 }
 
 type timedNote struct {
@@ -95,6 +94,7 @@
 			return e.fence(h.id, eff.Question, eff.Term)
 		})
 	case failover.Promote:
+		h.promoting = h.w.now
 		h.call(eff.Endpoint, eff.Question, func(e *fakeEndpoint) failover.Event {
 			return e.promote(eff.Question, eff.Term)
 		})
@@ -105,7 +105,7 @@
 	case failover.TellPeer:
 		p := h.w.host(eff.Host)
 		generation := p.generation
-		h.w.send(string(h.id), string(p.id), askBytes, func() {
+		h.w.send(string(h.id), string(p.id), func() {
 			p.receive(generation, func() { p.step(failover.PeerSuspicion{From: h.id, Suspicion: eff.Suspicion}) })
 		})
 	case failover.Reconnect:
@@ -140,15 +140,16 @@
 func (h *fakeHost) call(id types.Endpoint, q failover.QuestionID, run func(*fakeEndpoint) failover.Event) {
 	e := h.w.endpoint(id)
 	generation := h.generation
+	h.calls++
 	if h.silent[id] {
 		return
 	}
-	h.w.send(string(h.id), string(id), askBytes, func() {
+	h.w.send(string(h.id), string(id), func() {
 		var answer failover.Event = failover.Silence{Question: q, Endpoint: id}
 		if e.up {
 			answer = run(e)
 		}
-		h.w.send(string(id), string(h.id), answerBytes, func() {
+		h.w.send(string(id), string(h.id), func() {
 			h.receive(generation, func() { h.step(answer) })
 		})
 	})
@@ -204,7 +205,7 @@
 	}
 	h.w.after(time.Second, func() { finish(func() {}) })
 	arrived := false
-	h.w.send(string(h.id), string(e.id), 0, func() {
+	h.w.send(string(h.id), string(e.id), func() {
 		if arrived {
 			return
 		}
@@ -212,13 +213,13 @@
 		ran := e.write(id, term, replicated, func(position int) {
 			at := types.LogPoint{Term: term, Position: types.Position(position)}
 			h.w.after(h.w.slow(), func() {
-				h.w.send(string(e.id), string(h.id), 0, func() {
+				h.w.send(string(e.id), string(h.id), func() {
 					finish(func() { h.acknowledge(e, id, at, replicated) })
 				})
 			})
 		})
 		if !ran {
-			h.w.send(string(e.id), string(h.id), 0, func() { finish(func() { h.w.retry(id, replicated) }) })
+			h.w.send(string(e.id), string(h.id), func() { finish(func() { h.w.retry(id, replicated) }) })
 		}
 	})
 	return true
--- a/core/failover/world_test.go
+++ b/core/failover/world_test.go
@@ -48,7 +48,6 @@
 	spikePct, slowPct  int
 	nextWrite          int
 	truth              truth
-	messages, bytes    int
 	violation          string
 }
 
@@ -113,9 +112,7 @@
 }
 
 // send delivers a message after a delay, perhaps twice, late or never.
-func (w *world) send(from, to string, size int, deliver func()) {
-	w.messages++
-	w.bytes += size
+func (w *world) send(from, to string, deliver func()) {
 	if w.blocked[from+">"+to] || w.below(100) < w.lossPct {
 		return
 	}
@@ -135,7 +132,7 @@
 // slow returns the time between a write and its result.
 func (w *world) slow() time.Duration {
 	if w.below(100) < w.slowPct {
-		return time.Duration(w.below(700)) * time.Millisecond
+		return time.Duration(w.below(1200)) * time.Millisecond
 	}
 	return 0
 }
