--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -202,3 +202,27 @@
 	is.NoErr(err)
 	is.Equal(list.Hosts, hosts.Hosts)
 }
+
+func TestCutDoorHoldsItsCalls(t *testing.T) {
+	is := is.New(t)
+	ctx, s, c := start(t)
+	door, err := s.AddDoor(ctx, "127.0.0.1:0")
+	is.NoErr(err)
+	door.SetCut(true)
+	through, err := api.NewClient(door.URL(), bearer(testToken))
+	is.NoErr(err)
+	done := make(chan error, 1)
+	go func() {
+		_, err := put(ctx, through, "urgent", 0, "a")
+		done <- err
+	}()
+	_, err = put(ctx, c, "normal", 0, "a")
+	is.NoErr(err)
+	select {
+	case err := <-done:
+		t.Fatal("a call passed a cut", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	door.SetCut(false)
+	is.NoErr(<-done)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -16,11 +16,11 @@
 
 // Server is one running stand-in.
 type Server struct {
-	store    *store
-	listener net.Listener
-	http     *http.Server
-	stop     context.CancelFunc
-	ctx      context.Context
+	Door
+	store *store
+	api   http.Handler
+	stop  context.CancelFunc
+	ctx   context.Context
 }
 
 // Start listens on an address and serves calls that carry the bearer token.
@@ -36,24 +36,56 @@
 		return nil, err
 	}
 	inner, stop := context.WithCancel(context.Background())
-	s := &Server{store: h.store, listener: listener, stop: stop, ctx: inner}
-	s.http = &http.Server{
-		Handler: s.withFaults(generated), ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext: func(net.Listener) context.Context { return inner },
-	}
+	s := &Server{store: h.store, api: generated, stop: stop, ctx: inner}
 	go s.store.run(inner)
-	go func() { _ = s.http.Serve(listener) }()
+	s.serve(listener, &s.Door)
 	return s, nil
 }
 
+// serve serves calls that arrive through a door.
+func (s *Server) serve(listener net.Listener, d *Door) {
+	*d = Door{server: s, listener: listener}
+	server := &http.Server{
+		Handler: s.withFaults(d), ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext: func(net.Listener) context.Context { return s.ctx },
+	}
+	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+}
+
+// AddDoor listens on one more address.
+func (s *Server) AddDoor(ctx context.Context, address string) (*Door, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform stand-in")
+	}
+	d := &Door{}
+	s.serve(listener, d)
+	return d, nil
+}
+
+// Door is one address of the stand-in. Traffic through it can be cut.
+type Door struct {
+	server   *Server
+	listener net.Listener
+	// cut belongs to the store's goroutine.
+	cut bool
+}
+
 // URL returns the API's base URL.
-func (s *Server) URL() string { return "http://" + s.listener.Addr().String() }
+func (d *Door) URL() string { return "http://" + d.listener.Addr().String() }
+
+// SetCut holds all calls through the door, or lets them pass.
+func (d *Door) SetCut(cut bool) {
+	s := d.server.store
+	d.server.change(func() {
+		d.cut = cut
+		s.setFaults(s.faults)
+	})
+}
 
 // Close ends all calls.
-func (s *Server) Close() {
-	_ = s.http.Close()
-	s.stop()
-}
+func (s *Server) Close() { s.stop() }
 
 // change runs f on the store's goroutine.
 func (s *Server) change(f func()) {
@@ -100,53 +132,68 @@
 // state is what a call needs to know of the faults.
 type state struct {
 	faults  Faults
+	cut     bool
 	changed chan struct{}
 }
 
-func (s *Server) state() state {
-	st, _ := ask(s.ctx, s.store, func() state { return state{s.store.faults, s.store.changed} })
+func (s *Server) state(d *Door) state {
+	st, _ := ask(s.ctx, s.store, func() state { return state{s.store.faults, d.cut, s.store.changed} })
 	return st
 }
 
 // withFaults applies the faults in force to each call.
-func (s *Server) withFaults(next http.Handler) http.Handler {
+func (s *Server) withFaults(d *Door) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !s.pass(r.Context()) {
+		if !s.pass(r.Context(), d) {
 			panic(http.ErrAbortHandler)
 		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		go s.cancelWhenDown(ctx, cancel)
+		go s.cancelWhenDown(ctx, cancel, d)
 		answer := &bufferedAnswer{header: http.Header{}, status: http.StatusOK}
-		next.ServeHTTP(answer, r.WithContext(ctx))
-		faults := s.state().faults
-		if faults.Down || (faults.LoseAnswers && r.Method != http.MethodGet) {
+		s.api.ServeHTTP(answer, r.WithContext(ctx))
+		faults := s.state(d).faults
+		if !s.waitUncut(r.Context(), d) || faults.Down || (faults.LoseAnswers && r.Method != http.MethodGet) {
 			panic(http.ErrAbortHandler)
 		}
 		answer.copyTo(w)
 	})
 }
 
-// pass waits for the delay in force and reports whether the platform is up.
-func (s *Server) pass(ctx context.Context) bool {
-	st := s.state()
-	if st.faults.Delay > 0 {
-		timer := time.NewTimer(st.faults.Delay)
+// pass waits for the delay in force and the end of a cut, and reports whether
+// the platform is up.
+func (s *Server) pass(ctx context.Context, d *Door) bool {
+	if delay := s.state(d).faults.Delay; delay > 0 {
+		timer := time.NewTimer(delay)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return false
 		}
-		st = s.state()
 	}
-	return !st.faults.Down
+	return s.waitUncut(ctx, d) && !s.state(d).faults.Down
+}
+
+// waitUncut waits until the door is not cut and reports whether it is open.
+func (s *Server) waitUncut(ctx context.Context, d *Door) bool {
+	for {
+		st := s.state(d)
+		if !st.cut {
+			return true
+		}
+		select {
+		case <-st.changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // cancelWhenDown ends a call that waits when the platform goes down.
-func (s *Server) cancelWhenDown(ctx context.Context, cancel context.CancelFunc) {
+func (s *Server) cancelWhenDown(ctx context.Context, cancel context.CancelFunc, d *Door) {
 	for {
-		st := s.state()
+		st := s.state(d)
 		if st.faults.Down {
 			cancel()
 			return
