--- a/core/config/distributor_test.go
+++ b/core/config/distributor_test.go
@@ -111,7 +111,7 @@
 	f := readyFleet(6, 9, 3, 5)
 	f.cut = func(a, b types.DataCentre) bool { return a != b && (a == dataCentre(2) || b == dataCentre(2)) }
 	f.platform.lose(func(dc types.DataCentre) bool { return dc != dataCentre(2) })
-	tombstone := f.platform.store(config.Object{Key: service(1, 3).Key()})
+	tombstone := f.platform.store(config.Object{Key: service(1).Key()})
 	f.run(30 * time.Minute)
 	is.Equal(f.lagging(tombstone.Key, tombstone.Version, in(dataCentre(0), dataCentre(1))), 0)
 	is.Equal(f.lagging(tombstone.Key, tombstone.Version, in(dataCentre(2))), 3)
@@ -180,7 +180,7 @@
 	case "change":
 		f.platform.change()
 	case "delete":
-		f.platform.store(config.Object{Key: service(i%4, 3).Key()})
+		f.platform.store(config.Object{Key: service(i % 4).Key()})
 	case "restart":
 		f.start(i)
 	case "cut":
--- a/core/config/fleet_test.go
+++ b/core/config/fleet_test.go
@@ -54,7 +54,6 @@
 	watching bool
 	versions map[config.Key]config.Version
 	traffic  int
-	peak     int
 }
 
 // delivery is an input of a host at a time; a nil input wakes it.
@@ -483,13 +482,13 @@
 	return size + 30
 }
 
-// service returns a service with databases of three endpoints.
-func service(i, databases int) config.ServiceObject {
+// service returns a service with three databases of three endpoints.
+func service(i int) config.ServiceObject {
 	spec := types.ServiceSpec{
 		Name: types.Service(fmt.Sprintf("service-%04d", i)), Promise: types.PromiseReplicated,
 		Slots: 3, Connections: 50,
 	}
-	for d := range databases {
+	for d := range 3 {
 		db := types.DatabaseSpec{ID: types.Database(fmt.Sprintf("s%04d-db-%d", i, d)), Set: 1}
 		for e := range 3 {
 			db.Endpoints = append(db.Endpoints, types.EndpointSpec{
@@ -506,14 +505,14 @@
 // fill stores services of three databases each.
 func (p *fakePlatform) fill(services int) {
 	for i := range services {
-		body := service(i, 3)
+		body := service(i)
 		p.store(config.Object{Key: body.Key(), Body: body, Operations: []config.OperationID{"plan/p0001"}})
 	}
 }
 
 // change stores a new version of service 0.
 func (p *fakePlatform) change() config.Object {
-	body := service(0, 3)
+	body := service(0)
 	body.Spec.Slots = 1 + int(p.version%9)
 	return p.store(config.Object{Key: body.Key(), Body: body, Operations: []config.OperationID{"plan/p0001", "plan/p0002"}})
 }
--- a/core/config/measure_test.go
+++ b/core/config/measure_test.go
@@ -172,7 +172,7 @@
 	objects := config.NewStore()
 	before = heapInUse()
 	for i := range max(count*1000/2600, 2) {
-		body := service(i, 3)
+		body := service(i)
 		objects.Apply(config.Object{Key: body.Key(), Version: config.Version(i + 1), Body: body})
 	}
 	_ = objects.Snapshot()
--- /dev/null
+++ b/node/conf/confirm.go
@@ -0,0 +1,56 @@
+package conf
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"baobabfield.example/core/config"
+)
+
+// requestTimeout bounds each request to the platform.
+const requestTimeout = 5 * time.Second
+
+// Confirm carries out the plan with the given id and returns its end. The caller
+// passes the written objects on to the task. It can be repeated.
+func Confirm(ctx context.Context, p Platform, planID string) config.Confirmed {
+	c := config.NewConfirmation(planID)
+	next := c.Start()
+	for {
+		switch request := next.(type) {
+		case config.ReadObject:
+			next = c.Step(read(ctx, p, request.Key))
+		case config.PutObject:
+			next = c.Step(put(ctx, p, request.Write))
+		case config.Confirmed:
+			return request
+		}
+	}
+}
+
+func read(ctx context.Context, p Platform, key config.Key) config.ConfirmEvent {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	o, err := p.Get(ctx, key)
+	switch {
+	case errors.Is(err, ErrNotFound):
+		return config.ReadAnswered{}
+	case err != nil:
+		return config.ReadFailed{}
+	}
+	return config.ReadAnswered{Object: o}
+}
+
+func put(ctx context.Context, p Platform, w config.Write) config.ConfirmEvent {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	version, err := p.Put(ctx, w)
+	switch {
+	case errors.Is(err, ErrConflict):
+		return config.PutAnswered{Result: config.PutConflict}
+	case err != nil:
+		return config.PutAnswered{Result: config.PutUnknown}
+	}
+	return config.PutAnswered{Result: config.PutApplied, Version: version}
+}
--- /dev/null
+++ b/node/conf/task_test.go
@@ -0,0 +1,245 @@
+package conf
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/types"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fake is a platform in memory. One goroutine owns its objects.
+type fake struct {
+	calls chan func(*state)
+	// loseAnswers is the number of puts whose answer is lost.
+	loseAnswers int
+}
+
+type state struct {
+	objects  map[config.Key]config.Object
+	version  config.Version
+	watchers []chan<- []config.Object
+}
+
+func newFake(t *testing.T) *fake {
+	f := &fake{calls: make(chan func(*state))}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s := &state{objects: map[config.Key]config.Object{}}
+		for call := range f.calls {
+			call(s)
+		}
+	}()
+	t.Cleanup(func() {
+		close(f.calls)
+		<-done
+	})
+	return f
+}
+
+func ask[T any](f *fake, get func(*state) T) T {
+	reply := make(chan T, 1)
+	f.calls <- func(s *state) { reply <- get(s) }
+	return <-reply
+}
+
+func (f *fake) List(context.Context) ([]config.Object, config.Version, error) {
+	var version config.Version
+	objects := ask(f, func(s *state) []config.Object {
+		var out []config.Object
+		for k, o := range s.objects {
+			if k.Kind != config.KindPlan {
+				out = append(out, o)
+			}
+		}
+		version = s.version
+		return out
+	})
+	return objects, version, nil
+}
+
+func (f *fake) Get(_ context.Context, key config.Key) (config.Object, error) {
+	o := ask(f, func(s *state) config.Object { return s.objects[key] })
+	if o.Version == 0 {
+		return o, ErrNotFound
+	}
+	return o, nil
+}
+
+func (f *fake) Put(_ context.Context, w config.Write) (config.Version, error) {
+	version := ask(f, func(s *state) config.Version { return s.put(w) })
+	if version == 0 {
+		return 0, ErrConflict
+	}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return 0, errors.New("connection lost")
+	}
+	return version, nil
+}
+
+func (s *state) put(w config.Write) config.Version {
+	if s.objects[w.Key].Version != w.IfVersion {
+		return 0
+	}
+	s.version++
+	o := config.Object{Key: w.Key, Version: s.version, Body: w.Body, Operations: w.Operations}
+	s.objects[w.Key] = o
+	for _, out := range s.watchers {
+		if w.Key.Kind != config.KindPlan {
+			out <- []config.Object{o}
+		}
+	}
+	return s.version
+}
+
+func (f *fake) Watch(ctx context.Context, _ config.Version, out chan<- []config.Object) error {
+	buffer := make(chan []config.Object, 100)
+	ask(f, func(s *state) int {
+		s.watchers = append(s.watchers, buffer)
+		return 0
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case batch := <-buffer:
+			select {
+			case out <- batch:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// wire hands payloads to the other task.
+type wire struct {
+	from types.Host
+	to   map[types.Host]chan<- Payload
+}
+
+func (w wire) Send(host types.Host, payload []byte) {
+	select {
+	case w.to[host] <- Payload{From: w.from, Data: payload}:
+	default:
+	}
+}
+
+func sampleService(slots int) config.ServiceObject {
+	endpoint := types.EndpointSpec{ID: "e1", DataCentre: "dc", Address: "127.0.0.1:5432", Leaving: true}
+	return config.ServiceObject{Spec: types.ServiceSpec{
+		Name: "ramp-logs", Promise: types.PromisePrimary, Slots: slots, Connections: 50,
+		Databases: []types.DatabaseSpec{{
+			ID: "d1", Set: 2,
+			Endpoints:         []types.EndpointSpec{endpoint},
+			PreviousEndpoints: []types.EndpointSpec{endpoint, endpoint},
+		}},
+	}}
+}
+
+func TestMessagesSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	rank := config.RankObject{Spec: types.RankSpec{Name: "urgent", Target: time.Second, Worth: 3, Floor: 4, Order: 5}}
+	retirement := config.Retirement{
+		Name: "r", Kind: config.TargetJob, Target: "nightly", Service: "s", Phase: config.PhaseDraining,
+	}
+	key := config.Key{Kind: config.KindRank, Name: "gone"}
+	bodies := []config.PeerBody{
+		config.Push{Objects: []config.Object{
+			{Key: sampleService(3).Key(), Version: 9, Body: sampleService(3), Operations: []config.OperationID{"a", "b"}},
+			{Key: rank.Key(), Version: 10, Body: rank},
+			{Key: retirement.Key(), Version: 11, Body: retirement},
+			{Key: key, Version: 12},
+		}},
+		config.Digest{Hash: 1 << 63, Complete: true},
+		config.Buckets{Hashes: []uint64{1, 2}},
+		config.Versions{Buckets: []int{3}, Versions: []config.ObjectVersion{{Key: key, Version: 4}}},
+		config.Fetch{Keys: []config.Key{key}},
+		config.FetchAll{},
+		config.Busy{},
+	}
+	for _, body := range bodies {
+		data, err := encode(body)
+		is.NoErr(err)
+		got, err := decode(data)
+		is.NoErr(err)
+		is.Equal(got, body)
+	}
+	_, err := decode([]byte{0xff})
+	is.Equal(err, errMalformed)
+}
+
+// start runs a task until the test ends and returns it with its changes.
+func start(t *testing.T, host types.Host, p Platform, w wire) (*Task, <-chan config.Changed) {
+	changes := make(chan config.Changed)
+	task := New(Config{
+		Host: host, DataCentre: "dc", Platform: p, Sender: w, Changes: changes, Metrics: metrics.NewSet(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		task.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return task, changes
+}
+
+// waitFor takes changes until the service has the number of slots.
+func waitFor(changes <-chan config.Changed, slots int) {
+	for c := range changes {
+		spec, _ := c.Snapshot.Service("ramp-logs")
+		if c.Snapshot.Complete() && spec.Slots == slots {
+			return
+		}
+	}
+}
+
+func TestConfirmedPlanReachesAllTasks(t *testing.T) {
+	is := is.New(t)
+	p := newFake(t)
+	hosts := []types.Host{"a", "b", "c"}
+	to := map[types.Host]chan<- Payload{}
+	var all []<-chan config.Changed
+	var tasks []*Task
+	for _, h := range hosts {
+		task, changes := start(t, h, p, wire{from: h, to: to})
+		all = append(all, changes)
+		tasks = append(tasks, task)
+	}
+	for i, h := range hosts {
+		to[h] = tasks[i].Payloads()
+	}
+	for _, task := range tasks {
+		task.Peers() <- config.Peers{Groups: []config.PeerGroup{{DataCentre: "dc", Hosts: hosts}}}
+	}
+	spec := sampleService(3).Spec
+	plan, err := config.BuildPlan(config.PlanRequest{ID: "p1", Author: "ana", Intent: config.PutService{Spec: spec}})
+	is.NoErr(err)
+	_, err = p.Put(context.Background(), config.ProposeWrite(plan))
+	is.NoErr(err)
+	p.loseAnswers = 2
+	end := Confirm(context.Background(), p, "p1")
+	is.Equal(end.State, config.ConfirmAccepted)
+	is.Equal(len(end.Written), 1)
+	again := Confirm(context.Background(), p, "p1")
+	is.Equal(again.State, config.ConfirmAccepted)
+	is.Equal(again.Written[0].Version, end.Written[0].Version) // the repetition changed nothing
+	tasks[2].Written() <- config.Written{Objects: end.Written}
+	for _, changes := range all {
+		waitFor(changes, 3)
+	}
+}
--- /dev/null
+++ b/node/events/task_test.go
@@ -0,0 +1,38 @@
+package events
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"baobabfield.example/core/timeline"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestQueryReturnsStampedEvents(t *testing.T) {
+	is := is.New(t)
+	wall := int64(1000)
+	task := New(Config{Host: "a", Limit: 2, Wall: func() int64 { return wall }})
+	first, second := task.Recorder(1), task.Recorder(2)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		task.Run(ctx)
+	}()
+	cause := first.Record(timeline.Event{Kind: timeline.KindHostStarted})
+	first.Record(timeline.Event{Kind: timeline.KindHostJoined, Cause: cause})
+	second.Record(timeline.Event{Kind: timeline.KindHostDead})
+	reply := make(chan []timeline.Event, 1)
+	task.Queries() <- Query{Reply: reply}
+	got := <-reply
+	is.Equal(len(got), 2) // the ring holds the newest two
+	is.Equal(got[0].Cause, cause)
+	is.True(got[0].Stamp.Less(got[1].Stamp))
+	is.True(got[0].ID != got[1].ID)
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/node/member/codec.go
@@ -0,0 +1,206 @@
+package member
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/member/memberpb"
+)
+
+const (
+	// maxDatagramBytes bounds a datagram so that it fits the usual path MTU.
+	maxDatagramBytes = 1200
+	// codeBytes is the length of the authentication code that ends each datagram.
+	codeBytes = 16
+)
+
+// Errors of decode.
+var (
+	errNotAuthentic = errors.New("datagram is not authentic")
+	errMalformed    = errors.New("datagram is malformed")
+	errTooLong      = errors.New("datagram is too long")
+)
+
+// encode returns the datagram of a message with its authentication code.
+func encode(key []byte, msg membership.Message) ([]byte, error) {
+	data, err := proto.Marshal(toProto(msg))
+	if err != nil {
+		return nil, errors.Wrap(err, "encode datagram")
+	}
+	if len(data)+codeBytes > maxDatagramBytes {
+		return nil, errTooLong
+	}
+	return append(data, code(key, data)...), nil
+}
+
+// code returns the authentication code of a payload.
+func code(key, data []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write(data)
+	return h.Sum(nil)[:codeBytes]
+}
+
+// decode checks a datagram and returns its message.
+func decode(key, datagram []byte) (membership.Message, error) {
+	if len(datagram) < codeBytes {
+		return membership.Message{}, errNotAuthentic
+	}
+	data := datagram[:len(datagram)-codeBytes]
+	if !hmac.Equal(code(key, data), datagram[len(data):]) {
+		return membership.Message{}, errNotAuthentic
+	}
+	var d memberpb.Datagram
+	if err := proto.Unmarshal(data, &d); err != nil {
+		return membership.Message{}, errMalformed
+	}
+	return fromProto(&d)
+}
+
+func toProto(msg membership.Message) *memberpb.Datagram {
+	d := &memberpb.Datagram{From: memberToProto(msg.From)}
+	switch b := msg.Body.(type) {
+	case membership.Ping:
+		d.Body = &memberpb.Datagram_Ping{Ping: &memberpb.Ping{Seq: b.Seq, Updates: membersToProto(b.Updates)}}
+	case membership.Ack:
+		d.Body = &memberpb.Datagram_Ack{Ack: &memberpb.Ack{Seq: b.Seq, Updates: membersToProto(b.Updates)}}
+	case membership.PingReq:
+		d.Body = &memberpb.Datagram_PingReq{PingReq: &memberpb.PingReq{
+			Seq: b.Seq, Target: string(b.Target), Address: b.Address, Updates: membersToProto(b.Updates),
+		}}
+	case membership.Digest:
+		d.Body = &memberpb.Datagram_Digest{Digest: digestToProto(b)}
+	case membership.Buckets:
+		d.Body = &memberpb.Datagram_Buckets{Buckets: bucketsToProto(b)}
+	case membership.BucketMembers:
+		d.Body = &memberpb.Datagram_BucketMembers{BucketMembers: &memberpb.BucketMembers{
+			DataCentre: string(b.DataCentre),
+			Bucket:     uint32(b.Bucket),
+			Count:      uint32(b.Count),
+			Whole:      b.Whole,
+			Members:    membersToProto(b.Members),
+		}}
+	}
+	return d
+}
+
+func digestToProto(b membership.Digest) *memberpb.Digest {
+	out := &memberpb.Digest{}
+	for _, g := range b.Groups {
+		out.Groups = append(out.Groups, &memberpb.GroupDigest{DataCentre: string(g.DataCentre), Hash: g.Hash})
+	}
+	return out
+}
+
+func bucketsToProto(b membership.Buckets) *memberpb.Buckets {
+	out := &memberpb.Buckets{}
+	for _, g := range b.Groups {
+		out.Groups = append(out.Groups, &memberpb.BucketDigest{DataCentre: string(g.DataCentre), Hashes: g.Hashes})
+	}
+	return out
+}
+
+func memberToProto(m membership.Member) *memberpb.Member {
+	return &memberpb.Member{
+		Host:          string(m.Host),
+		DataCentre:    string(m.DataCentre),
+		MeshAddress:   m.MeshAddress,
+		GossipAddress: m.GossipAddress,
+		Incarnation:   uint64(m.Incarnation),
+		State:         uint32(m.State),
+	}
+}
+
+func membersToProto(members []membership.Member) []*memberpb.Member {
+	var out []*memberpb.Member
+	for _, m := range members {
+		out = append(out, memberToProto(m))
+	}
+	return out
+}
+
+func fromProto(d *memberpb.Datagram) (membership.Message, error) {
+	if d.GetFrom() == nil {
+		return membership.Message{}, errMalformed
+	}
+	msg := membership.Message{From: memberFromProto(d.GetFrom())}
+	switch b := d.GetBody().(type) {
+	case *memberpb.Datagram_Ping:
+		msg.Body = membership.Ping{Seq: b.Ping.GetSeq(), Updates: membersFromProto(b.Ping.GetUpdates())}
+	case *memberpb.Datagram_Ack:
+		msg.Body = membership.Ack{Seq: b.Ack.GetSeq(), Updates: membersFromProto(b.Ack.GetUpdates())}
+	case *memberpb.Datagram_PingReq:
+		msg.Body = membership.PingReq{
+			Seq:     b.PingReq.GetSeq(),
+			Target:  types.Host(b.PingReq.GetTarget()),
+			Address: b.PingReq.GetAddress(),
+			Updates: membersFromProto(b.PingReq.GetUpdates()),
+		}
+	case *memberpb.Datagram_Digest:
+		msg.Body = digestFromProto(b.Digest)
+	case *memberpb.Datagram_Buckets:
+		msg.Body = bucketsFromProto(b.Buckets)
+	case *memberpb.Datagram_BucketMembers:
+		msg.Body = membership.BucketMembers{
+			DataCentre: types.DataCentre(b.BucketMembers.GetDataCentre()),
+			Bucket:     int(b.BucketMembers.GetBucket()),
+			Count:      int(b.BucketMembers.GetCount()),
+			Whole:      b.BucketMembers.GetWhole(),
+			Members:    membersFromProto(b.BucketMembers.GetMembers()),
+		}
+	default:
+		return membership.Message{}, errMalformed
+	}
+	return msg, nil
+}
+
+func digestFromProto(b *memberpb.Digest) membership.Digest {
+	var out membership.Digest
+	for _, g := range b.GetGroups() {
+		out.Groups = append(out.Groups, membership.GroupDigest{
+			DataCentre: types.DataCentre(g.GetDataCentre()), Hash: g.GetHash(),
+		})
+	}
+	return out
+}
+
+func bucketsFromProto(b *memberpb.Buckets) membership.Buckets {
+	var out membership.Buckets
+	for _, g := range b.GetGroups() {
+		out.Groups = append(out.Groups, membership.BucketDigest{
+			DataCentre: types.DataCentre(g.GetDataCentre()), Hashes: g.GetHashes(),
+		})
+	}
+	return out
+}
+
+func memberFromProto(m *memberpb.Member) membership.Member {
+	return membership.Member{
+		Host:          types.Host(m.GetHost()),
+		DataCentre:    types.DataCentre(m.GetDataCentre()),
+		MeshAddress:   m.GetMeshAddress(),
+		GossipAddress: m.GetGossipAddress(),
+		Incarnation:   membership.Incarnation(m.GetIncarnation()),
+		State:         stateFromProto(m.GetState()),
+	}
+}
+
+// stateFromProto maps a number that names no state to one that the machine refuses.
+func stateFromProto(s uint32) membership.State {
+	if s > uint32(membership.Dead) {
+		return membership.Dead + 1
+	}
+	return membership.State(s)
+}
+
+func membersFromProto(members []*memberpb.Member) []membership.Member {
+	var out []membership.Member
+	for _, m := range members {
+		out = append(out, memberFromProto(m))
+	}
+	return out
+}
