--- /dev/null
+++ b/cmd/baobabd/flags.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"baobabfield.example/core/failover"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/admin"
+	"baobabfield.example/node/host"
+	"baobabfield.example/node/platform"
+)
+
+// Flags are the settings of the process. Each is also an environment variable:
+// --caller-listen is BAOBAB_CALLER_LISTEN.
+type Flags struct {
+	Host            string        `help:"Id of this host, unique among all hosts." required:""`
+	DataCentre      string        `help:"Data centre of this host." required:""`
+	CallerListen    string        `help:"Address for callers, HOST:PORT." default:"127.0.0.1:5432"`
+	MeshListen      string        `help:"TCP address for other hosts, HOST:PORT." default:"127.0.0.1:7001"`
+	MeshAdvertise   string        `help:"Mesh address that other hosts use, if it differs."`
+	GossipListen    string        `help:"UDP address for other hosts, HOST:PORT." default:"127.0.0.1:7002"`
+	GossipAdvertise string        `help:"Gossip address that other hosts use, if it differs."`
+	AdminListen     string        `help:"Address of the admin API, HOST:PORT." default:"127.0.0.1:7003"`
+	Seed            []string      `help:"Gossip addresses of other hosts."`
+	Platform        string        `help:"Address of the platform's object API, http://HOST:PORT or https://HOST:PORT." required:""`
+	PlatformToken   string        `help:"Bearer token for the platform." required:""`
+	ClusterKey      string        `help:"Key shared by all hosts, at least 16 characters." required:""`
+	AdminToken      []string      `help:"Bearer tokens of the admin API, AUTHOR:SECRET." required:""`
+	MaxCallers      int           `help:"Callers served at a time, 1 to 65536." default:"4000"`
+	RequestTimeout  time.Duration `help:"Limit of a request with all its retries." default:"15s"`
+	ConnectTimeout  time.Duration `help:"Limit of connecting to an endpoint." default:"2s"`
+	SilenceBound    time.Duration `help:"Longest silence of an endpoint that owes an answer." default:"10s"`
+	MaxAge          time.Duration `help:"Age of data that a read accepts whose caller states none." default:"10s"`
+	DrainTimeout    time.Duration `help:"Limit of a planned stop." default:"30s"`
+	AuthorityWindow time.Duration `help:"Age up to which an endpoint's answer supports write authority; equal on all hosts." default:"500ms"`
+	LogLevel        string        `help:"Least level of the log: debug, info, warn or error." default:"info"`
+
+	CallerTLS  CertFiles `embed:"" prefix:"caller-tls-" group:"TLS for callers"`
+	MeshTLS    CertFiles `embed:"" prefix:"mesh-tls-" group:"TLS between hosts"`
+	AdminTLS   CertFiles `embed:"" prefix:"admin-tls-" group:"TLS of the admin API"`
+	EndpointCA string    `help:"File of the authorities that sign endpoints' certificates; empty for no TLS." group:"TLS towards endpoints"`
+	PlatformCA string    `help:"File of the authorities that sign the platform's certificate; empty for the system's." group:"TLS towards the platform"`
+}
+
+// CertFiles name the files of a certificate.
+type CertFiles struct {
+	Cert string `help:"Certificate file; empty for no TLS."`
+	Key  string `help:"File of the certificate's private key."`
+	CA   string `help:"File of the authorities that sign the other side's certificate." name:"ca"`
+}
+
+// settings checks the flags and converts them.
+func (f *Flags) settings() (host.Settings, error) {
+	set := host.Defaults()
+	set.Host = types.Host(f.Host)
+	set.DataCentre = types.DataCentre(f.DataCentre)
+	set.CallerListen, set.MeshListen = f.CallerListen, f.MeshListen
+	set.GossipListen, set.AdminListen = f.GossipListen, f.AdminListen
+	set.MeshAdvertise, set.GossipAdvertise = f.MeshAdvertise, f.GossipAdvertise
+	set.Seeds = f.Seed
+	set.ClusterKey = []byte(f.ClusterKey)
+	set.MaxCallers = f.MaxCallers
+	set.RequestTimeout, set.ConnectTimeout = f.RequestTimeout, f.ConnectTimeout
+	set.SilenceBound, set.MaxAge, set.DrainTimeout = f.SilenceBound, f.MaxAge, f.DrainTimeout
+	set.Failover = failover.Config{W: f.AuthorityWindow}
+	for _, step := range []func(*host.Settings) error{f.addTokens, f.addPlatform, f.addTLS} {
+		if err := step(&set); err != nil {
+			return set, err
+		}
+	}
+	return set, set.Check()
+}
+
+// addTokens adds the admin API's tokens.
+func (f *Flags) addTokens(set *host.Settings) error {
+	for _, text := range f.AdminToken {
+		token, err := admin.ParseToken(text)
+		if err != nil {
+			return errors.Wrap(err, "--admin-token")
+		}
+		set.AdminTokens = append(set.AdminTokens, token)
+	}
+	return nil
+}
+
+// addPlatform adds the client of the platform.
+func (f *Flags) addPlatform(set *host.Settings) error {
+	u, err := url.Parse(f.Platform)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("--platform is %q, must be http://HOST:PORT or https://HOST:PORT", f.Platform)
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if f.PlatformCA != "" {
+		pool, err := loadPool("--platform-ca", f.PlatformCA)
+		if err != nil {
+			return err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	set.Platform, err = platform.New(f.Platform, f.PlatformToken, transport)
+	return err
+}
+
+// addTLS loads the certificates.
+func (f *Flags) addTLS(set *host.Settings) error {
+	var err error
+	if set.CallerTLS, err = f.CallerTLS.server("--caller-tls-"); err != nil {
+		return err
+	}
+	if set.AdminTLS, err = f.AdminTLS.server("--admin-tls-"); err != nil {
+		return err
+	}
+	if set.MeshServerTLS, err = f.MeshTLS.server("--mesh-tls-"); err != nil {
+		return err
+	}
+	if set.MeshClientTLS, err = f.MeshTLS.client("--mesh-tls-"); err != nil {
+		return err
+	}
+	if f.EndpointCA != "" {
+		pool, err := loadPool("--endpoint-ca", f.EndpointCA)
+		if err != nil {
+			return err
+		}
+		set.EndpointTLS = chainOnly(&tls.Config{MinVersion: tls.VersionTLS12}, pool)
+	}
+	return nil
+}
+
+// server returns the configuration of the accepting side; nil without files.
+func (c *CertFiles) server(prefix string) (*tls.Config, error) {
+	cert, ok, err := c.load(prefix)
+	if !ok || err != nil {
+		return nil, err
+	}
+	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	if c.CA != "" {
+		cfg.ClientCAs, err = loadPool(prefix+"ca", c.CA)
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return cfg, err
+}
+
+// client returns the configuration of the connecting side; nil without files.
+func (c *CertFiles) client(prefix string) (*tls.Config, error) {
+	cert, ok, err := c.load(prefix)
+	if !ok || err != nil {
+		return nil, err
+	}
+	if c.CA == "" {
+		return nil, fmt.Errorf("%sca is empty, must name a file where %scert is set", prefix, prefix)
+	}
+	pool, err := loadPool(prefix+"ca", c.CA)
+	if err != nil {
+		return nil, err
+	}
+	return chainOnly(&tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, pool), nil
+}
+
+// load reads the certificate; ok is false where no file is named.
+func (c *CertFiles) load(prefix string) (cert tls.Certificate, ok bool, err error) {
+	if c.Cert == "" && c.Key == "" {
+		return cert, false, nil
+	}
+	cert, err = tls.LoadX509KeyPair(c.Cert, c.Key)
+	return cert, true, errors.Wrapf(err, "%scert %q and %skey %q", prefix, c.Cert, prefix, c.Key)
+}
+
+// loadPool reads a file of certificates.
+func loadPool(flag, path string) (*x509.CertPool, error) {
+	buf, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, flag)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(bytes.TrimSpace(buf)) {
+		return nil, fmt.Errorf("%s %q holds no certificate", flag, path)
+	}
+	return pool, nil
+}
+
+// chainOnly makes a client check that the server's certificate is signed by
+// the pool. Hosts and endpoints are reached by address, so that the name in
+// the certificate is not compared.
+func chainOnly(cfg *tls.Config, pool *x509.CertPool) *tls.Config {
+	cfg.InsecureSkipVerify = true
+	cfg.VerifyConnection = func(state tls.ConnectionState) error {
+		opts := x509.VerifyOptions{Roots: pool, Intermediates: x509.NewCertPool()}
+		for _, c := range state.PeerCertificates[1:] {
+			opts.Intermediates.AddCert(c)
+		}
+		_, err := state.PeerCertificates[0].Verify(opts)
+		return err
+	}
+	return cfg
+}
