--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -68,7 +68,7 @@
 		}
 	}
 	for i := range q.ranks {
-		if q.servable(&q.ranks[i]) {
+		if q.servable(&q.ranks[i]) > 0 {
 			return int32(i)
 		}
 	}
@@ -78,28 +78,19 @@
 // floorDue reports whether the rank's floor owes it a request and the rank
 // needs the floor, as its requests have waited for long.
 func (q *Queue) floorDue(now types.Time, r *rankQueue) bool {
-	if r.spec.Floor == 0 || r.credit < r.service.mean || !q.servable(r) {
+	if r.spec.Floor == 0 || r.credit < r.service.mean || q.servable(r) == 0 {
 		return false
 	}
 	patience := r.spec.Target / floorPatience
 	return r.wait >= patience || now.Sub(r.servedAt) >= patience
 }
 
-// servable reports whether the rank has a request that may start.
-func (q *Queue) servable(r *rankQueue) bool {
-	if r.depth == 0 {
-		return false
-	}
-	if !q.holdWrites {
-		return true
-	}
-	for n, i := 0, r.cursor; n < r.active; n++ {
-		if r.flows[i].reads.head != none {
-			return true
-		}
-		i = r.flows[i].next
+// servable returns the number of the rank's requests that may start.
+func (q *Queue) servable(r *rankQueue) int {
+	if q.holdWrites {
+		return r.depth - r.writes
 	}
-	return false
+	return r.depth
 }
 
 // nextItem returns the next request of a servable rank: the flows take turns,
@@ -167,14 +158,15 @@
 // expectedWait estimates how long a new request of the flow would wait.
 func (q *Queue) expectedWait(rank int32, f *flow) time.Duration {
 	r := &q.ranks[rank]
-	if q.inUse < q.slots && r.depth == 0 {
+	waiting := q.servable(r)
+	if q.inUse < q.slots && waiting == 0 {
 		return 0
 	}
 	active := r.active
 	if f.length == 0 {
 		active++
 	}
-	ahead := min(r.depth, (f.length+1)*active-1) + 1
+	ahead := min(waiting, (f.length+1)*active-1) + 1
 	perRequest := float64(r.service.mean) / (float64(q.slots) * q.share(rank))
 	return time.Duration(float64(ahead) * perRequest)
 }
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -74,6 +74,7 @@
 	cursor  int32 // the flow that is served next
 	active  int   // flows in the ring
 	depth   int
+	writes  int // the part of depth that may write
 	service serviceEstimate
 
 	// credit is the slot time that the floor still owes the rank.
@@ -129,6 +130,14 @@
 	return i
 }
 
+// count adds n to the number of waiting requests.
+func (r *rankQueue) count(write bool, n int) {
+	r.depth += n
+	if write {
+		r.writes += n
+	}
+}
+
 // activate puts a flow at the end of the ring.
 func (r *rankQueue) activate(i int32) {
 	r.active++
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -197,7 +197,7 @@
 	}
 	l.tail = i
 	f.length++
-	r.depth++
+	r.count(it.write, 1)
 	if f.length == 1 {
 		r.activate(it.flow)
 	}
@@ -220,7 +220,7 @@
 		q.items[it.next].prev = it.prev
 	}
 	f.length--
-	r.depth--
+	r.count(it.write, -1)
 	if f.length == 0 {
 		r.deactivate(it.flow)
 	}
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -74,6 +74,21 @@
 	is.Equal(kinds(q.Step(late, Event{Kind: EventReleaseWrites}), EffectStart), []types.RequestID{1})
 }
 
+func TestReadsPassHeldWrites(t *testing.T) {
+	is := is.New(t)
+	q := newQueue()
+	q.Step(0, Event{Kind: EventHoldWrites})
+	for id := types.RequestID(1); id <= 100; id++ {
+		write := submit(id, "urgent")
+		write.Write = true
+		is.Equal(len(q.Step(0, write)), 0)
+	}
+	for id := types.RequestID(101); id <= 110; id++ {
+		is.Equal(kinds(q.Step(0, submit(id, "urgent")), EffectStart), []types.RequestID{id})
+		q.Step(0, finish(id))
+	}
+}
+
 func TestHeldWritesMindTheCallersDeadline(t *testing.T) {
 	is := is.New(t)
 	q := newQueue()
