--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -103,6 +103,8 @@
 		}
 	}
 	for _, i := range waiting {
+		it := &q.items[i]
+		it.flow = q.ranks[it.rank].flowOf(it.key, q.cfg.FlowLimit)
 		q.push(i)
 	}
 }
@@ -172,7 +174,7 @@
 	i := q.allocate()
 	q.seq++
 	q.items[i] = item{
-		id: ev.ID, rank: rank, seq: q.seq, key: key,
+		id: ev.ID, rank: rank, flow: fi, seq: q.seq, key: key,
 		due: due, deadline: ev.Deadline, write: ev.Write,
 	}
 	q.byID[ev.ID] = i
@@ -186,7 +188,6 @@
 func (q *Queue) push(i int32) {
 	it := &q.items[i]
 	r := &q.ranks[it.rank]
-	it.flow = r.flowOf(it.key, q.cfg.FlowLimit)
 	f := &r.flows[it.flow]
 	l := f.listOf(it.write)
 	it.next, it.prev = none, l.tail
