--- /dev/null
+++ b/core/config/plan_test.go
@@ -0,0 +1,306 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"baobabfield.example/core/types"
+)
+
+func pantufa(endpoints int) types.ServiceSpec {
+	db := types.DatabaseSpec{ID: "orders", Set: 1}
+	for i := range endpoints {
+		db.Endpoints = append(db.Endpoints, types.EndpointSpec{
+			ID: types.Endpoint(fmt.Sprintf("orders-%d", i)), DataCentre: "recife-a", Address: "127.0.0.1:5432",
+		})
+	}
+	return types.ServiceSpec{
+		Name: "pedidos-db", Promise: types.PromiseReplicated, Slots: 2, Connections: 80,
+		Databases: []types.DatabaseSpec{db},
+	}
+}
+
+// storeOf returns a store with the bodies at versions from 1.
+func storeOf(bodies ...Body) *Store {
+	s := NewStore()
+	for i, b := range bodies {
+		s.Apply(Object{Key: b.Key(), Version: Version(i + 1), Body: b})
+	}
+	return s
+}
+
+func planFor(intent Intent, s *Store, uses ...Use) (Plan, error) {
+	return BuildPlan(PlanRequest{ID: "p1", Author: "ana", Intent: intent, Snapshot: s.Snapshot(), Uses: uses})
+}
+
+func warned(p Plan, kind WarningKind) bool {
+	for _, w := range p.Warnings {
+		if w.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func retirement(kind TargetKind, target string, phase Phase) Retirement {
+	return Retirement{Name: "leaving", Kind: kind, Target: target, Service: "pedidos-db", Phase: phase}
+}
+
+func TestOnlyHigherVersionsApply(t *testing.T) {
+	is := is.New(t)
+	s := NewStore()
+	body := RankObject{Spec: types.RankSpec{Name: "urgent"}}
+	is.True(s.Apply(Object{Key: body.Key(), Version: 5, Body: body}))
+	is.True(!s.Apply(Object{Key: body.Key(), Version: 5, Body: body}))
+	before := s.Snapshot()
+	is.True(s.Apply(Object{Key: body.Key(), Version: 7}))
+	is.True(!s.Apply(Object{Key: body.Key(), Version: 6, Body: body})) // the deletion stays
+	_, found := s.Snapshot().Rank("urgent")
+	is.True(!found)
+	_, found = before.Rank("urgent")
+	is.True(found) // snapshots do not change
+}
+
+func TestStaleListDeletesNothingNewer(t *testing.T) {
+	is := is.New(t)
+	s := storeOf(RankObject{Spec: types.RankSpec{Name: "a"}}, RankObject{Spec: types.RankSpec{Name: "b"}})
+	s.ApplyWhole(nil, 2)
+	_, found := s.Snapshot().Rank("a")
+	is.True(!found) // version 1 is missing from a list of version 2
+	_, found = s.Snapshot().Rank("b")
+	is.True(found)
+}
+
+func TestPhasesForbidNewWork(t *testing.T) {
+	is := is.New(t)
+	for _, phase := range []Phase{PhaseAnnounced, PhaseDraining, PhaseRetired} {
+		forbids := phase != PhaseAnnounced
+		s := storeOf(ServiceObject{Spec: pantufa(3)}, retirement(TargetJob, "nightly", phase)).Snapshot()
+		_, refused := s.Refusal("pedidos-db", "stock", "nightly")
+		is.Equal(refused, forbids)
+		_, announced := s.Announced("pedidos-db", "stock", "nightly")
+		is.Equal(announced, !forbids)
+		_, refused = s.Refusal("other", "stock", "nightly")
+		is.True(!refused)
+		s = storeOf(ServiceObject{Spec: pantufa(3)}, retirement(TargetEndpoint, "orders-1", phase)).Snapshot()
+		_, leaving := s.EndpointLeaving("pedidos-db", "orders-1")
+		is.Equal(leaving, forbids)
+		spec, _ := s.Service("pedidos-db")
+		is.Equal(spec.Databases[0].Endpoints[1].Leaving, forbids)
+	}
+}
+
+func TestPlanNamesWhatIsUnsafe(t *testing.T) {
+	is := is.New(t)
+	retire := func(endpoints int) Plan {
+		s := storeOf(ServiceObject{Spec: pantufa(endpoints)})
+		p, err := planFor(Retire{Retirement: retirement(TargetEndpoint, "orders-0", PhaseDraining)}, s)
+		is.NoErr(err)
+		return p
+	}
+	is.Equal(len(retire(3).Warnings), 0)
+	is.True(warned(retire(2), WarnLastReplica))
+	is.True(warned(retire(1), WarnNoEndpoint))
+
+	hour := int64(time.Hour)
+	use := Use{UseKey: UseKey{Service: "pedidos-db", Job: "nightly", Caller: "10.0.0.1"}, Calls: 4, LastSeen: 3 * hour}
+	s := storeOf(ServiceObject{Spec: pantufa(3)})
+	p, err := planFor(Retire{Retirement: retirement(TargetJob, "nightly", PhaseDraining)}, s, use)
+	is.NoErr(err)
+	is.True(warned(p, WarnJobFiring))
+	is.Equal(p.Uses, []Use{use})
+
+	rank := types.RankSpec{Name: "urgent", Target: time.Second, Worth: 1, Floor: 10}
+	p, err = planFor(PutRank{Spec: rank}, s)
+	is.NoErr(err)
+	is.True(warned(p, WarnRankWithoutTakers))
+
+	kept := pantufa(3)
+	kept.Databases[0].Endpoints = kept.Databases[0].Endpoints[:1]
+	p, err = planFor(PutService{Spec: kept}, s)
+	is.NoErr(err)
+	is.True(warned(p, WarnNoMajority))
+	is.Equal(p.Updates[0].Body.(ServiceObject).Spec.Databases[0].Set, uint32(2))
+	is.Equal(len(p.Updates[0].Body.(ServiceObject).Spec.Databases[0].PreviousEndpoints), 3)
+}
+
+func TestErrorsNameValueAndRange(t *testing.T) {
+	is := is.New(t)
+	slots := pantufa(3)
+	slots.Slots = 0
+	cases := []struct {
+		intent Intent
+		words  []string
+	}{
+		{PutService{Spec: slots}, []string{`"pedidos-db"`, "is 0", "1 and 10000"}},
+		{PutRank{Spec: types.RankSpec{Name: "r", Target: time.Second, Worth: 1, Floor: 101}}, []string{`"r"`, "101", "0 and 100"}},
+		{RemoveRank{Name: "none"}, []string{`"none"`}},
+		{Retire{Retirement: retirement(TargetEndpoint, "gone", PhaseDraining)}, []string{`"gone"`}},
+		{Retire{Retirement: retirement(TargetEndpoint, "orders-1", PhaseRetired)}, []string{`"orders-1"`, `"draining"`}},
+		{Retire{Retirement: retirement("thing", "x", PhaseDraining)}, []string{`"thing"`, `"feature"`}},
+	}
+	for _, c := range cases {
+		_, err := planFor(c.intent, storeOf(ServiceObject{Spec: pantufa(3)}))
+		is.True(err != nil)
+		for _, w := range c.words {
+			is.True(strings.Contains(err.Error(), w)) // the error names the value or the range
+		}
+	}
+}
+
+func TestUseTrackerIsBounded(t *testing.T) {
+	is := is.New(t)
+	tracker := NewUseTracker("a", 2)
+	for i := range int64(3) {
+		tracker.Record(i, UseKey{Feature: types.Feature(fmt.Sprint(i))}, false)
+		tracker.Record(i, UseKey{Feature: "kept"}, true)
+	}
+	uses := tracker.Uses()
+	is.Equal(len(uses), 2)
+	is.Equal(uses[1].Refused, uint64(3))
+	is.Equal(uses[1].FirstSeen, int64(0))
+}
+
+// world is a platform that loses requests and answers.
+type world struct {
+	t       *rapid.T
+	objects map[Key]Object
+	version Version
+	// writes counts the writes of each operation to each object.
+	writes map[string]int
+}
+
+func (w *world) put(write Write) bool {
+	if w.objects[write.Key].Version != write.IfVersion {
+		return false
+	}
+	w.version++
+	o := Object{Key: write.Key, Version: w.version, Body: write.Body, Operations: write.Operations}
+	w.objects[write.Key] = o
+	if n := len(write.Operations); n > 0 && write.Key.Kind != KindPlan {
+		w.writes[fmt.Sprint(write.Key, write.Operations[n-1])]++
+	}
+	return true
+}
+
+// answer performs a request, which or whose answer can be lost.
+func (w *world) answer(request ConfirmEffect) ConfirmEvent {
+	fate := rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "answer lost"}).Draw(w.t, "fate")
+	switch request := request.(type) {
+	case ReadObject:
+		if fate != "answered" {
+			return ReadFailed{}
+		}
+		return ReadAnswered{Object: w.objects[request.Key]}
+	case PutObject:
+		if fate == "lost" {
+			return PutAnswered{Result: PutUnknown}
+		}
+		applied := w.put(request.Write)
+		switch {
+		case fate == "answer lost":
+			return PutAnswered{Result: PutUnknown}
+		case applied:
+			return PutAnswered{Result: PutApplied, Version: w.version}
+		}
+		return PutAnswered{Result: PutConflict}
+	}
+	w.t.Fatalf("request %T", request)
+	return nil
+}
+
+// attempt is a confirmation in progress.
+type attempt struct {
+	plan    string
+	machine *Confirmation
+	next    ConfirmEffect
+}
+
+// Rival plans for the same object, confirmed by several operators at a time, over
+// a platform that loses requests and answers: one plan is accepted, none is
+// written twice, and answers that are final agree.
+func TestRivalConfirmations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		for range 20 {
+			checkRivals(t)
+		}
+	})
+}
+
+func checkRivals(t *rapid.T) {
+	w := &world{t: t, objects: map[Key]Object{}, writes: map[string]int{}}
+	s := NewStore()
+	w.put(Write{Key: ServiceObject{Spec: pantufa(3)}.Key(), Body: ServiceObject{Spec: pantufa(3)}})
+	s.Apply(w.objects[ServiceObject{Spec: pantufa(3)}.Key()])
+	for i := range 2 {
+		r := retirement(TargetEndpoint, fmt.Sprintf("orders-%d", i), PhaseDraining)
+		r.Name = fmt.Sprintf("leaving-%d", i)
+		p, err := BuildPlan(PlanRequest{ID: fmt.Sprintf("p%d", i), Intent: Retire{Retirement: r}, Snapshot: s.Snapshot()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.put(ProposeWrite(p))
+	}
+	final := map[string]ConfirmState{}
+	runAttempts(t, w, final)
+	for name, n := range w.writes {
+		if n > 1 {
+			t.Fatalf("%s was written %d times", name, n)
+		}
+	}
+	if final["p0"] == ConfirmAccepted && final["p1"] == ConfirmAccepted {
+		t.Fatal("both rivals were accepted")
+	}
+}
+
+// runAttempts interleaves several confirmations of each plan.
+func runAttempts(t *rapid.T, w *world, final map[string]ConfirmState) {
+	var running []*attempt
+	for i := range 6 {
+		id := fmt.Sprintf("p%d", i%2)
+		c := NewConfirmation(id)
+		running = append(running, &attempt{plan: id, machine: c, next: c.Start()})
+	}
+	for steps := 0; len(running) > 0; steps++ {
+		if steps > 2000 {
+			t.Fatal("the confirmations do not end")
+		}
+		i := rapid.IntRange(0, len(running)-1).Draw(t, "attempt")
+		a := running[i]
+		a.next = a.machine.Step(w.answer(a.next))
+		end, ended := a.next.(Confirmed)
+		if !ended {
+			continue
+		}
+		running = append(running[:i], running[i+1:]...)
+		if end.State == ConfirmNotYetKnown {
+			continue
+		}
+		if known, ok := final[a.plan]; ok && known != end.State {
+			t.Fatalf("plan %s was %s and then %s", a.plan, known, end.State)
+		}
+		final[a.plan] = end.State
+	}
+}
+
+func TestWithdrawnPlanIsRefused(t *testing.T) {
+	is := is.New(t)
+	p, err := planFor(PutService{Spec: pantufa(3)}, NewStore())
+	is.NoErr(err)
+	stored := Object{Key: p.Key(), Version: 4, Body: p}
+	w, err := WithdrawWrite(stored)
+	is.NoErr(err)
+	is.Equal(w.IfVersion, Version(4))
+	withdrawn := Object{Key: p.Key(), Version: 5, Body: w.Body}
+	c := NewConfirmation(p.ID)
+	c.Start()
+	end := c.Step(ReadAnswered{Object: withdrawn}).(Confirmed)
+	is.Equal(end.State, ConfirmRefused)
+	_, err = WithdrawWrite(withdrawn)
+	is.True(err != nil)
+}
