--- a/standin/database/follower.go
+++ b/standin/database/follower.go
@@ -73,8 +73,7 @@
 		if err != nil {
 			return err
 		}
-		lag := ask(f.ledger, func() time.Duration { return f.ledger.lag })
-		if err := sleep(ctx, lag); err != nil {
+		if err := f.waitLag(ctx, time.Now()); err != nil {
 			return err
 		}
 		if err := f.apply(ctx, entries); err != nil {
@@ -161,6 +160,32 @@
 	return e, json.Unmarshal(row[2], &e.Statements)
 }
 
+// waitLag waits until the lag in force has passed since a time.
+func (f *follower) waitLag(ctx context.Context, since time.Time) error {
+	type setting struct {
+		lag     time.Duration
+		changed chan struct{}
+	}
+	l := f.ledger
+	for {
+		s := ask(l, func() setting { return setting{l.lag, l.lagChanged} })
+		left := time.Until(since.Add(s.lag))
+		if left <= 0 {
+			return ctx.Err()
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-s.changed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
 func (f *follower) apply(ctx context.Context, entries []Entry) error {
 	if len(entries) == 0 {
 		return nil
--- a/standin/database/instance.go
+++ b/standin/database/instance.go
@@ -170,7 +170,7 @@
 
 // SetLag changes the replication lag of the instance as a replica.
 func (i *Instance) SetLag(d time.Duration) {
-	ask(i.ledger, func() bool { i.ledger.lag = d; return true })
+	ask(i.ledger, func() bool { i.ledger.setLag(d); return true })
 }
 
 // SetServiceTime changes the time that is added to each statement.
--- a/standin/database/ledger.go
+++ b/standin/database/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"database/sql"
+	"slices"
 	"time"
 
 	"baobabfield.example/core/types"
@@ -49,6 +50,8 @@
 	// generation numbers the followers, so that messages of old ones are ignored.
 	generation uint64
 	lag        time.Duration
+	// lagChanged is closed when lag changes.
+	lagChanged chan struct{}
 	halted     bool
 }
 
@@ -77,7 +80,7 @@
 func newLedger(ctx context.Context, c Config, s *storage) *ledger {
 	return &ledger{
 		config: c, storage: s, ctx: ctx, inbox: make(chan func()), role: RoleReplica,
-		held: map[types.Endpoint]types.Position{}, lag: c.ReplicationLag,
+		held: map[types.Endpoint]types.Position{}, lag: c.ReplicationLag, lagChanged: make(chan struct{}),
 	}
 }
 
@@ -124,20 +127,16 @@
 	if l.role != RolePrimary {
 		return 0
 	}
-	last := l.history.last().Position
+	positions := []types.Position{l.history.last().Position}
+	for _, held := range l.held {
+		positions = append(positions, held)
+	}
 	majority := (len(l.config.Peers)+1)/2 + 1
-	for p := last; p > 0; p-- {
-		holders := 1
-		for _, held := range l.held {
-			if held >= p {
-				holders++
-			}
-		}
-		if holders >= majority {
-			return p
-		}
+	if len(positions) < majority {
+		return 0
 	}
-	return 0
+	slices.Sort(positions)
+	return positions[len(positions)-majority]
 }
 
 // fence grants a term above the current one and reports whether it did.
@@ -318,6 +317,13 @@
 	}
 }
 
+// setLag changes the replication lag, also of what has been received already.
+func (l *ledger) setLag(d time.Duration) {
+	l.lag = d
+	close(l.lagChanged)
+	l.lagChanged = make(chan struct{})
+}
+
 // acknowledge records what a replica of the current term holds.
 func (l *ledger) acknowledge(peer types.Endpoint, held types.Position) {
 	for _, p := range l.config.Peers {
--- a/standin/database/replication_test.go
+++ b/standin/database/replication_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -170,3 +171,17 @@
 	waitReplica(t, ctx, replica, primary)
 	is.Equal(countRounds(t, ctx, replica), 2)
 }
+
+func TestLagDelaysAReplicaUntilItIsTakenAway(t *testing.T) {
+	is := is.New(t)
+	ctx := testContext(t)
+	g := startGroup(t, ctx)
+	primary, near, far := g.Instances[0], g.Instances[1], g.Instances[2]
+	far.SetLag(time.Hour)
+	exec(t, ctx, connect(t, ctx, primary), "CREATE TABLE rounds (id bigint primary key)")
+	is.NoErr(primary.WaitReplicated(ctx, 1))
+	waitReplica(t, ctx, near, primary)
+	is.Equal(int(far.Status().Last.Position), 0)
+	far.SetLag(0)
+	waitReplica(t, ctx, far, primary)
+}
