Let other data centres own the endpoints of one without hosts; tell which batches can commit

Cause: the end-to-end tests killed the only host of a data centre, after which nobody owned the healthy primary there; and an insert in a transaction was reported with an unknown outcome after its owner's death, although it could not have committed.

--- /dev/null
+++ b/core/routing/end.go
@@ -0,0 +1,30 @@
+package routing
+
+// MayEndTransaction reports whether the text holds a statement that can commit
+// the transaction it runs in.
+func MayEndTransaction(sql string) bool {
+	s := scanner{text: sql}
+	first := true
+	for w := s.next(); w != ""; w = s.next() {
+		if w == separator {
+			first = true
+			continue
+		}
+		if first && endsTransaction(w) {
+			return true
+		}
+		first = false
+	}
+	return false
+}
+
+// endsTransaction reports whether a statement with the leading keyword can
+// commit; procedures can.
+func endsTransaction(w string) bool {
+	var buf [maxKeyword]byte
+	switch string(upper(w, &buf)) {
+	case "COMMIT", "END", "PREPARE", "CALL", "DO":
+		return true
+	}
+	return false
+}
--- a/core/routing/owner.go
+++ b/core/routing/owner.go
@@ -53,3 +53,24 @@
 	x ^= x >> 33
 	return x
 }
+
+// LiveHosts is a view of the hosts that may own endpoints.
+type LiveHosts interface {
+	// DataCentres returns the data centres with known hosts, in order.
+	DataCentres() []types.DataCentre
+	// Live returns the live hosts of a data centre.
+	Live(dc types.DataCentre) []types.Host
+}
+
+// OwnersAt returns the owner and the stand-by of an endpoint in a data centre.
+// Where no host of the data centre is live, those of all others stand in.
+func OwnersAt(e types.Endpoint, dc types.DataCentre, hosts LiveHosts) (owner, standby types.Host) {
+	if live := hosts.Live(dc); len(live) > 0 {
+		return Owners(e, live)
+	}
+	var all []types.Host
+	for _, other := range hosts.DataCentres() {
+		all = append(all, hosts.Live(other)...)
+	}
+	return Owners(e, all)
+}
--- a/core/routing/owner_test.go
+++ b/core/routing/owner_test.go
@@ -57,3 +57,20 @@
 	is.Equal(owner, types.Host("host-0"))
 	is.Equal(standby, types.Host(""))
 }
+
+// centres is a fixed view of the hosts.
+type centres map[types.DataCentre][]types.Host
+
+func (c centres) DataCentres() []types.DataCentre       { return []types.DataCentre{"pelotas", "sao-jose"} }
+func (c centres) Live(dc types.DataCentre) []types.Host { return c[dc] }
+
+func TestOtherDataCentresStandInForOneWithoutHosts(t *testing.T) {
+	is := is.New(t)
+	live := centres{"pelotas": {"p-1", "p-2"}, "sao-jose": {"s-1"}}
+	owner, standby := OwnersAt("db", "sao-jose", live)
+	is.Equal(owner, types.Host("s-1"))
+	is.Equal(standby, types.Host(""))
+	delete(live, "sao-jose")
+	owner, standby = OwnersAt("db", "sao-jose", live)
+	is.True(owner != "" && standby != "" && owner != standby)
+}
--- a/node/caller/batch.go
+++ b/node/caller/batch.go
@@ -40,7 +40,7 @@
 			reads = false
 		}
 		p.begins = len(b.SQL) == 1 && (kind == routing.KindBegin || kind == routing.KindBeginReadOnly)
-		p.canCommit = p.canCommit || canCommit(kind)
+		p.canCommit = p.canCommit || routing.MayEndTransaction(sql)
 	}
 	if reads {
 		p.write = false
@@ -48,12 +48,6 @@
 	return p
 }
 
-// canCommit reports whether a statement of the kind can end a transaction. A
-// text of several statements counts as a write and may hold a COMMIT.
-func canCommit(k routing.Kind) bool {
-	return k == routing.KindCommit || k == routing.KindWrite || k == routing.KindOther
-}
-
 // local answers a batch that needs no endpoint.
 func (s *sessionTask) local(ctx context.Context, b *pgwire.Batch) (answer []byte, ok bool) {
 	if b.Empty() {
--- a/node/owner/registry.go
+++ b/node/owner/registry.go
@@ -369,18 +369,30 @@
 func (r *Registry) owners(db types.DatabaseSpec) map[types.Endpoint]types.Host {
 	out := map[types.Endpoint]types.Host{}
 	for _, e := range slices.Concat(db.Endpoints, db.PreviousEndpoints) {
-		owner, _ := routing.Owners(e.ID, r.live(e.DataCentre))
+		owner, _ := routing.OwnersAt(e.ID, e.DataCentre, takingWork{r})
 		out[e.ID] = owner
 	}
 	return out
 }
 
-// live returns the live hosts of a data centre. The host counts itself as long
-// as it takes work, so that it goes on while the others learn that it leaves.
-func (r *Registry) live(dc types.DataCentre) []types.Host {
-	hosts := r.members.Live(dc)
-	if dc != r.set.DataCentre || r.leaving || slices.Contains(hosts, r.set.Host) {
+// takingWork is the registry's view of the hosts. The host counts itself as
+// long as it takes work, so that it goes on while the others learn that it leaves.
+type takingWork struct{ r *Registry }
+
+// DataCentres returns the data centres with known hosts, the host's own included.
+func (t takingWork) DataCentres() []types.DataCentre {
+	list := t.r.members.DataCentres()
+	if slices.Contains(list, t.r.set.DataCentre) {
+		return list
+	}
+	return append(slices.Clone(list), t.r.set.DataCentre)
+}
+
+// Live returns the hosts of a data centre that take work.
+func (t takingWork) Live(dc types.DataCentre) []types.Host {
+	hosts := t.r.members.Live(dc)
+	if dc != t.r.set.DataCentre || t.r.leaving || slices.Contains(hosts, t.r.set.Host) {
 		return hosts
 	}
-	return append(slices.Clone(hosts), r.set.Host)
+	return append(slices.Clone(hosts), t.r.set.Host)
 }
--- a/node/router/route.go
+++ b/node/router/route.go
@@ -138,7 +138,7 @@
 func (t *Task) ownerOf(d *database, id types.Endpoint) types.Host {
 	for _, e := range d.spec.Endpoints {
 		if e.ID == id {
-			owner, _ := routing.Owners(id, t.members.Live(e.DataCentre))
+			owner, _ := routing.OwnersAt(id, e.DataCentre, t.members)
 			return owner
 		}
 	}
