--- a/cmd/baobabd/flags.go
+++ b/cmd/baobabd/flags.go
@@ -40,6 +40,7 @@
 	ConnectTimeout  time.Duration `help:"Limit of connecting to an endpoint." default:"2s"`
 	SilenceBound    time.Duration `help:"Longest silence of an endpoint that owes an answer." default:"10s"`
 	MaxAge          time.Duration `help:"Age of data that a read accepts whose caller states none." default:"10s"`
+	HostsInterval   time.Duration `help:"Time between two readings of the platform's list of hosts." default:"60s"`
 	DrainTimeout    time.Duration `help:"Limit of a planned stop." default:"30s"`
 	AuthorityWindow time.Duration `help:"Age up to which an endpoint's answer supports write authority; equal on all hosts." default:"500ms"`
 	LogLevel        string        `help:"Least level of the log: debug, info, warn or error." default:"info"`
@@ -71,6 +72,7 @@
 	set.MaxCallers = f.MaxCallers
 	set.RequestTimeout, set.ConnectTimeout = f.RequestTimeout, f.ConnectTimeout
 	set.SilenceBound, set.MaxAge, set.DrainTimeout = f.SilenceBound, f.MaxAge, f.DrainTimeout
+	set.HostsInterval = f.HostsInterval
 	set.Failover = failover.Config{W: f.AuthorityWindow}
 	for _, step := range []func(*host.Settings) error{f.addTokens, f.addPlatform, f.addTLS} {
 		if err := step(&set); err != nil {
--- /dev/null
+++ b/node/host/bench_test.go
@@ -0,0 +1,90 @@
+package host
+
+import (
+	"context"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+)
+
+// The benchmarks run the same statements over a direct connection to an
+// endpoint and through a host; the ratio of their times is the cost of the path.
+
+// benchTable creates the table that the benchmarks use.
+func benchTable(b *testing.B, ctx context.Context, conn *pgx.Conn) {
+	b.Helper()
+	is := is.New(b)
+	_, err := conn.Exec(ctx, "CREATE TABLE rounds (id integer primary key, pin text)")
+	is.NoErr(err)
+	_, err = conn.Exec(ctx, "INSERT INTO rounds VALUES (0, 'hinge')")
+	is.NoErr(err)
+}
+
+// benchRead reads one row over and over.
+func benchRead(b *testing.B, ctx context.Context, conn *pgx.Conn) {
+	b.Helper()
+	b.ReportAllocs()
+	for b.Loop() {
+		var pin string
+		if err := conn.QueryRow(ctx, "SELECT pin FROM rounds WHERE id = $1", 0).Scan(&pin); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// benchWrite inserts one row after another.
+func benchWrite(b *testing.B, ctx context.Context, conn *pgx.Conn) {
+	b.Helper()
+	b.ReportAllocs()
+	id := 0
+	for b.Loop() {
+		id++
+		if _, err := conn.Exec(ctx, "INSERT INTO rounds VALUES ($1, $2)", id, "chain"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkPath(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := startCluster(b, ctx)
+	through := c.connect(b, ctx, 0, "")
+	benchTable(b, ctx, through)
+	direct, err := pgx.Connect(ctx, "postgres://app@"+c.group.Instances[0].Address()+"/ramp-logs-1?sslmode=disable")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = direct.Close(ctx) }()
+	b.Run("read/direct", func(b *testing.B) { benchRead(b, ctx, direct) })
+	b.Run("read/through", func(b *testing.B) { benchRead(b, ctx, through) })
+	b.Run("write/through", func(b *testing.B) { benchWrite(b, ctx, through) })
+	b.Run("read/parallel", func(b *testing.B) { benchParallel(b, ctx, c) })
+}
+
+// benchParallel reads over several connections at a time and reports the
+// statements for each second of one core.
+func benchParallel(b *testing.B, ctx context.Context, c *cluster) {
+	const callers = 6
+	conns := make(chan *pgx.Conn, callers)
+	for i := range callers {
+		conns <- c.connect(b, ctx, i%len(c.hosts), "")
+	}
+	b.SetParallelism(1)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		conn, ok := <-conns, true
+		for ok && pb.Next() {
+			var pin string
+			if err := conn.QueryRow(ctx, "SELECT pin FROM rounds WHERE id = $1", 0).Scan(&pin); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+		conns <- conn
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/float64(runtime.GOMAXPROCS(0)), "stmts/s/core")
+}
--- a/node/host/coordinator.go
+++ b/node/host/coordinator.go
@@ -190,15 +190,16 @@
 // readHosts reads the platform's list of hosts now and then.
 func (h *Host) readHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		hosts, err := h.platform.Hosts(ctx)
+		list, err := h.platform.Hosts(ctx)
 		if err != nil {
 			h.log.Debug("platform's list of hosts is not available", zap.Error(err))
 		} else {
 			select {
-			case h.member.Input() <- membership.PlatformHosts{Hosts: hosts}:
+			case h.member.Input() <- membership.PlatformHosts{Hosts: list.Hosts}:
 			case <-ctx.Done():
 			}
+			h.operator.EndpointsLeaving(ctx, list.LeavingEndpoints)
 		}
-		wait(ctx, hostsInterval)
+		wait(ctx, h.set.HostsInterval)
 	}
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -33,8 +33,6 @@
 	eventLimit = 8192
 	// leaveNotice is the time that a leaving host gives the others to learn of it.
 	leaveNotice = time.Second
-	// hostsInterval is the time between two readings of the platform's list of hosts.
-	hostsInterval = 10 * time.Second
 	// adminTimeout bounds the wait of an admin call for the tasks.
 	adminTimeout = 12 * time.Second
 	// defaultRank is the rank of callers that state none.
--- a/node/host/path_test.go
+++ b/node/host/path_test.go
@@ -34,7 +34,7 @@
 }
 
 // startCluster starts the endpoints, the platform and the hosts.
-func startCluster(t *testing.T, ctx context.Context) *cluster {
+func startCluster(t testing.TB, ctx context.Context) *cluster {
 	t.Helper()
 	is := is.New(t)
 	group, err := database.StartGroup(ctx, database.Config{Database: "ramp-logs-1", Slots: 3, ConnectDelay: -1},
@@ -87,7 +87,7 @@
 }
 
 // connect opens a caller's connection to a host, once the host has its configuration.
-func (c *cluster) connect(t *testing.T, ctx context.Context, host int, params string) *pgx.Conn {
+func (c *cluster) connect(t testing.TB, ctx context.Context, host int, params string) *pgx.Conn {
 	t.Helper()
 	for {
 		conn, err := pgx.Connect(ctx, "postgres://app@"+c.hosts[host].CallerAddress()+"/ramp-logs-1?sslmode=disable"+params)
--- a/node/host/settings.go
+++ b/node/host/settings.go
@@ -48,6 +48,8 @@
 	SilenceBound time.Duration
 	// MaxAge is the age of data that a read accepts whose caller states none.
 	MaxAge time.Duration
+	// HostsInterval is the time between two readings of the platform's list of hosts.
+	HostsInterval time.Duration
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration
 	// Failover holds the timing of failovers; zero values take the defaults.
@@ -69,6 +71,7 @@
 		ConnectTimeout: 2 * time.Second,
 		SilenceBound:   10 * time.Second,
 		MaxAge:         10 * time.Second,
+		HostsInterval:  60 * time.Second,
 		DrainTimeout:   30 * time.Second,
 	}
 }
@@ -128,6 +131,7 @@
 		{"connect timeout", s.ConnectTimeout},
 		{"silence bound", s.SilenceBound},
 		{"max age", s.MaxAge},
+		{"hosts interval", s.HostsInterval},
 		{"drain timeout", s.DrainTimeout},
 	} {
 		if d.value <= 0 || d.value > maxTimeout {
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -156,6 +156,10 @@
 		t.members = m
 	case recordEvent:
 		t.set.Recorder.Record(m.event)
+	case leavingEndpoints:
+		if v := t.view(); v.proposes() {
+			go v.proposeAll(ctx, m.endpoints)
+		}
 	case hostQuery:
 		v := t.view()
 		go func() { m.reply <- v.answer(ctx, m.query) }()
@@ -294,13 +298,21 @@
 	if err != nil {
 		return config.Plan{}, admin.Malformed("intent", "%s", err)
 	}
-	if _, err := v.Platform.Put(ctx, config.ProposeWrite(plan)); err != nil {
-		return config.Plan{}, admin.Unavailable(errors.Wrap(err, "store plan").Error())
+	if err := v.propose(ctx, plan, r.Call); err != nil {
+		return config.Plan{}, admin.Unavailable(err.Error())
 	}
-	v.record(ctx, timeline.KindPlanProposed, plan, r.Call)
 	return plan, nil
 }
 
+// propose stores a new plan.
+func (v view) propose(ctx context.Context, plan config.Plan, c admin.Call) error {
+	if _, err := v.Platform.Put(ctx, config.ProposeWrite(plan)); err != nil {
+		return errors.Wrapf(err, "store plan %q", plan.ID)
+	}
+	v.record(ctx, timeline.KindPlanProposed, plan, c)
+	return nil
+}
+
 // record notes a change of a plan in the time line.
 func (v view) record(ctx context.Context, kind timeline.Kind, plan config.Plan, c admin.Call) {
 	v.log.Info("plan changed", zap.String("plan", plan.ID), zap.String("kind", string(kind)), zap.String("author", c.Author))
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -178,35 +178,31 @@
 	return objects, config.Version(answer.Version), err
 }
 
-// Hosts returns the platform's list of hosts, which lags.
-func (c *Client) Hosts(ctx context.Context) ([]membership.PlatformHost, error) {
+// HostList is the platform's list of hosts and leaving endpoints, which lags.
+type HostList struct {
+	Hosts            []membership.PlatformHost
+	LeavingEndpoints []types.Endpoint
+}
+
+// Hosts returns the platform's list.
+func (c *Client) Hosts(ctx context.Context) (HostList, error) {
 	list, err := c.hostList(ctx)
 	if err != nil {
-		return nil, err
+		return HostList{}, err
 	}
-	hosts := make([]membership.PlatformHost, 0, len(list.Hosts))
+	var out HostList
 	for _, h := range list.Hosts {
-		hosts = append(hosts, membership.PlatformHost{
+		out.Hosts = append(out.Hosts, membership.PlatformHost{
 			Host: types.Host(h.ID), DataCentre: types.DataCentre(h.DataCentre),
 			MeshAddress: h.MeshAddress, GossipAddress: h.GossipAddress, Leaving: h.Leaving,
 		})
 	}
-	return hosts, nil
-}
-
-// LeavingEndpoints returns the endpoints that the platform lists as leaving.
-func (c *Client) LeavingEndpoints(ctx context.Context) ([]types.Endpoint, error) {
-	list, err := c.hostList(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var leaving []types.Endpoint
 	for _, e := range list.Endpoints {
 		if e.Leaving {
-			leaving = append(leaving, types.Endpoint(e.ID))
+			out.LeavingEndpoints = append(out.LeavingEndpoints, types.Endpoint(e.ID))
 		}
 	}
-	return leaving, nil
+	return out, nil
 }
 
 func (c *Client) hostList(ctx context.Context) (*api.HostList, error) {
