--- a/core/policy/measure_test.go
+++ b/core/policy/measure_test.go
@@ -12,7 +12,7 @@
 // workers is the number of simulations that run side by side.
 const workers = 4
 
-// runs holds the results by deployment, scenario and policy.
+// runs holds the results by deployment, scenario and policy; nil where not run.
 type runs [][][policyCount]*result
 
 // measureAll runs every scenario under every policy.
@@ -24,6 +24,9 @@
 		out[d] = make([][policyCount]*result, len(scenarios))
 		for s := range scenarios {
 			for p := range int(policyCount) {
+				if policyKind(p) == twoChoices && scenarios[s].floods() {
+					continue // the choice of replicas is compared without floods
+				}
 				jobs = append(jobs, job{d, s, p})
 			}
 		}
--- a/core/policy/report_test.go
+++ b/core/policy/report_test.go
@@ -67,6 +67,9 @@
 }
 
 func writeRanks(b *strings.Builder, d deployment, sc scenario, kind policyKind, r, calm *result) {
+	if r == nil {
+		return
+	}
 	for rank, spec := range admission.DefaultRanks() {
 		fmt.Fprintf(b, "| %s | %s | %s | %.0f | %s | %s | %s | %s | %s |\n",
 			sc.name, policyNames[kind], spec.Name,
@@ -79,6 +82,9 @@
 }
 
 func writeTotals(b *strings.Builder, d deployment, sc scenario, kind policyKind, r *result) {
+	if r == nil {
+		return
+	}
 	fmt.Fprintf(b, "| %s | %s | %.0f | %s | %s | %s | %d | %d | %s | %s | %.2f of %d | %d of %d |\n",
 		sc.name, policyNames[kind], r.worth(),
 		percentOf(r.worth()/r.offeredWorth()),
@@ -125,6 +131,9 @@
 }
 
 func drawBar(b *strings.Builder, d deployment, kind policyKind, r *result, y int) {
+	if r == nil {
+		return
+	}
 	x := float64(plotLeft)
 	for rank := range rankCount {
 		w := r.capacity(d, rank) * plotWidth
--- a/core/policy/scenario_test.go
+++ b/core/policy/scenario_test.go
@@ -94,6 +94,9 @@
 	failover     bool // the primary of database 0 dies
 }
 
+// floods reports whether any work floods.
+func (sc scenario) floods() bool { return sc.flood != [rankCount]bool{} || sc.floodFeature }
+
 const (
 	slowTimes    = 10
 	fastFailTime = 200 * time.Microsecond
