--- a/core/config/plan_test.go
+++ b/core/config/plan_test.go
@@ -173,6 +173,8 @@
 	version Version
 	// writes counts the writes of each operation to each object.
 	writes map[string]int
+	// reliable is set once nothing is lost.
+	reliable bool
 }
 
 func (w *world) put(write Write) bool {
@@ -190,7 +192,10 @@
 
 // answer performs a request, which or whose answer can be lost.
 func (w *world) answer(request ConfirmEffect) ConfirmEvent {
-	fate := rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "answer lost"}).Draw(w.t, "fate")
+	fate := "answered"
+	if !w.reliable {
+		fate = rapid.SampledFrom([]string{"answered", "answered", "answered", "lost", "answer lost"}).Draw(w.t, "fate")
+	}
 	switch request := request.(type) {
 	case ReadObject:
 		if fate != "answered" {
@@ -232,37 +237,69 @@
 	})
 }
 
-func checkRivals(t *rapid.T) {
-	w := &world{t: t, objects: map[Key]Object{}, writes: map[string]int{}}
-	s := NewStore()
-	w.put(Write{Key: ServiceObject{Spec: pantufa(3)}.Key(), Body: ServiceObject{Spec: pantufa(3)}})
-	s.Apply(w.objects[ServiceObject{Spec: pantufa(3)}.Key()])
-	for i := range 2 {
-		r := retirement(TargetEndpoint, fmt.Sprintf("orders-%d", i), PhaseDraining)
-		r.Name = fmt.Sprintf("leaving-%d", i)
-		p, err := BuildPlan(PlanRequest{ID: fmt.Sprintf("p%d", i), Intent: Retire{Retirement: r}, Snapshot: s.Snapshot()})
+// rivalPlans returns two plans for the same service, and two for ranks of which
+// each rests on the rank that the other one changes.
+func rivalPlans(t *rapid.T, s *Store) []Plan {
+	rank := func(name string, order int) PutRank {
+		return PutRank{Spec: types.RankSpec{Name: types.Rank(name), Target: time.Second, Worth: 1, Order: order}}
+	}
+	endpoint := func(name, target string) Retire {
+		r := retirement(TargetEndpoint, target, PhaseDraining)
+		r.Name = name
+		return Retire{Retirement: r}
+	}
+	intents := []Intent{endpoint("r0", "orders-0"), endpoint("r1", "orders-1"), rank("urgent", 0), rank("low", 1)}
+	var plans []Plan
+	for i, intent := range intents {
+		p, err := BuildPlan(PlanRequest{ID: fmt.Sprintf("p%d", i), Intent: intent, Snapshot: s.Snapshot()})
 		if err != nil {
 			t.Fatal(err)
 		}
+		plans = append(plans, p)
+	}
+	return plans
+}
+
+func checkRivals(t *rapid.T) {
+	w := &world{t: t, objects: map[Key]Object{}, writes: map[string]int{}}
+	s := NewStore()
+	bodies := []Body{
+		ServiceObject{Spec: pantufa(3)},
+		RankObject{Spec: types.RankSpec{Name: "urgent", Order: 0}},
+		RankObject{Spec: types.RankSpec{Name: "low", Order: 1}},
+	}
+	for _, b := range bodies {
+		w.put(Write{Key: b.Key(), Body: b})
+		s.Apply(w.objects[b.Key()])
+	}
+	for _, p := range rivalPlans(t, s) {
 		w.put(ProposeWrite(p))
 	}
 	final := map[string]ConfirmState{}
-	runAttempts(t, w, final)
+	runAttempts(t, w, 12, final)
+	w.reliable = true
+	runAttempts(t, w, 4, final)
 	for name, n := range w.writes {
 		if n > 1 {
 			t.Fatalf("%s was written %d times", name, n)
 		}
 	}
-	if final["p0"] == ConfirmAccepted && final["p1"] == ConfirmAccepted {
-		t.Fatal("both rivals were accepted")
+	if len(final) != 4 {
+		t.Fatalf("a plan has no final answer: %v", final)
+	}
+	if (final["p0"] == ConfirmAccepted) == (final["p1"] == ConfirmAccepted) {
+		t.Fatalf("one of the rivals must be accepted: %v", final)
+	}
+	if final["p2"] != ConfirmAccepted && final["p3"] != ConfirmAccepted {
+		t.Fatalf("one of the ranks must be accepted: %v", final)
 	}
 }
 
 // runAttempts interleaves several confirmations of each plan.
-func runAttempts(t *rapid.T, w *world, final map[string]ConfirmState) {
+func runAttempts(t *rapid.T, w *world, count int, final map[string]ConfirmState) {
 	var running []*attempt
-	for i := range 6 {
-		id := fmt.Sprintf("p%d", i%2)
+	for i := range count {
+		id := fmt.Sprintf("p%d", i%4)
 		c := NewConfirmation(id)
 		running = append(running, &attempt{plan: id, machine: c, next: c.Start()})
 	}
