Exchange summaries of members before the members

Cause: hosts that start together exchanged whole buckets of members that mostly agreed already; 210 hosts sent 16,200 bytes of gossip a second each until all were ready, against a budget of 10 KB/s.

--- a/core/config/fleet_test.go
+++ b/core/config/fleet_test.go
@@ -431,8 +431,12 @@
 		for _, g := range body.Groups {
 			size += len(g.DataCentre) + 6 + 4*len(g.Hashes)
 		}
-	case membership.BucketMembers:
-		size += len(body.DataCentre) + 10
+	case membership.Summaries:
+		size += len(body.DataCentre) + 6
+		for _, b := range body.Buckets {
+			size += 6 + 4*len(b.Hashes)
+		}
+	case membership.Members:
 		members(body.Members)
 	}
 	return size
--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -13,14 +13,15 @@
 const (
 	exchangePeriod = 5 * time.Second
 	// repairPeriod is the time between exchanges while differences are found.
-	repairPeriod = 200 * time.Millisecond
+	repairPeriod = 500 * time.Millisecond
 	// membersPerBucket is the mean number of members of a bucket.
 	membersPerBucket = 4
 	// bucketsPerExchange bounds the buckets sent in one exchange.
-	bucketsPerExchange = 48
+	bucketsPerExchange = 16
 	maxBuckets         = 128
 	bucketHashBytes    = 4
 	groupDigestBytes   = 16
+	bucketSummaryBytes = 8
 )
 
 // exchange is the state of the comparison of members with other hosts.
@@ -139,25 +140,25 @@
 	return hashes
 }
 
-// compareBuckets sends the members of the buckets that differ, and compares again
-// soon if there were any.
+// compareBuckets sends summaries of the buckets that differ, and compares again soon
+// if there were any.
 func (m *Machine) compareBuckets(now types.Time, from Member, b Buckets) {
-	sent := 0
+	left := bucketsPerExchange
 	for _, g := range b.Groups {
 		count := len(g.Hashes)
 		if count == 0 || count > maxBuckets {
 			continue
 		}
-		mine := m.bucketHashes(g.DataCentre, count)
-		for i := range mine {
-			if mine[i] == g.Hashes[i] || sent == bucketsPerExchange {
-				continue
+		var differing []int
+		for i, hash := range m.bucketHashes(g.DataCentre, count) {
+			if hash != g.Hashes[i] && len(differing) < left {
+				differing = append(differing, i)
 			}
-			sent++
-			m.sendTo(from.GossipAddress, m.bucketMembers(g.DataCentre, i, count))
 		}
+		left -= len(differing)
+		m.sendSummaries(from.GossipAddress, Summaries{DataCentre: g.DataCentre, Count: count}, differing)
 	}
-	if sent > 0 {
+	if left < bucketsPerExchange {
 		m.repairWith(now, from.Host)
 	}
 }
@@ -168,66 +169,110 @@
 	m.exchange.next = min(m.exchange.next, now.Add(repairPeriod))
 }
 
-// bucketMembers returns the members of a bucket, as many as a message holds.
-func (m *Machine) bucketMembers(dc types.DataCentre, bucket, count int) BucketMembers {
-	out := BucketMembers{DataCentre: dc, Bucket: bucket, Count: count, Whole: true}
-	room := m.room() - groupDigestBytes - len(dc)
-	indexes := m.table.selectIn(dc, func(r record) bool {
-		return r.digested() && r.bucket(count) == bucket
-	})
-	for _, i := range indexes {
-		about := m.table.member(i)
-		room -= memberSize(about)
-		if room < 0 {
-			out.Whole = false
-			return out
+// sendSummaries sends the hashes of the members of some buckets, in as many messages
+// as needed.
+func (m *Machine) sendSummaries(address string, s Summaries, buckets []int) {
+	room := m.room() - groupDigestBytes - len(s.DataCentre)
+	left := room
+	for _, b := range m.summarize(s.DataCentre, s.Count, buckets) {
+		size := bucketSummaryBytes + bucketHashBytes*len(b.Hashes)
+		if size > left && len(s.Buckets) > 0 {
+			m.sendTo(address, s)
+			s.Buckets = nil
+			left = room
 		}
-		out.Members = append(out.Members, about)
+		if size > room {
+			continue
+		}
+		left -= size
+		s.Buckets = append(s.Buckets, b)
+	}
+	if len(s.Buckets) > 0 {
+		m.sendTo(address, s)
 	}
-	return out
 }
 
-// mergeBucket takes the members of a bucket and answers with what the sender lacks.
-// Members from another data centre are passed on, those from a peer are known there.
-func (m *Machine) mergeBucket(now types.Time, from Member, b BucketMembers) {
-	m.learnAll(now, b.Members, from.DataCentre != m.self.DataCentre)
-	if !b.Whole || b.Count <= 0 || b.Count > maxBuckets {
-		return
+// summarize returns the hashes of the members of some buckets.
+func (m *Machine) summarize(dc types.DataCentre, count int, buckets []int) []BucketSummary {
+	out := make([]BucketSummary, len(buckets))
+	for i, b := range buckets {
+		out[i].Bucket = b
 	}
-	missing := m.missingFrom(b)
-	if len(missing) == 0 {
-		return
+	for _, i := range m.table.selectIn(dc, record.digested) {
+		r := m.table.records[i]
+		if at := slices.Index(buckets, r.bucket(count)); at >= 0 {
+			out[at].Hashes = append(out[at].Hashes, uint32(r.hash()))
+		}
 	}
-	m.sendTo(from.GossipAddress, BucketMembers{
-		DataCentre: b.DataCentre, Bucket: b.Bucket, Count: b.Count, Members: missing,
-	})
+	return out
 }
 
-// missingFrom returns the members of a bucket that a whole bucket of another host
-// lacks or has an older statement of, as many as a message holds.
-func (m *Machine) missingFrom(b BucketMembers) []Member {
-	theirs := map[types.Host]Member{}
-	for _, u := range b.Members {
-		theirs[u.Host] = u
+// compareSummaries sends the members that the sender lacks, and asks in turn for
+// those that it has and this host lacks.
+func (m *Machine) compareSummaries(from Member, s Summaries) {
+	if s.Count <= 0 || s.Count > maxBuckets {
+		return
+	}
+	theirs := map[int][]uint32{}
+	for _, b := range s.Buckets {
+		theirs[b.Bucket] = b.Hashes
 	}
+	known := map[int]int{}
 	var missing []Member
-	room := m.room() - groupDigestBytes - len(b.DataCentre)
-	for _, i := range m.table.selectIn(b.DataCentre, record.confirmed) {
-		about := m.table.member(i)
-		other, named := theirs[about.Host]
+	for _, i := range m.table.selectIn(s.DataCentre, record.digested) {
+		r := m.table.records[i]
+		b := r.bucket(s.Count)
+		hashes, named := theirs[b]
 		switch {
-		case bucketOf(string(about.Host), b.Count) != b.Bucket:
-			continue
-		case named && !about.supersedes(other):
-			continue
-		case !named && about.State == Dead:
-			continue
+		case !named:
+		case slices.Contains(hashes, uint32(r.hash())):
+			known[b]++
+		default:
+			missing = append(missing, m.table.member(i))
 		}
-		room -= memberSize(about)
-		if room < 0 {
-			break
+	}
+	m.sendMembers(from.GossipAddress, missing)
+	if s.Answer {
+		return
+	}
+	var wanted []int
+	for _, b := range s.Buckets {
+		if known[b.Bucket] < len(b.Hashes) {
+			wanted = append(wanted, b.Bucket)
+		}
+	}
+	m.sendSummaries(from.GossipAddress, Summaries{DataCentre: s.DataCentre, Count: s.Count, Answer: true}, wanted)
+}
+
+// sendMembers sends members in as many messages as needed.
+func (m *Machine) sendMembers(address string, members []Member) {
+	room := m.room()
+	left := room
+	var batch []Member
+	for _, about := range members {
+		size := memberSize(about)
+		if size > left && len(batch) > 0 {
+			m.sendTo(address, Members{Members: batch})
+			batch, left = nil, room
 		}
-		missing = append(missing, about)
+		left -= size
+		batch = append(batch, about)
+	}
+	if len(batch) > 0 {
+		m.sendTo(address, Members{Members: batch})
 	}
-	return missing
+}
+
+// mergeMembers takes members and answers with newer statements about them. Members
+// from another data centre are passed on, those from a peer are known there.
+func (m *Machine) mergeMembers(now types.Time, from Member, b Members) {
+	var newer []Member
+	for _, u := range b.Members {
+		about, known := m.table.get(u.Host)
+		if known && about.supersedes(u) && about.Incarnation > 0 && about.State != Suspect {
+			newer = append(newer, about)
+		}
+	}
+	m.learnAll(now, b.Members, from.DataCentre != m.self.DataCentre)
+	m.sendMembers(from.GossipAddress, newer)
 }
--- a/core/membership/learn.go
+++ b/core/membership/learn.go
@@ -47,7 +47,7 @@
 	m.trackSuspicion(now, u)
 	m.relayLater(u)
 	if spread {
-		m.gossip.add(u.Host, len(m.table.liveIn(m.self.DataCentre)))
+		m.gossip.add(u.Host, m.table.countIn(m.self.DataCentre))
 	}
 }
 
@@ -94,7 +94,7 @@
 }
 
 func (m *Machine) suspicionTime() time.Duration {
-	n := len(m.table.liveIn(m.self.DataCentre))
+	n := m.table.countIn(m.self.DataCentre)
 	return suspicionBase * time.Duration(max(2, bits.Len(uint(n)))) / 2
 }
 
@@ -136,5 +136,5 @@
 	m.table.put(m.self)
 	m.changed = append(m.changed, m.self.Host)
 	m.relayLater(m.self)
-	m.gossip.add(m.self.Host, len(m.table.liveIn(m.self.DataCentre)))
+	m.gossip.add(m.self.Host, m.table.countIn(m.self.DataCentre))
 }
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -177,8 +177,10 @@
 		m.compareDigest(msg.From, body)
 	case Buckets:
 		m.compareBuckets(now, msg.From, body)
-	case BucketMembers:
-		m.mergeBucket(now, msg.From, body)
+	case Summaries:
+		m.compareSummaries(msg.From, body)
+	case Members:
+		m.mergeMembers(now, msg.From, body)
 	}
 }
 
--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -3,7 +3,7 @@
 import "baobabfield.example/core/types"
 
 // Body is the content of a message between hosts: Ping, Ack, PingReq, Digest,
-// Buckets or BucketMembers.
+// Buckets, Summaries or Members.
 type Body interface{ isBody() }
 
 // Ping asks the receiver for an Ack with the same sequence number.
@@ -45,20 +45,30 @@
 	Hashes     []uint32
 }
 
-// BucketMembers carries the members of one bucket.
-type BucketMembers struct {
+// Summaries lists the members of some buckets of a data centre by their hashes, so
+// that the receiver sends those that the sender lacks.
+type Summaries struct {
 	DataCentre types.DataCentre
-	// Bucket of Count is the bucket that the members belong to.
-	Bucket, Count int
-	Members       []Member
-	// Whole is set if Members holds the whole bucket, so that the receiver
-	// answers with what is missing from it.
-	Whole bool
+	// Count is the number of buckets into which the data centre is divided.
+	Count   int
+	Buckets []BucketSummary
+	// Answer is set in the answer to a Summaries message, which gets none.
+	Answer bool
 }
 
-func (Ping) isBody()          {}
-func (Ack) isBody()           {}
-func (PingReq) isBody()       {}
-func (Digest) isBody()        {}
-func (Buckets) isBody()       {}
-func (BucketMembers) isBody() {}
+// BucketSummary holds the hashes of the members of one bucket.
+type BucketSummary struct {
+	Bucket int
+	Hashes []uint32
+}
+
+// Members carries members that the receiver lacks.
+type Members struct{ Members []Member }
+
+func (Ping) isBody()      {}
+func (Ack) isBody()       {}
+func (PingReq) isBody()   {}
+func (Digest) isBody()    {}
+func (Buckets) isBody()   {}
+func (Summaries) isBody() {}
+func (Members) isBody()   {}
--- a/core/membership/relay.go
+++ b/core/membership/relay.go
@@ -143,12 +143,13 @@
 	return max(silenceLimit, 3*relayPeriod*time.Duration(len(m.table.groups)))
 }
 
-// heardFrom notes a message from another data centre.
+// heardFrom notes a message from another data centre. Only relays have links.
 func (m *Machine) heardFrom(now types.Time, dc types.DataCentre) {
-	if dc == m.self.DataCentre || !m.isRelay() {
+	i := slices.IndexFunc(m.relay.links, func(l link) bool { return l.dc == dc })
+	if i < 0 {
 		return
 	}
-	l := m.link(now, dc)
+	l := &m.relay.links[i]
 	l.heard = now
 	if l.silent {
 		l.silent = false
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -34,6 +34,8 @@
 	// live holds the hosts of each group that may own endpoints, nil where it
 	// must be computed again.
 	live [][]types.Host
+	// owners counts the hosts of each group that may own endpoints.
+	owners []int
 	// index lists the records of each group, nil if it must be computed again.
 	index [][]uint32
 }
@@ -58,6 +60,7 @@
 	t.groups = append(t.groups, dc)
 	t.hashes = append(t.hashes, 0)
 	t.live = append(t.live, nil)
+	t.owners = append(t.owners, 0)
 	return len(t.groups) - 1
 }
 
@@ -109,6 +112,9 @@
 	}
 	t.hashes[group] ^= t.records[i].hash()
 	t.live[group] = nil
+	if t.records[i].owns() {
+		t.owners[group]++
+	}
 	return true
 }
 
@@ -129,6 +135,9 @@
 	old := t.records[i]
 	t.hashes[old.group] ^= old.hash()
 	t.live[old.group] = nil
+	if old.owns() {
+		t.owners[old.group]--
+	}
 }
 
 // own makes the records the table's own before a change.
@@ -216,6 +225,9 @@
 	return t.live[t.group(dc)]
 }
 
+// countIn returns the number of hosts of a data centre that may own endpoints.
+func (t *table) countIn(dc types.DataCentre) int { return t.owners[t.group(dc)] }
+
 // selectIn returns the indexes of the records of a group that the filter accepts.
 func (t *table) selectIn(dc types.DataCentre, accept func(record) bool) []int {
 	var out []int
--- a/node/member/codec.go
+++ b/node/member/codec.go
@@ -76,14 +76,10 @@
 		d.Body = &memberpb.Datagram_Digest{Digest: digestToProto(b)}
 	case membership.Buckets:
 		d.Body = &memberpb.Datagram_Buckets{Buckets: bucketsToProto(b)}
-	case membership.BucketMembers:
-		d.Body = &memberpb.Datagram_BucketMembers{BucketMembers: &memberpb.BucketMembers{
-			DataCentre: string(b.DataCentre),
-			Bucket:     uint32(b.Bucket),
-			Count:      uint32(b.Count),
-			Whole:      b.Whole,
-			Members:    membersToProto(b.Members),
-		}}
+	case membership.Summaries:
+		d.Body = &memberpb.Datagram_Summaries{Summaries: summariesToProto(b)}
+	case membership.Members:
+		d.Body = &memberpb.Datagram_Members{Members: &memberpb.Members{Members: membersToProto(b.Members)}}
 	}
 	return d
 }
@@ -104,6 +100,14 @@
 	return out
 }
 
+func summariesToProto(b membership.Summaries) *memberpb.Summaries {
+	out := &memberpb.Summaries{DataCentre: string(b.DataCentre), Count: uint32(b.Count), Answer: b.Answer}
+	for _, s := range b.Buckets {
+		out.Buckets = append(out.Buckets, &memberpb.BucketSummary{Bucket: uint32(s.Bucket), Hashes: s.Hashes})
+	}
+	return out
+}
+
 func memberToProto(m membership.Member) *memberpb.Member {
 	return &memberpb.Member{
 		Host:          string(m.Host),
@@ -144,14 +148,10 @@
 		msg.Body = digestFromProto(b.Digest)
 	case *memberpb.Datagram_Buckets:
 		msg.Body = bucketsFromProto(b.Buckets)
-	case *memberpb.Datagram_BucketMembers:
-		msg.Body = membership.BucketMembers{
-			DataCentre: types.DataCentre(b.BucketMembers.GetDataCentre()),
-			Bucket:     int(b.BucketMembers.GetBucket()),
-			Count:      int(b.BucketMembers.GetCount()),
-			Whole:      b.BucketMembers.GetWhole(),
-			Members:    membersFromProto(b.BucketMembers.GetMembers()),
-		}
+	case *memberpb.Datagram_Summaries:
+		msg.Body = summariesFromProto(b.Summaries)
+	case *memberpb.Datagram_Members:
+		msg.Body = membership.Members{Members: membersFromProto(b.Members.GetMembers())}
 	default:
 		return membership.Message{}, errMalformed
 	}
@@ -178,6 +178,16 @@
 	return out
 }
 
+func summariesFromProto(b *memberpb.Summaries) membership.Summaries {
+	out := membership.Summaries{
+		DataCentre: types.DataCentre(b.GetDataCentre()), Count: int(b.GetCount()), Answer: b.GetAnswer(),
+	}
+	for _, s := range b.GetBuckets() {
+		out.Buckets = append(out.Buckets, membership.BucketSummary{Bucket: int(s.GetBucket()), Hashes: s.GetHashes()})
+	}
+	return out
+}
+
 func memberFromProto(m *memberpb.Member) membership.Member {
 	return membership.Member{
 		Host:          types.Host(m.GetHost()),
--- a/node/member/task_test.go
+++ b/node/member/task_test.go
@@ -32,7 +32,11 @@
 		membership.PingReq{Seq: 9, Target: "b", Address: "127.0.0.1:3"},
 		membership.Digest{Groups: []membership.GroupDigest{{DataCentre: "a", Hash: 1 << 63}}},
 		membership.Buckets{Groups: []membership.BucketDigest{{DataCentre: "a", Hashes: []uint32{1, 2}}}},
-		membership.BucketMembers{DataCentre: "a", Bucket: 3, Count: 4, Whole: true, Members: members},
+		membership.Summaries{
+			DataCentre: "a", Count: 4, Answer: true,
+			Buckets: []membership.BucketSummary{{Bucket: 3, Hashes: []uint32{5, 6}}},
+		},
+		membership.Members{Members: members},
 	}
 	for _, body := range bodies {
 		msg := membership.Message{From: sample, Body: body}
@@ -65,8 +69,11 @@
 	sent = append(sent, m.Step(1000, membership.Message{From: from, Body: membership.Digest{}})...)
 	hashes := []membership.BucketDigest{{DataCentre: types.DataCentre(long), Hashes: make([]uint32, 8)}}
 	sent = append(sent, m.Step(1001, membership.Message{From: from, Body: membership.Buckets{Groups: hashes}})...)
-	whole := membership.BucketMembers{DataCentre: types.DataCentre(long), Count: 1, Whole: true}
-	sent = append(sent, m.Step(1002, membership.Message{From: from, Body: whole})...)
+	empty := membership.Summaries{
+		DataCentre: types.DataCentre(long), Count: 8,
+		Buckets: []membership.BucketSummary{{Bucket: 0, Hashes: []uint32{1}}, {Bucket: 1, Hashes: []uint32{2}}},
+	}
+	sent = append(sent, m.Step(1002, membership.Message{From: from, Body: empty})...)
 	kinds := map[string]int{}
 	for _, eff := range sent {
 		if s, ok := eff.(membership.Send); ok {
@@ -75,7 +82,7 @@
 			is.NoErr(err)
 		}
 	}
-	is.Equal(len(kinds), 3) // acknowledgements, buckets and members
+	is.Equal(len(kinds), 4) // acknowledgements, buckets, summaries and members
 }
 
 func TestStrayDatagramsAreRefused(t *testing.T) {
