Keep no reference to the effects of a step

Cause: the state machines held the effects of their last step, for a change of all members a list of 2,600 descriptions.

--- a/core/config/distributor.go
+++ b/core/config/distributor.go
@@ -69,7 +69,6 @@
 
 // Step applies an event at the given time and returns its effects.
 func (d *Distributor) Step(now types.Time, ev Event) []Effect {
-	d.effects = nil
 	d.changed = nil
 	d.becameComplete = false
 	d.start(now)
@@ -89,7 +88,14 @@
 		d.receive(now, ev)
 	}
 	d.reportChanges()
-	return d.effects
+	return d.takeEffects()
+}
+
+// takeEffects returns the effects of the step and keeps no reference to them.
+func (d *Distributor) takeEffects() []Effect {
+	effects := d.effects
+	d.effects = nil
+	return effects
 }
 
 // Deadline returns the time at which the distributor needs its next Tick.
--- a/core/config/measure_test.go
+++ b/core/config/measure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"baobabfield.example/core/config"
+	"baobabfield.example/core/membership"
 	"baobabfield.example/core/types"
 )
 
@@ -156,30 +157,60 @@
 	})
 	m.phase("data centre lost", func() string { return m.lose(in(dataCentre(2))) })
 	m.phase("regions apart", m.apart(time.Minute, 10))
-	m.memory(count)
 }
 
-// memory prints the size of the state of one host.
-func (m measurement) memory(count int) {
+// TestMeasureMemory prints the size of the state of one host:
+//
+//	go test ./config -run TestMeasureMemory -v -measure 2600
+func TestMeasureMemory(t *testing.T) {
+	if *measuredHosts == 0 {
+		t.Skip("-measure is not set")
+	}
+	count := *measuredHosts
+	services := max(count*1000/2600, 2)
 	before := heapInUse()
-	h := *m.f.hosts[0]
-	m.f.start(0)
-	m.f.until(time.Minute, func() bool { return m.f.unready() == 0 })
-	m.f.run(30 * time.Second)
-	members := len(m.f.hosts[0].member.Snapshot().Members())
-	runtime.KeepAlive(h)
-	grown := heapInUse() - before
-	objects := config.NewStore()
+	machine := membership.New(membership.Config{Self: measuredMember(0), Seed: 1})
+	for i := range count {
+		list := membership.Members{Members: []membership.Member{measuredMember(i)}}
+		machine.Step(types.Time(i+1), membership.Message{From: measuredMember(1), Body: list})
+	}
+	machine.Step(types.Time(time.Second), membership.Tick{})
+	snapshot := machine.Snapshot()
+	members := heapInUse() - before
+	runtime.KeepAlive(machine)
+
 	before = heapInUse()
-	for i := range max(count*1000/2600, 2) {
+	objects := config.NewStore()
+	for i := range services {
 		body := service(i)
 		objects.Apply(config.Object{Key: body.Key(), Version: config.Version(i + 1), Body: body})
 	}
-	_ = objects.Snapshot()
-	size := heapInUse() - before
+	view := objects.Snapshot()
+	stored := heapInUse() - before
 	runtime.KeepAlive(objects)
-	m.t.Logf("memory of one host: membership of %d and the rest about %d KB, configuration of %d objects %d KB",
-		members, grown/1024, len(objects.Snapshot().Objects()), size/1024)
+
+	before = heapInUse()
+	tracker := config.NewUseTracker("host", measuredUses)
+	for i := range measuredUses {
+		key := config.UseKey{Service: "service", Feature: "feature", Caller: fmt.Sprintf("10.1.%d.%d", i/250, i%250)}
+		tracker.Record(int64(i), key, false)
+	}
+	uses := heapInUse() - before
+	runtime.KeepAlive(tracker)
+	t.Logf("state of one host: %d members %d KB, %d services %d KB, %d uses %d KB",
+		len(snapshot.Members()), members/1024, len(view.Services()), stored/1024, measuredUses, uses/1024)
+}
+
+// measuredUses is the number of entries of the measured tracker of uses.
+const measuredUses = 4096
+
+func measuredMember(i int) membership.Member {
+	return membership.Member{
+		Host: types.Host(fmt.Sprintf("host-%04d", i)), DataCentre: dataCentre(i % 18),
+		MeshAddress:   fmt.Sprintf("10.0.%d.%d:7947", i/250, i%250),
+		GossipAddress: fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250),
+		Incarnation:   1,
+	}
 }
 
 func heapInUse() int64 {
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -73,7 +73,6 @@
 
 // Step applies an event at the given time and returns its effects.
 func (m *Machine) Step(now types.Time, ev Event) []Effect {
-	m.effects = nil
 	switch ev := ev.(type) {
 	case Tick:
 		m.tick(now)
@@ -88,7 +87,14 @@
 		m.learnContacts(ev.Hosts)
 	}
 	m.reportChanges(now)
-	return m.effects
+	return m.takeEffects()
+}
+
+// takeEffects returns the effects of the step and keeps no reference to them.
+func (m *Machine) takeEffects() []Effect {
+	effects := m.effects
+	m.effects = nil
+	return effects
 }
 
 // Deadline returns the time at which the machine needs its next Tick.
