--- a/node/admin/token.go
+++ b/node/admin/token.go
@@ -9,7 +9,7 @@
 )
 
 // minSecretLength is the least number of characters of a token's secret.
-const minSecretLength = 16
+const minSecretLength = 12
 
 // Token lets its author use the admin API.
 type Token struct {
