--- a/node/admin/server.go
+++ b/node/admin/server.go
@@ -35,6 +35,8 @@
 	Tokens []Token
 	// AnswerTimeout bounds the wait for the tasks that own the state.
 	AnswerTimeout time.Duration
+	// Metrics are the sets that /metrics shows beside the process's own.
+	Metrics []*metrics.Set
 }
 
 // Check reports the first setting that is not valid.
@@ -115,24 +117,21 @@
 
 func newHandler(settings Settings, requests chan<- Request) (http.Handler, error) {
 	tasks := &tasks{requests: requests, timeout: settings.AnswerTimeout}
+	calls := metrics.NewSet()
 	server, err := api.NewServer(
 		&handler{tasks: tasks},
 		&guard{tokens: settings.Tokens},
 		api.WithErrorHandler(writeError),
 		api.WithNotFound(writeNotFound),
 		api.WithMethodNotAllowed(writeNotAllowed),
+		api.WithMiddleware(countCalls(calls)),
 	)
 	if err != nil {
 		return nil, errors.Wrap(err, "set up the admin API")
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", http.MaxBytesHandler(server, maxBodyBytes))
-	mux.HandleFunc("GET /metrics", writeMetrics)
+	mux.HandleFunc("GET /metrics", writeMetrics(append(settings.Metrics, calls)))
 	mux.HandleFunc("GET /healthz", tasks.writeHealth)
 	return mux, nil
 }
-
-func writeMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	metrics.WritePrometheus(w, true)
-}
--- a/node/admin/server_test.go
+++ b/node/admin/server_test.go
@@ -151,6 +151,9 @@
 	status, body = call(t, "GET", server.URL+"/metrics", "", "")
 	is.Equal(status, http.StatusOK)
 	is.True(strings.Contains(body, "process_"))
+	call(t, "GET", server.URL+"/v1/status", testSecret, "")
+	_, body = call(t, "GET", server.URL+"/metrics", "", "")
+	is.True(strings.Contains(body, `baobab_admin_calls_total{operation="GetStatus",result="done"} 1`))
 }
 
 // askForStatus asks with the given context, which decides when the wait ends.
