--- a/cmd/baobabctl/fake_test.go
+++ b/cmd/baobabctl/fake_test.go
@@ -236,7 +236,7 @@
 			},
 			{ID: "logs-1b", DataCentre: "pelotas", State: admin.EndpointUnreachable, Age: admin.AgeUnknown, Owner: "rs-2"},
 		},
-	}},
+	}, {Service: "ramp-logs", ID: "logs-2"}},
 	Ranks: []admin.RankLevel{{Rank: "urgent", Level: 1, Admitted: 1200}, {Rank: "browse", Level: 0.4, Admitted: 70, Refused: 33}},
 }
 
--- a/cmd/baobabctl/status.go
+++ b/cmd/baobabctl/status.go
@@ -62,8 +62,7 @@
 
 func printDatabases(p *page, databases []api.DatabaseStatus) {
 	for _, d := range databases {
-		p.line("Database %s of %s: term %d.%d, primary %s, %s",
-			d.Database, d.Service, d.Set, d.Campaign, orDash(d.Primary), authority(d))
+		p.line("Database %s of %s: %s", d.Database, d.Service, leadership(d))
 		rows := make([][]string, 0, len(d.Endpoints))
 		for _, e := range d.Endpoints {
 			rows = append(rows, endpointRow(e))
@@ -73,6 +72,15 @@
 	}
 }
 
+// leadership says who leads the database, as far as the host knows: a host
+// watches the databases whose endpoints it owns.
+func leadership(d api.DatabaseStatus) string {
+	if d.Set == 0 && d.Primary == "" {
+		return "not watched by this host"
+	}
+	return fmt.Sprintf("term %d.%d, primary %s, %s", d.Set, d.Campaign, orDash(d.Primary), authority(d))
+}
+
 func authority(d api.DatabaseStatus) string {
 	if d.Authority {
 		return "this host may acknowledge writes"
