--- a/cmd/baobabctl/status.go
+++ b/cmd/baobabctl/status.go
@@ -29,7 +29,7 @@
 func printStatus(p *page, s *api.Status) {
 	p.line("Host %s in %s is %s", s.Host, s.DataCentre, s.State)
 	p.line("Configuration: version %d, digest %s%s", s.Configuration.Version, s.Configuration.Digest, incomplete(s))
-	p.line("Platform: %s, last answer %v ago", reachability(s.Platform), s.Platform.LastAnswer)
+	p.line("Platform: %s, last answer %v ago", reachability(s.Platform), roundDuration(s.Platform.LastAnswer))
 	p.line("")
 	printMembers(p, s.Members)
 	p.line("")
@@ -101,9 +101,12 @@
 	if age < 0 {
 		return "unknown"
 	}
-	return age.String()
+	return roundDuration(age).String()
 }
 
+// roundDuration drops what is below a millisecond.
+func roundDuration(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
 func formatQueues(queues []api.Queue) string {
 	parts := make([]string, 0, len(queues))
 	for _, q := range queues {
