--- a/cmd/baobabctl/status.go
+++ b/cmd/baobabctl/status.go
@@ -29,7 +29,7 @@
 func printStatus(p *page, s *api.Status) {
 	p.line("Host %s in %s is %s", s.Host, s.DataCentre, s.State)
 	p.line("Configuration: version %d, digest %s%s", s.Configuration.Version, s.Configuration.Digest, incomplete(s))
-	p.line("Platform: %s, last answer %v ago", reachability(s.Platform), s.Platform.LastAnswer)
+	p.line("Platform: %s, last answer %v ago", reachability(s.Platform), roundDuration(s.Platform.LastAnswer))
 	p.line("")
 	printMembers(p, s.Members)
 	p.line("")
@@ -62,8 +62,7 @@
 
 func printDatabases(p *page, databases []api.DatabaseStatus) {
 	for _, d := range databases {
-		p.line("Database %s of %s: term %d.%d, primary %s, %s",
-			d.Database, d.Service, d.Set, d.Campaign, orDash(d.Primary), authority(d))
+		p.line("Database %s of %s: %s", d.Database, d.Service, leadership(d))
 		rows := make([][]string, 0, len(d.Endpoints))
 		for _, e := range d.Endpoints {
 			rows = append(rows, endpointRow(e))
@@ -73,6 +72,15 @@
 	}
 }
 
+// leadership says who leads the database, as far as the host knows: a host
+// watches the databases whose endpoints it owns.
+func leadership(d api.DatabaseStatus) string {
+	if d.Set == 0 && d.Primary == "" {
+		return "not watched by this host"
+	}
+	return fmt.Sprintf("term %d.%d, primary %s, %s", d.Set, d.Campaign, orDash(d.Primary), authority(d))
+}
+
 func authority(d api.DatabaseStatus) string {
 	if d.Authority {
 		return "this host may acknowledge writes"
@@ -93,9 +101,12 @@
 	if age < 0 {
 		return "unknown"
 	}
-	return age.String()
+	return roundDuration(age).String()
 }
 
+// roundDuration drops what is below a millisecond.
+func roundDuration(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
 func formatQueues(queues []api.Queue) string {
 	parts := make([]string, 0, len(queues))
 	for _, q := range queues {
