core/failover: let opinions arrive before the first host's campaign

Cause: the longest kill gap was a run in which two hosts agreed at the same time, each took itself for the first, and neither's fence had a majority. The first host now waits W/32 after the agreement, and the order is taken when the campaign starts.

--- a/core/failover/suspicion.go
+++ b/core/failover/suspicion.go
@@ -12,6 +12,8 @@
 	suspicionLife = 2
 	// suspicionRepeats is the number of times within W that a suspicion is told.
 	suspicionRepeats = 2
+	// settleShare divides W into the time between agreement and campaign.
+	settleShare = 32
 )
 
 // suspicion is the state of the agreement that the primary has failed.
@@ -20,10 +22,11 @@
 	cause  string
 	toldAt types.Time
 	peers  map[types.Host]peerOpinion
-	// agreed says that owners of a majority agree, and campaignAt when this
-	// host starts its campaign.
-	agreed     bool
-	campaignAt types.Time
+	// agreed says that owners of a majority agree since agreedAt. The jitter
+	// delays the campaigns of all but the first host.
+	agreed   bool
+	agreedAt types.Time
+	jitter   time.Duration
 }
 
 type peerOpinion struct {
@@ -120,16 +123,18 @@
 		return m.owners[e] != "" && m.suspects(m.owners[e])
 	})
 	if agreed && !m.suspicion.agreed {
-		m.suspicion.campaignAt = m.now.Add(m.startDelay())
+		m.suspicion.agreedAt = m.now
+		m.suspicion.jitter = m.random.below(m.cfg.W / 4)
 	}
 	m.suspicion.agreed = agreed
-	if agreed && !m.now.Before(m.suspicion.campaignAt) && !m.now.Before(m.retryAt) {
+	if agreed && !m.now.Before(m.campaignAt()) && !m.now.Before(m.retryAt) {
 		m.startCampaign(string(NoteSuspected), "")
 	}
 }
 
-// startDelay orders the campaigns of the hosts that suspect the primary.
-func (m *Machine) startDelay() time.Duration {
+// campaignAt returns when this host starts a campaign. It orders the hosts that
+// suspect the primary, and lets their opinions arrive before the first one starts.
+func (m *Machine) campaignAt() types.Time {
 	hosts := append(m.peers(), m.cfg.Host)
 	slices.Sort(hosts)
 	rank := 0
@@ -142,7 +147,7 @@
 		}
 	}
 	if rank == 0 {
-		return 0
+		return m.suspicion.agreedAt.Add(m.cfg.W / settleShare)
 	}
-	return time.Duration(rank)*m.cfg.W/2 + m.random.below(m.cfg.W/4)
+	return m.suspicion.agreedAt.Add(time.Duration(rank)*m.cfg.W/2 + m.suspicion.jitter)
 }
--- a/core/failover/wake.go
+++ b/core/failover/wake.go
@@ -22,7 +22,7 @@
 		earlier(until)
 	}
 	if m.suspicion.agreed {
-		earlier(m.suspicion.campaignAt)
+		earlier(m.campaignAt())
 	}
 	earlier(m.retryAt)
 	earlier(m.seenAt.Add(m.noPrimaryAfter()))
