core/failover: suspect a primary sooner where its connections fail

Three failed connections in a row now halve the time to suspicion; a silent connection, which a pause or a lost packet can explain, keeps it whole.

--- a/core/failover/config.go
+++ b/core/failover/config.go
@@ -36,7 +36,8 @@
 	// replaced by a new one, and a campaign's command is repeated.
 	AnswerTimeout time.Duration
 	// SuspectAfter is the time without an answer from the primary, on the old
-	// and on a new connection, after which the primary is suspected.
+	// and on a new connection, after which the primary is suspected. Half of it
+	// is enough where the connections fail.
 	SuspectAfter time.Duration
 	// DrainTimeout bounds each phase of a planned change before the fence.
 	DrainTimeout time.Duration
--- a/core/failover/suspicion.go
+++ b/core/failover/suspicion.go
@@ -14,6 +14,9 @@
 	suspicionRepeats = 2
 	// settleShare divides W into the time between agreement and campaign.
 	settleShare = 32
+	// failedConnections is the number of connection failures in a row after
+	// which half the time is enough to suspect the primary.
+	failedConnections = 3
 )
 
 // suspicion is the state of the agreement that the primary has failed.
@@ -98,11 +101,14 @@
 }
 
 // silent reports whether the endpoint answers neither over the old connection
-// nor over a new one.
+// nor over a new one. Connections that fail tell so sooner than silent ones.
 func (m *Machine) silent(w *watch) bool {
 	if !w.reconnected || !w.triedNew {
 		return false
 	}
+	if w.failures >= failedConnections {
+		return w.silentFor(m.now) >= m.cfg.SuspectAfter/2
+	}
 	return w.silentFor(m.now) >= m.cfg.SuspectAfter
 }
 
--- a/core/failover/wake.go
+++ b/core/failover/wake.go
@@ -15,6 +15,7 @@
 		earlier(w.askedAt.Add(m.interval(e)))
 		if w.unanswered {
 			earlier(w.unansweredSince.Add(m.cfg.AnswerTimeout))
+			earlier(w.unansweredSince.Add(m.cfg.SuspectAfter / 2))
 			earlier(w.unansweredSince.Add(m.cfg.SuspectAfter))
 		}
 	}
