--- a/core/session/eligible_test.go
+++ b/core/session/eligible_test.go
@@ -1,6 +1,8 @@
 package session_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,6 +12,16 @@
 	"baobabfield.example/core/types"
 )
 
+// TestMain sets the seed, which the command line can override.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func point(term types.Term, p types.Position) types.LogPoint {
 	return types.LogPoint{Term: term, Position: p}
 }
