Try again a rank whose requests were all refused

Cause: with a service estimate above the target every request of a rank was refused, so no sample came in and the estimate never fell, also after the endpoint had recovered. The new test fails with the decay taken out.

--- a/core/admission/control.go
+++ b/core/admission/control.go
@@ -38,10 +38,18 @@
 		rest = q.updateUse(&q.ranks[i], elapsed, rest)
 	}
 	for i := range q.ranks {
+		q.ranks[i].doubtEstimate()
 		q.updateLevels(now, int32(i), elapsed)
+		q.ranks[i].endPeriod()
 	}
 }
 
+// endPeriod starts the counts of the next control period.
+func (r *rankQueue) endPeriod() {
+	r.refused, r.finished = 0, 0
+	r.held, r.answered = 0, 0
+}
+
 // dropLate refuses queued requests that can no longer be served in time.
 func (q *Queue) dropLate(now types.Time) {
 	for i := range q.items {
@@ -55,7 +63,7 @@
 			}
 			continue
 		}
-		if !q.inTime(now, int32(i)) {
+		if !q.inTime(now, it, 0) {
 			q.dropQueued(int32(i), types.ReasonLate)
 		}
 	}
@@ -69,10 +77,17 @@
 	weight := 2 * float64(elapsed) / float64(r.spec.Target)
 	r.rest += (rest - r.rest) * min(weight, periodWeight)
 	used := float64(r.held) / (float64(elapsed) * float64(q.slots))
-	r.held = 0
 	return rest - used
 }
 
+// doubtEstimate lowers the service estimate of a rank whose requests were all
+// refused, so that one is tried and the estimate can follow the endpoint again.
+func (r *rankQueue) doubtEstimate() {
+	if r.refused > 0 && r.finished == 0 && r.running == 0 {
+		r.service.decay()
+	}
+}
+
 // updateLevels computes the admission level of each flow of a rank: the
 // max-min fair share of the rank's capacity, relative to what the flow offers.
 func (q *Queue) updateLevels(now types.Time, rank int32, elapsed time.Duration) {
@@ -86,7 +101,6 @@
 			share = r.fairShare(capacity)
 		}
 	}
-	r.refused = 0
 	for i := range r.flows {
 		f := &r.flows[i]
 		f.level = LevelFull
--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -51,7 +51,7 @@
 			return
 		}
 		i := q.nextItem(rank)
-		if !q.inTime(now, i) {
+		if !q.inTime(now, &q.items[i], 0) {
 			q.dropQueued(i, types.ReasonLate)
 			continue
 		}
@@ -127,6 +127,7 @@
 	r.served(now, r.spec.Target-it.due.Sub(now))
 	it.cost = r.service.mean
 	r.charge(it.cost)
+	r.running++
 	q.inUse++
 	q.effects = append(q.effects, Effect{Kind: EffectStart, ID: it.id})
 }
@@ -137,22 +138,12 @@
 	r.wait = max(wait, r.wait+(wait-r.wait)/waitWeight)
 }
 
-// inTime reports whether a request can still be served in time if it starts now.
-func (q *Queue) inTime(now types.Time, i int32) bool {
-	it := &q.items[i]
-	return q.meets(now, &q.ranks[it.rank], 0, it.due, it.deadline)
-}
-
-// meets reports whether a request that starts after wait ends before both the
-// end of its target and its deadline.
-func (q *Queue) meets(now types.Time, r *rankQueue, wait time.Duration, due, deadline types.Time) bool {
+// inTime reports whether a request that starts after wait is likely to end
+// before both the end of its target and its deadline.
+func (q *Queue) inTime(now types.Time, it *item, wait time.Duration) bool {
+	r := &q.ranks[it.rank]
 	end := now.Add(wait + r.service.need(r.spec.Target))
-	return !end.After(due) && (deadline == 0 || !end.After(deadline))
-}
-
-// canMeet reports whether a new request of the flow is likely to be served in time.
-func (q *Queue) canMeet(now types.Time, rank int32, f *flow, due, deadline types.Time) bool {
-	return q.meets(now, &q.ranks[rank], q.expectedWait(rank, f), due, deadline)
+	return !end.After(it.due) && (it.deadline == 0 || !end.After(it.deadline))
 }
 
 // expectedWait estimates how long a new request of the flow would wait.
--- a/core/admission/estimate.go
+++ b/core/admission/estimate.go
@@ -6,6 +6,7 @@
 const (
 	serviceWeight  = 32
 	baselineWeight = 4096
+	decayWeight    = 64
 )
 
 // deviations is the number of mean deviations above the mean that a service
@@ -43,9 +44,18 @@
 	s.baseline += (d - s.baseline) / weight
 }
 
+// decay lowers the estimate by one part in decayWeight.
+func (s *serviceEstimate) decay() {
+	s.mean -= s.mean / decayWeight
+	s.deviation -= s.deviation / decayWeight
+}
+
+// maxNeed bounds, in percent of the target, the time to leave for a service.
+const maxNeed = 75
+
 // need returns the time to leave for the service of a request whose target is
-// given. A target too short for the endpoint is not held against the request
-// beyond half of the target, or the mean where that is longer.
+// given. A target too short for the endpoint is held against the request only
+// up to maxNeed, or the mean where that is longer.
 func (s *serviceEstimate) need(target time.Duration) time.Duration {
-	return min(s.mean+deviations*s.deviation, max(s.mean, target*3/4))
+	return min(s.mean+deviations*s.deviation, max(s.mean, target*maxNeed/percent))
 }
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -84,7 +84,8 @@
 	// servedAt is the time of the last start, or at which the rank began to wait.
 	servedAt types.Time
 	// held is the slot time that the rank used since the last control period.
-	held time.Duration
+	held    time.Duration
+	running int // requests that hold a slot
 	// finished and answered count the answers since the last control period and
 	// the slot time that they took.
 	finished int
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -101,6 +101,9 @@
 		if it.id != 0 {
 			it.rank = q.rankIndex(old[it.rank].spec.Name)
 		}
+		if it.started {
+			q.ranks[it.rank].running++
+		}
 	}
 	for _, i := range waiting {
 		it := &q.items[i]
@@ -164,19 +167,20 @@
 		q.refuse(ev.ID, types.ReasonQueueFull)
 		return
 	}
-	due := now.Add(r.spec.Target - ev.Age)
+	it := item{
+		id: ev.ID, rank: rank, flow: fi, key: key, write: ev.Write,
+		due: now.Add(r.spec.Target - ev.Age), deadline: ev.Deadline,
+	}
 	held := ev.Write && q.holdWrites
-	if !held && !q.canMeet(now, rank, f, due, ev.Deadline) {
+	if !held && !q.inTime(now, &it, q.expectedWait(rank, f)) {
 		r.refused++
 		q.refuse(ev.ID, types.ReasonLate)
 		return
 	}
-	i := q.allocate()
 	q.seq++
-	q.items[i] = item{
-		id: ev.ID, rank: rank, flow: fi, seq: q.seq, key: key,
-		due: due, deadline: ev.Deadline, write: ev.Write,
-	}
+	it.seq = q.seq
+	i := q.allocate()
+	q.items[i] = it
 	q.byID[ev.ID] = i
 	if r.depth == 0 {
 		r.servedAt = now
@@ -253,6 +257,7 @@
 	}
 	it := &q.items[i]
 	r := &q.ranks[it.rank]
+	r.running--
 	r.held += ev.Service
 	r.charge(ev.Service - it.cost)
 	if ev.OK {
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -181,6 +181,30 @@
 	is.Equal(q.Slots(), 2)
 }
 
+// TestRefusedRankIsTriedAgain checks that a rank whose requests are all
+// refused at a slow endpoint is served again once the endpoint has recovered.
+func TestRefusedRankIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	q := newQueue()
+	now := types.Time(0)
+	served := func(service time.Duration) (n int) {
+		for range 1000 {
+			now = now.Add(10 * time.Millisecond)
+			q.seq++
+			id := types.RequestID(q.seq + 1<<32)
+			if len(kinds(q.Step(now, submit(id, "urgent")), EffectStart)) > 0 {
+				n++
+				q.Step(now, Event{Kind: EventFinish, ID: id, OK: true, Service: service})
+			}
+		}
+		return n
+	}
+	is.Equal(served(5*time.Millisecond), 1000)
+	n := served(300 * time.Millisecond)
+	is.True(n > 0 && n < 100)                 // tried now and then
+	is.True(served(5*time.Millisecond) > 900) // served again
+}
+
 func TestCheckNamesTheFault(t *testing.T) {
 	is := is.New(t)
 	rank := types.RankSpec{Name: "a", Target: time.Second, Worth: 1}
--- a/core/admission/slots.go
+++ b/core/admission/slots.go
@@ -31,7 +31,6 @@
 		r := &q.ranks[i]
 		q.measured += float64(r.answered)
 		q.usual += float64(time.Duration(r.finished) * r.service.baseline)
-		r.finished, r.answered = 0, 0
 	}
 	if q.usual == 0 {
 		return 1
