--- a/core/admission/control.go
+++ b/core/admission/control.go
@@ -24,7 +24,7 @@
 	idlePeriods = 100
 )
 
-// minLevel keeps a trickle of requests coming, so that the offered load stays known.
+// minLevel is the lowest level; some requests must pass for the offered load to be known.
 const minLevel Level = 1
 
 // control runs once in each control period.
@@ -38,7 +38,7 @@
 		rest = q.updateUse(&q.ranks[i], elapsed, rest)
 	}
 	for i := range q.ranks {
-		q.ranks[i].doubtEstimate()
+		q.ranks[i].relaxEstimate()
 		q.updateLevels(now, int32(i), elapsed)
 		q.ranks[i].endPeriod()
 	}
@@ -80,9 +80,9 @@
 	return rest - used
 }
 
-// doubtEstimate lowers the service estimate of a rank whose requests were all
+// relaxEstimate lowers the service estimate of a rank whose requests were all
 // refused, so that one is tried and the estimate can follow the endpoint again.
-func (r *rankQueue) doubtEstimate() {
+func (r *rankQueue) relaxEstimate() {
 	if r.refused > 0 && r.finished == 0 && r.running == 0 {
 		r.service.decay()
 	}
--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// floorPatience is the part of its target, 1/floorPatience, for which a rank
+	// floorDelay is the part of its target, 1/floorDelay, for which a rank
 	// waits before its floor puts it ahead of more urgent ranks.
-	floorPatience = 4
+	floorDelay = 4
 	// floorRate is the slot time that floors earn, in percent of what they state,
 	// as a part of it goes to requests that end late or is not called for in time.
 	floorRate = 110
@@ -81,8 +81,8 @@
 	if r.spec.Floor == 0 || r.credit < r.service.mean || q.servable(r) == 0 {
 		return false
 	}
-	patience := r.spec.Target / floorPatience
-	return r.wait >= patience || now.Sub(r.servedAt) >= patience
+	delay := r.spec.Target / floorDelay
+	return r.wait >= delay || now.Sub(r.servedAt) >= delay
 }
 
 // servable returns the number of the rank's requests that may start.
--- /dev/null
+++ b/core/admission/reconfigure.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"sort"
+
+	"baobabfield.example/core/types"
+)
+
+// Reconfigure replaces the configuration. Requests stay queued; those whose
+// rank is gone move to the least urgent rank. The effects are as those of Step.
+func (q *Queue) Reconfigure(now types.Time, cfg Config) ([]Effect, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	old := q.ranks
+	waiting := q.waiting()
+	q.effects = q.effects[:0]
+	q.configure(cfg.withDefaults())
+	q.carryEstimates(old)
+	q.renameRanks(old, waiting)
+	q.setSlots(q.cfg.Slots)
+	q.dispatch(now)
+	return q.effects, nil
+}
+
+// waiting returns the queued items in the order of their arrival.
+func (q *Queue) waiting() []int32 {
+	var out []int32
+	for i := range q.items {
+		if q.items[i].id != 0 && !q.items[i].started {
+			out = append(out, int32(i))
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return q.items[out[a]].seq < q.items[out[b]].seq })
+	return out
+}
+
+// carryEstimates keeps the service estimates of ranks that are still defined.
+func (q *Queue) carryEstimates(old []rankQueue) {
+	for i := range old {
+		if at, ok := q.byName[old[i].spec.Name]; ok {
+			q.ranks[at].service = old[i].service
+			q.ranks[at].rest = old[i].rest
+		}
+	}
+}
+
+// renameRanks moves all items from the old ranks to the current ones.
+func (q *Queue) renameRanks(old []rankQueue, waiting []int32) {
+	for i := range q.items {
+		it := &q.items[i]
+		if it.id != 0 {
+			it.rank = q.rankIndex(old[it.rank].spec.Name)
+		}
+		if it.started {
+			q.ranks[it.rank].running++
+		}
+	}
+	for _, i := range waiting {
+		it := &q.items[i]
+		it.flow = q.ranks[it.rank].flowOf(it.key, q.cfg.FlowLimit)
+		q.push(i)
+	}
+}
--- /dev/null
+++ b/core/policy/agenda_test.go
@@ -0,0 +1,50 @@
+package policy
+
+import (
+	"baobabfield.example/core/types"
+)
+
+// step is something that happens in the simulation.
+type step struct {
+	at  types.Time
+	seq uint64
+	run func()
+}
+
+// agenda is a binary heap of steps, the earliest first.
+type agenda []step
+
+func (a agenda) less(i, j int) bool {
+	if a[i].at != a[j].at {
+		return a[i].at < a[j].at
+	}
+	return a[i].seq < a[j].seq
+}
+
+func (a *agenda) push(s step) {
+	*a = append(*a, s)
+	h := *a
+	for i := len(h) - 1; i > 0 && h.less(i, (i-1)/2); i = (i - 1) / 2 {
+		h[i], h[(i-1)/2] = h[(i-1)/2], h[i]
+	}
+}
+
+func (a *agenda) pop() step {
+	h := *a
+	top, last := h[0], len(h)-1
+	h[0] = h[last]
+	h = h[:last]
+	for i := 0; ; {
+		child := 2*i + 1
+		if child+1 < last && h.less(child+1, child) {
+			child++
+		}
+		if child >= last || !h.less(child, i) {
+			break
+		}
+		h[i], h[child] = h[child], h[i]
+		i = child
+	}
+	*a = h
+	return top
+}
--- a/core/policy/scenario_test.go
+++ b/core/policy/scenario_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"time"
-
-	"baobabfield.example/core/admission"
-	"baobabfield.example/core/types"
 )
 
 // deployment describes one of the two installations that the brief names.
@@ -118,70 +115,3 @@
 	{name: "failover in background flood", flood: [rankCount]bool{background: true}, failover: true},
 	{name: "both floods", flood: [rankCount]bool{urgent: true, background: true}},
 }
-
-// scheduler is a policy at the owner: the real queue or a baseline.
-type scheduler interface {
-	Step(now types.Time, ev admission.Event) []admission.Effect
-}
-
-type policyKind int
-
-const (
-	ranked policyKind = iota
-	firstCome
-	strict
-	// twoChoices is the policy with replicas chosen by outstanding requests alone.
-	twoChoices
-	policyCount
-)
-
-var policyNames = [policyCount]string{"baobabfield", "first come", "strict priority", "two choices"}
-
-func newScheduler(kind policyKind, d deployment) scheduler {
-	switch kind {
-	case firstCome:
-		return &fifo{slots: d.slots, limit: rankCount * admission.DefaultQueueLimit, queues: make([][]types.RequestID, 1)}
-	case strict:
-		return &fifo{slots: d.slots, limit: admission.DefaultQueueLimit, queues: make([][]types.RequestID, rankCount)}
-	}
-	return admission.New(admission.Config{Slots: d.slots, Connections: d.connections}, 0)
-}
-
-// fifo is the baseline: queues in strict order, each first come, first served,
-// without floors, early refusal or admission levels.
-type fifo struct {
-	slots, inUse int
-	limit        int
-	queues       [][]types.RequestID
-	effects      []admission.Effect
-}
-
-var rankNumbers = func() map[types.Rank]int {
-	out := map[types.Rank]int{}
-	for i, r := range admission.DefaultRanks() {
-		out[r.Name] = i
-	}
-	return out
-}()
-
-func (f *fifo) Step(_ types.Time, ev admission.Event) []admission.Effect {
-	f.effects = f.effects[:0]
-	switch ev.Kind {
-	case admission.EventSubmit:
-		i := min(rankNumbers[ev.Rank], len(f.queues)-1)
-		if len(f.queues[i]) >= f.limit {
-			return append(f.effects, admission.Effect{Kind: admission.EffectRefuse, ID: ev.ID, Reason: types.ReasonQueueFull})
-		}
-		f.queues[i] = append(f.queues[i], ev.ID)
-	case admission.EventFinish:
-		f.inUse--
-	}
-	for i := range f.queues {
-		for f.inUse < f.slots && len(f.queues[i]) > 0 {
-			f.effects = append(f.effects, admission.Effect{Kind: admission.EffectStart, ID: f.queues[i][0]})
-			f.queues[i] = f.queues[i][1:]
-			f.inUse++
-		}
-	}
-	return f.effects
-}
