--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// floorPatience is the part of its target, 1/floorPatience, for which a rank
+	// floorDelay is the part of its target, 1/floorDelay, for which a rank
 	// waits before its floor puts it ahead of more urgent ranks.
-	floorPatience = 4
+	floorDelay = 4
 	// floorRate is the slot time that floors earn, in percent of what they state,
 	// as a part of it goes to requests that end late or is not called for in time.
 	floorRate = 110
@@ -51,7 +51,7 @@
 			return
 		}
 		i := q.nextItem(rank)
-		if !q.inTime(now, i) {
+		if !q.inTime(now, &q.items[i], 0) {
 			q.dropQueued(i, types.ReasonLate)
 			continue
 		}
@@ -81,8 +81,8 @@
 	if r.spec.Floor == 0 || r.credit < r.service.mean || q.servable(r) == 0 {
 		return false
 	}
-	patience := r.spec.Target / floorPatience
-	return r.wait >= patience || now.Sub(r.servedAt) >= patience
+	delay := r.spec.Target / floorDelay
+	return r.wait >= delay || now.Sub(r.servedAt) >= delay
 }
 
 // servable returns the number of the rank's requests that may start.
@@ -127,6 +127,7 @@
 	r.served(now, r.spec.Target-it.due.Sub(now))
 	it.cost = r.service.mean
 	r.charge(it.cost)
+	r.running++
 	q.inUse++
 	q.effects = append(q.effects, Effect{Kind: EffectStart, ID: it.id})
 }
@@ -137,22 +138,12 @@
 	r.wait = max(wait, r.wait+(wait-r.wait)/waitWeight)
 }
 
-// inTime reports whether a request can still be served in time if it starts now.
-func (q *Queue) inTime(now types.Time, i int32) bool {
-	it := &q.items[i]
-	return q.meets(now, &q.ranks[it.rank], 0, it.due, it.deadline)
-}
-
-// meets reports whether a request that starts after wait ends before both the
-// end of its target and its deadline.
-func (q *Queue) meets(now types.Time, r *rankQueue, wait time.Duration, due, deadline types.Time) bool {
+// inTime reports whether a request that starts after wait is likely to end
+// before both the end of its target and its deadline.
+func (q *Queue) inTime(now types.Time, it *item, wait time.Duration) bool {
+	r := &q.ranks[it.rank]
 	end := now.Add(wait + r.service.need(r.spec.Target))
-	return !end.After(due) && (deadline == 0 || !end.After(deadline))
-}
-
-// canMeet reports whether a new request of the flow is likely to be served in time.
-func (q *Queue) canMeet(now types.Time, rank int32, f *flow, due, deadline types.Time) bool {
-	return q.meets(now, &q.ranks[rank], q.expectedWait(rank, f), due, deadline)
+	return !end.After(it.due) && (it.deadline == 0 || !end.After(it.deadline))
 }
 
 // expectedWait estimates how long a new request of the flow would wait.
