--- a/core/config/build.go
+++ b/core/config/build.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -364,33 +365,67 @@
 	return nil
 }
 
-// stopUses adds the uses that the plan stops and warns of them.
+// maxPlanUses bounds the uses that a plan holds, since the platform bounds the size
+// of a value.
+const maxPlanUses = 200
+
+// stopUses adds the uses that the plan stops and warns of them. The plan holds those
+// with the most calls.
 func (b *builder) stopUses(stops func(Use) bool, object string) {
+	var stopped []Use
 	for _, u := range b.uses {
-		if !stops(u) {
-			continue
-		}
-		b.plan.Uses = append(b.plan.Uses, u)
-		if u.Job != "" {
-			b.warnJob(u)
+		if stops(u) {
+			stopped = append(stopped, u)
 		}
 	}
+	if len(stopped) == 0 {
+		return
+	}
+	b.warn(WarnInUse, object, "%q is still in use in %d ways", object, len(stopped))
+	for _, u := range totalsByJob(stopped) {
+		b.warnJob(u)
+	}
+	slices.SortFunc(stopped, func(x, y Use) int {
+		return cmp.Or(cmp.Compare(y.Calls, x.Calls), compareUses(x, y))
+	})
+	b.plan.Uses = stopped[:min(len(stopped), maxPlanUses)]
 	slices.SortFunc(b.plan.Uses, compareUses)
-	if n := len(b.plan.Uses); n > 0 {
-		b.warn(WarnInUse, object, "%q is still in use in %d ways", object, n)
+}
+
+// totalsByJob returns the sum of the uses of each job, in order of the jobs' names.
+func totalsByJob(uses []Use) []Use {
+	var totals []Use
+	for _, u := range uses {
+		if u.Job == "" {
+			continue
+		}
+		i := slices.IndexFunc(totals, func(t Use) bool { return t.Job == u.Job })
+		if i < 0 {
+			totals = append(totals, u)
+			continue
+		}
+		t := &totals[i]
+		t.Calls += u.Calls
+		t.FirstSeen = min(t.FirstSeen, u.FirstSeen)
+		if u.LastSeen > t.LastSeen {
+			t.LastSeen = u.LastSeen
+			t.Caller = u.Caller
+		}
 	}
+	slices.SortFunc(totals, func(x, y Use) int { return cmp.Compare(x.Job, y.Job) })
+	return totals
 }
 
 // warnJob warns of a job that still fires.
 func (b *builder) warnJob(u Use) {
 	last := time.Unix(0, u.LastSeen).UTC().Format(time.RFC3339)
 	if u.Calls < 2 {
-		b.warn(WarnJobFiring, string(u.Job), "job %q was called from %s, last %s", u.Job, u.Caller, last)
+		b.warn(WarnJobFiring, string(u.Job), "job %q was called once, from %s at %s", u.Job, u.Caller, last)
 		return
 	}
 	every := time.Duration(u.LastSeen-u.FirstSeen) / time.Duration(u.Calls-1)
-	b.warn(WarnJobFiring, string(u.Job), "job %q was called %d times from %s, about every %v, last %s",
-		u.Job, u.Calls, u.Caller, every.Round(time.Second), last)
+	b.warn(WarnJobFiring, string(u.Job), "job %q was called %d times, about every %v, last from %s at %s",
+		u.Job, u.Calls, every.Round(time.Second), u.Caller, last)
 }
 
 // IntentForLeaving returns the intent for an endpoint that the platform lists as
--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -110,7 +110,7 @@
 	Updates []Update
 	// Changes and Stops say in words what changes and what stops.
 	Changes, Stops []string
-	// Uses is the live use of what stops.
+	// Uses is the live use of what stops, the 200 with the most calls.
 	Uses     []Use
 	Warnings []Warning
 	// Operation marks the writes of the plan.
--- a/core/config/plan_test.go
+++ b/core/config/plan_test.go
@@ -114,6 +114,17 @@
 	is.NoErr(err)
 	is.True(warned(p, WarnJobFiring))
 	is.Equal(p.Uses, []Use{use})
+	is.True(strings.Contains(p.Warnings[1].Text, "about every 1h0m0s"))
+	var many []Use
+	for i := range 5000 {
+		u := use
+		u.Host, u.Calls = types.Host(fmt.Sprint(i)), uint64(i+1)
+		many = append(many, u)
+	}
+	p, err = planFor(Retire{Retirement: retirement(TargetJob, "nightly", PhaseDraining)}, s, many...)
+	is.NoErr(err)
+	is.Equal(len(p.Uses), maxPlanUses)
+	is.Equal(len(p.Warnings), 2) // one for the use and one for the job
 
 	rank := types.RankSpec{Name: "urgent", Target: time.Second, Worth: 1, Floor: 10}
 	p, err = planFor(PutRank{Spec: rank}, s)
