--- a/cmd/baobabctl/fake_test.go
+++ b/cmd/baobabctl/fake_test.go
@@ -260,6 +260,6 @@
 		Host:  host,
 		Stamp: timeline.Stamp{Wall: seen + int64(after)},
 		Kind:  kind, Object: object, Cause: cause,
-		Counts: []timeline.Count{{Name: "term", Value: int64(n)}},
+		Counts: []timeline.Count{{Name: "term", Value: int64(types.MakeTerm(1, uint32(n)))}},
 	}
 }
--- a/cmd/baobabctl/timeline.go
+++ b/cmd/baobabctl/timeline.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	api "baobabfield.example/api/admin"
+	"baobabfield.example/core/types"
 )
 
 // TimelineCmd shows the time line.
@@ -111,13 +112,22 @@
 	printMissing(p, timeline.Missing)
 }
 
+// describeCount shows a count; a term is shown as its endpoint set and number.
+func describeCount(c api.Count) string {
+	if c.Name == "term" {
+		term := types.Term(c.Value)
+		return fmt.Sprintf("term=%d.%d", term.Set(), term.Campaign())
+	}
+	return fmt.Sprintf("%s=%d", c.Name, c.Value)
+}
+
 func describeEvent(e api.Event) string {
 	var parts []string
 	if e.Text != "" {
 		parts = append(parts, e.Text)
 	}
 	for _, count := range e.Counts {
-		parts = append(parts, fmt.Sprintf("%s=%d", count.Name, count.Value))
+		parts = append(parts, describeCount(count))
 	}
 	if e.Author != "" {
 		parts = append(parts, "by "+e.Author)
