--- a/cmd/internal/capacity/bus.go
+++ b/cmd/internal/capacity/bus.go
@@ -10,12 +10,16 @@
 
 // One-way delays of messages, and the resolution of timers.
 const (
-	localDelay   = 500 * time.Microsecond
-	remoteDelay  = 25 * time.Millisecond
-	delayJitter  = time.Millisecond
-	timerPeriod  = 10 * time.Millisecond
-	loopBytesTCP = 40 + 12 + 4
-	loopBytesUDP = 28 + 32
+	localDelay  = 500 * time.Microsecond
+	remoteDelay = 25 * time.Millisecond
+	delayJitter = time.Millisecond
+	timerPeriod = 10 * time.Millisecond
+)
+
+// Bytes of a message beside its content.
+const (
+	headerBytesTCP = 40 + 12 + 4 // IP and TCP, yamux, length of the frame
+	headerBytesUDP = 28 + 32     // IP and UDP, authentication code
 )
 
 // peer is the state machine of one host.
--- a/cmd/internal/capacity/config.go
+++ b/cmd/internal/capacity/config.go
@@ -127,7 +127,7 @@
 
 // newConfigFleet starts all hosts of a fleet at once, without configuration.
 func newConfigFleet(f fleet) *configFleet {
-	b := newBus(f, loopBytesTCP, 1)
+	b := newBus(f, headerBytesTCP, 1)
 	objects := f.objects()
 	c := &configFleet{fleet: f, bus: b, index: f.index(), platform: &platform{
 		bus: b, objects: objects, version: config.Version(len(objects)),
--- a/cmd/internal/capacity/members.go
+++ b/cmd/internal/capacity/members.go
@@ -56,7 +56,7 @@
 
 // newMembers starts all hosts of a fleet at once.
 func newMembers(f fleet) *members {
-	m := &members{fleet: f, bus: newBus(f, loopBytesUDP, memberWorkers), byAddress: map[string]int{}}
+	m := &members{fleet: f, bus: newBus(f, headerBytesUDP, memberWorkers), byAddress: map[string]int{}}
 	for i := range f.hosts {
 		m.byAddress[address(i, 7002)] = i
 	}
--- a/cmd/internal/capacity/owners.go
+++ b/cmd/internal/capacity/owners.go
@@ -128,7 +128,7 @@
 	case failover.WakeAt:
 		w.wakes[host] = c.Time
 	case failover.TellPeer:
-		w.bytes += loopBytesTCP + encodedSize(c)
+		w.bytes += headerBytesTCP + encodedSize(c)
 		w.later(c.Host, failover.PeerSuspicion{From: host, Suspicion: c.Suspicion}, remoteDelay)
 	case failover.HoldWrites:
 		if c.Hold {
