--- a/cmd/internal/capacity/capacity.go
+++ b/cmd/internal/capacity/capacity.go
@@ -18,17 +18,20 @@
 	endMark   = "<!-- capacity: end -->"
 )
 
-// Run measures the fleets with the given names. It stops between two
-// measurements once ctx ends.
-func Run(ctx context.Context, names []string, note func(format string, args ...any)) (*Report, error) {
+// Run makes the named measurements of the named fleets. It stops between two
+// measurements once ctx ends, and returns what it has.
+func Run(ctx context.Context, names, roles []string, note func(format string, args ...any)) *Report {
 	report := &Report{Machine: fmt.Sprintf("%d processors, %s/%s, %s", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, runtime.Version())}
 	for _, f := range fleets {
 		if !slices.Contains(names, f.name) {
 			continue
 		}
+		var missing []string
 		for _, measurement := range measurements {
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
+			if !slices.Contains(roles, measurement.name) || ctx.Err() != nil {
+				missing = append(missing, measurement.name)
+				note("%s: %s not measured", f.name, measurement.name)
+				continue
 			}
 			start := time.Now()
 			rows, events := measurement.measure(f)
@@ -36,9 +39,9 @@
 			report.Events = append(report.Events, events...)
 			note("%s: %s measured in %v", f.name, measurement.name, time.Since(start).Round(time.Millisecond))
 		}
-		report.addTotals(f)
+		report.addTotals(f, missing)
 	}
-	return report, nil
+	return report
 }
 
 // measurement is a part of a run.
@@ -58,10 +61,15 @@
 	{name: "sockets", measure: measureSockets},
 }
 
-// addTotals adds up the roles that one host plays at a time.
-func (r *Report) addTotals(f fleet) {
-	ordinary := Row{Fleet: f.name, Role: "ordinary host", Hosts: f.hosts}
-	relay := Row{Fleet: f.name, Role: "relay host", Hosts: f.hosts}
+// addTotals adds up the roles that one host plays at a time, and names the
+// measurements that are missing.
+func (r *Report) addTotals(f fleet, missing []string) {
+	without := ""
+	if len(missing) > 0 {
+		without = ", without " + strings.Join(missing, " and ")
+	}
+	ordinary := Row{Fleet: f.name, Role: "ordinary host" + without, Hosts: f.hosts}
+	relay := Row{Fleet: f.name, Role: "relay host" + without, Hosts: f.hosts}
 	for _, row := range r.Rows {
 		if row.Fleet != f.name {
 			continue
