core/failover: tell the other owners of a promotion

Cause: after the shorter wait, resuming was the longest part of the planned gap (75 of 83 ms): the new owner learned of its primary at its next question.

--- a/core/failover/campaign.go
+++ b/core/failover/campaign.go
@@ -241,6 +241,8 @@
 	m.campaign = nil
 	m.led = c.term
 	m.adopt(c.term, c.chosen)
+	m.suspicion.self = false
+	m.tellPeers()
 	m.note(NotePromoted, c.term, string(NoteFenced), "endpoint %q is the primary", c.chosen)
 	m.emit(Record{Term: c.term, Primary: c.chosen})
 }
--- a/core/failover/endpoint_test.go
+++ b/core/failover/endpoint_test.go
@@ -26,10 +26,12 @@
 	log       []entry
 	starts    []types.TermStart
 	following types.Endpoint
-	matched   map[types.Endpoint]int
-	waiting   []waiter
-	asked     map[types.Host]time.Duration
-	upSince   time.Duration
+	// synced is the length of the common start of this log and the primary's.
+	synced  int
+	matched map[types.Endpoint]int
+	waiting []waiter
+	asked   map[types.Host]time.Duration
+	upSince time.Duration
 }
 
 // waiter is a write whose result waits for its replication.
@@ -101,6 +103,7 @@
 	e.term = term
 	e.primary = primary
 	e.following = following
+	e.synced = 0
 	e.matched = map[types.Endpoint]int{}
 	e.waiting = nil
 }
@@ -143,7 +146,7 @@
 	if p == nil || !e.up || !p.up || !p.primary || p.term != e.term || !e.w.linked(string(p.id), string(e.id)) {
 		return
 	}
-	common := 0
+	common := e.synced
 	for common < min(len(e.log), len(p.log)) && e.log[common] == p.log[common] {
 		common++
 	}
@@ -152,6 +155,7 @@
 		n = min(n, common+e.w.below(2)*e.w.below(2))
 	}
 	e.log = append(e.log[:common], p.log[common:n]...)
+	e.synced = n
 	e.starts = startsUpTo(p.starts, n, n == len(p.log))
 	term := e.term
 	e.w.send(string(e.id), string(p.id), func() { p.acknowledged(e.id, term, n) })
--- a/core/failover/event.go
+++ b/core/failover/event.go
@@ -107,7 +107,7 @@
 type Suspicion struct {
 	Term    types.Term
 	Primary types.Endpoint
-	// Suspected is false once the primary answers again.
+	// Suspected is false once the primary answers again, or a new one was promoted.
 	Suspected bool
 }
 
--- a/core/failover/suspicion.go
+++ b/core/failover/suspicion.go
@@ -37,8 +37,13 @@
 	at      types.Time
 }
 
+// onPeerSuspicion takes in a peer's opinion. A peer that does not suspect a later
+// primary than the one known here knows that primary.
 func (m *Machine) onPeerSuspicion(ev PeerSuspicion) {
 	m.observe(ev.Suspicion.Term)
+	if ev.Suspicion.Term > m.term && !ev.Suspicion.Suspected {
+		m.askAll()
+	}
 	m.suspicion.peers[ev.From] = peerOpinion{opinion: ev.Suspicion, at: m.now}
 	if w := m.watches[m.primary]; w != nil && ev.Suspicion.Suspected {
 		w.askNow = w.askNow || m.now.Sub(w.askedAt) >= m.cfg.QuestionInterval/2
