Leave fast repair between data centres to the relays' turns

Cause: when hosts start together, each relay compared with the relays of other data centres every 500 ms until nothing differed, so that the few relays answered most comparisons.

--- a/core/membership/exchange.go
+++ b/core/membership/exchange.go
@@ -141,7 +141,8 @@
 }
 
 // compareBuckets sends summaries of the buckets that differ, and compares again soon
-// if there were any.
+// if there were any. Other data centres have their turn with each relay instead, so
+// that their few relays are not asked too often.
 func (m *Machine) compareBuckets(now types.Time, from Member, b Buckets) {
 	left := bucketsPerExchange
 	for _, g := range b.Groups {
@@ -158,7 +159,7 @@
 		left -= len(differing)
 		m.sendSummaries(from.GossipAddress, Summaries{DataCentre: g.DataCentre, Count: count}, differing)
 	}
-	if left < bucketsPerExchange {
+	if left < bucketsPerExchange && from.DataCentre == m.self.DataCentre {
 		m.repairWith(now, from.Host)
 	}
 }
