--- a/node/caller/batch.go
+++ b/node/caller/batch.go
@@ -18,14 +18,22 @@
 
 // runBatch runs one batch; it reports whether the session goes on.
 func (s *sessionTask) runBatch(ctx context.Context, b *pgwire.Batch) bool {
+	goOn := s.dispatch(ctx, b)
+	if s.stream == nil {
+		s.batcher.NewStream()
+	}
+	return goOn
+}
+
+// dispatch runs a batch in the open transaction, locally, or at an endpoint.
+func (s *sessionTask) dispatch(ctx context.Context, b *pgwire.Batch) bool {
 	if s.stream != nil {
 		return s.continueTransaction(ctx, b)
 	}
 	if answer, ok := s.local(ctx, b); ok {
 		return s.flush(answer)
 	}
-	p := s.plan(b)
-	return s.execute(ctx, b, p)
+	return s.execute(ctx, b, s.plan(b))
 }
 
 // plan classifies the batch's statements.
@@ -53,27 +61,22 @@
 	if b.Empty() {
 		return s.completions(b), true
 	}
-	if len(b.SQL) != 1 {
-		return nil, false
-	}
 	sql := b.SQL[0]
+	for _, other := range b.SQL[1:] {
+		if other != sql {
+			return nil, false
+		}
+	}
 	switch routing.Classify(sql) {
 	case routing.KindSet:
-		if b.Simple {
-			return s.runSet(ctx, sql), true
-		}
-		return s.refuseSet(sql), true
+		return s.runSet(ctx, b, sql), true
 	case routing.KindCommit:
-		if b.Simple {
-			return pgwire.AppendReady(pgwire.AppendComplete(nil, "COMMIT"), pgwire.StatusIdle), true
-		}
+		return (&pgwire.Local{Tag: "COMMIT"}).Append(nil, b), true
 	case routing.KindRollback:
-		if b.Simple {
-			return pgwire.AppendReady(pgwire.AppendComplete(nil, "ROLLBACK"), pgwire.StatusIdle), true
-		}
+		return (&pgwire.Local{Tag: "ROLLBACK"}).Append(nil, b), true
 	case routing.KindRead:
-		if verb, name, _, ok := attributes.ParseSet(sql); ok && verb == "SHOW" && b.Simple && attributes.Known(name) {
-			return s.show(name), true
+		if verb, name, _, ok := attributes.ParseSet(sql); ok && verb == "SHOW" && attributes.Known(name) {
+			return s.show(b, name), true
 		}
 	}
 	return nil, false
@@ -91,36 +94,37 @@
 }
 
 // runSet changes an attribute of the session.
-func (s *sessionTask) runSet(ctx context.Context, sql string) []byte {
+func (s *sessionTask) runSet(ctx context.Context, b *pgwire.Batch, sql string) []byte {
 	verb, name, value, ok := attributes.ParseSet(sql)
 	if !ok || !attributes.Known(name) {
 		return s.refuseSet(sql)
 	}
-	if err := s.setAttribute(ctx, name, value); err != nil {
-		buf := pgwire.AppendError(nil, "ERROR", checkState(err), "not run: "+err.Error())
-		return pgwire.AppendReady(buf, pgwire.StatusIdle)
+	if b.Executes() {
+		if err := s.setAttribute(ctx, name, value); err != nil {
+			buf := pgwire.AppendError(nil, "ERROR", checkState(err), "not run: "+err.Error())
+			return pgwire.AppendReady(buf, pgwire.StatusIdle)
+		}
 	}
 	var buf []byte
 	if name == attributes.Session {
 		buf = pgwire.AppendParameter(buf, attributes.Session, s.tokenText())
 	}
-	return pgwire.AppendReady(pgwire.AppendComplete(buf, verb), pgwire.StatusIdle)
+	return (&pgwire.Local{Tag: verb}).Append(buf, b)
 }
 
 // refuseSet answers a SET that would stay on a shared connection.
 func (s *sessionTask) refuseSet(sql string) []byte {
 	const shown = 60
-	text := fmt.Sprintf("not run: %q: only %s* settings, in a simple query, are supported outside of a transaction, since connections are shared", sql[:min(len(sql), shown)], attributes.Prefix)
+	text := fmt.Sprintf("not run: %q: only %s* settings are supported outside of a transaction, since connections are shared", sql[:min(len(sql), shown)], attributes.Prefix)
 	buf := pgwire.AppendError(nil, "ERROR", pgwire.StateNotSupported, text)
 	return pgwire.AppendReady(buf, pgwire.StatusIdle)
 }
 
 // show answers SHOW for an attribute.
-func (s *sessionTask) show(name string) []byte {
+func (s *sessionTask) show(b *pgwire.Batch, name string) []byte {
 	value := s.attrs.Value(name)
 	if name == attributes.Session {
 		value = s.tokenText()
 	}
-	buf := pgwire.AppendRow(nil, name, value)
-	return pgwire.AppendReady(pgwire.AppendComplete(buf, "SHOW"), pgwire.StatusIdle)
+	return (&pgwire.Local{Tag: "SHOW", Column: name, Value: value}).Append(nil, b)
 }
--- /dev/null
+++ b/wire/pgwire/batch_test.go
@@ -0,0 +1,125 @@
+package pgwire
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/types"
+)
+
+// gather adds messages and returns the batch that they complete.
+func gather(t *testing.T, b *Batcher, messages ...pgproto3.FrontendMessage) Batch {
+	t.Helper()
+	for i, m := range messages {
+		complete, err := b.Add(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if complete != (i == len(messages)-1) {
+			t.Fatalf("message %d completes the batch: %v", i, complete)
+		}
+	}
+	return b.Take()
+}
+
+// kinds returns the types of the messages in buf.
+func kinds(t *testing.T, buf []byte) string {
+	t.Helper()
+	var out strings.Builder
+	for len(buf) > 0 {
+		size, whole, err := nextSize(buf)
+		if err != nil || !whole {
+			t.Fatalf("messages do not split: %v", err)
+		}
+		out.WriteByte(buf[0])
+		buf = buf[size:]
+	}
+	return out.String()
+}
+
+func TestPreparedStatementIsRepeatedOnAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	b := NewBatcher()
+	first := gather(t, b, &pgproto3.Parse{Name: "s1", Query: "SELECT 1"}, &pgproto3.Describe{ObjectType: 'S', Name: "s1"}, &pgproto3.Sync{})
+	is.Equal(kinds(t, first.Messages), "CPDS")
+	is.Equal(first.Answers, []bool{false, true})
+
+	same := gather(t, b, &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	is.Equal(kinds(t, same.Messages), "BES") // same connection
+
+	b.NewStream()
+	other := gather(t, b, &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	is.Equal(kinds(t, other.Messages), "CPBES")
+	is.Equal(other.Answers, []bool{false, false})
+	is.Equal(other.SQL, []string{"SELECT 1"})
+}
+
+func TestFilterDropsUnexpectedCompletions(t *testing.T) {
+	is := is.New(t)
+	b := Batch{Answers: []bool{false, false}}
+	f := NewFilter(&b)
+	var answer []byte
+	for _, m := range []encoder{
+		&pgproto3.CloseComplete{}, &pgproto3.ParseComplete{}, &pgproto3.BindComplete{},
+		&pgproto3.DataRow{Values: [][]byte{[]byte("1")}}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
+	} {
+		answer = appendMessage(answer, m)
+	}
+	var out []byte
+	var err error
+	for _, c := range answer { // one byte at a time
+		out, err = f.Append(out, []byte{c})
+		is.NoErr(err)
+	}
+	is.Equal(kinds(t, out), "2DZ")
+}
+
+func TestBatcherRefusals(t *testing.T) {
+	is := is.New(t)
+	b := NewBatcher()
+	_, err := b.Add(&pgproto3.Bind{PreparedStatement: "nobody"})
+	is.True(strings.Contains(err.Error(), `"nobody"`))
+	_, err = b.Add(&pgproto3.CopyData{})
+	is.True(strings.Contains(err.Error(), "is not supported"))
+	b.Reset()
+	_, err = b.Add(&pgproto3.Query{String: strings.Repeat("x", MaxBatch)})
+	is.True(strings.Contains(err.Error(), "exceeds the limit"))
+}
+
+func TestLocalAnswersInBothProtocols(t *testing.T) {
+	is := is.New(t)
+	l := Local{Tag: "SHOW", Column: "baobab.rank", Value: "urgent"}
+	b := NewBatcher()
+	simple := gather(t, b, &pgproto3.Query{String: "SHOW baobab.rank"})
+	is.Equal(kinds(t, l.Append(nil, &simple)), "TDCZ")
+	prepare := gather(t, b, &pgproto3.Parse{Name: "s", Query: "SHOW baobab.rank"}, &pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{})
+	is.Equal(kinds(t, l.Append(nil, &prepare)), "1tTZ")
+	is.True(!prepare.Executes())
+	b.NewStream()
+	run := gather(t, b, &pgproto3.Bind{PreparedStatement: "s"}, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	is.Equal(kinds(t, l.Append(nil, &run)), "2TDCZ")
+	is.True(run.Executes())
+}
+
+func TestOutcomesHaveTheirStates(t *testing.T) {
+	tests := []struct {
+		outcome types.Outcome
+		state   string
+		prefix  string
+	}{
+		{types.InDoubt(types.ReasonBroken, "x"), "08007", "outcome unknown: "},
+		{types.Refused(types.ReasonQueueFull, ""), "53400", "not run: "},
+		{types.Refused(types.ReasonRetired, "r"), "0A000", "not run: "},
+		{types.Refused(types.ReasonNotPrimary, ""), "57P03", "not run: "},
+		{types.Refused(types.ReasonLeaving, ""), "57P01", "not run: "},
+		{types.Refused(types.ReasonLostWrite, ""), "40001", "not run: "},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		is.Equal(State(tt.outcome), tt.state)
+		is.True(strings.HasPrefix(Text(tt.outcome), tt.prefix))
+	}
+}
--- a/wire/pgwire/outcome.go
+++ b/wire/pgwire/outcome.go
@@ -102,13 +102,6 @@
 // textOID is PostgreSQL's type number for text.
 const textOID = 25
 
-// AppendRow appends a result of one row with one text column.
-func AppendRow(buf []byte, column, value string) []byte {
-	field := pgproto3.FieldDescription{Name: []byte(column), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1}
-	buf = appendMessage(buf, &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field}})
-	return appendMessage(buf, &pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
-}
-
 // encoder is a message that pgproto3 can encode.
 type encoder interface {
 	Encode(dst []byte) ([]byte, error)
