--- /dev/null
+++ b/cmd/baobabd/tls_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/host"
+	"baobabfield.example/node/platform"
+	"baobabfield.example/standin/database"
+	standin "baobabfield.example/standin/platform"
+)
+
+// writeCert writes a certificate for loopback that signs itself, and its key.
+func writeCert(t *testing.T, dir string) (cert, key string) {
+	t.Helper()
+	is := is.New(t)
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "baobabfield test"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, &template, &template, &private.PublicKey, private)
+	is.NoErr(err)
+	encoded, err := x509.MarshalPKCS8PrivateKey(private)
+	is.NoErr(err)
+	cert, key = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	is.NoErr(os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	is.NoErr(os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded}), 0o600))
+	return cert, key
+}
+
+// startDatabase starts the endpoints, which speak TLS, and the platform that
+// knows their service.
+func startDatabase(t *testing.T, ctx context.Context, cert, key string) *standin.Server {
+	t.Helper()
+	is := is.New(t)
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	is.NoErr(err)
+	base := database.Config{Database: "ramp-logs-1", Slots: 3, ConnectDelay: -1, TLS: &tls.Config{Certificates: []tls.Certificate{pair}}}
+	group, err := database.StartGroup(ctx, base, "a", "b", "c")
+	is.NoErr(err)
+	t.Cleanup(group.Close)
+	spec := types.ServiceSpec{Name: "ramp-logs", Promise: types.PromiseReplicated, Slots: 3, Connections: 50}
+	db := types.DatabaseSpec{ID: "ramp-logs-1", Set: 1}
+	for _, i := range group.Instances {
+		db.Endpoints = append(db.Endpoints, types.EndpointSpec{ID: i.ID(), DataCentre: "sao-jose", Address: i.Address()})
+	}
+	spec.Databases = []types.DatabaseSpec{db}
+	server, err := standin.Start(ctx, "127.0.0.1:0", "t")
+	is.NoErr(err)
+	t.Cleanup(server.Close)
+	client, err := platform.New(server.URL(), "t", nil)
+	is.NoErr(err)
+	body := config.ServiceObject{Spec: spec}
+	_, err = client.Put(ctx, config.Write{Key: body.Key(), Body: body})
+	is.NoErr(err)
+	return server
+}
+
+func TestEverythingOverTLS(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	cert, key := writeCert(t, t.TempDir())
+	server := startDatabase(t, ctx, cert, key)
+	files := []string{
+		"--platform=" + server.URL(), "--endpoint-ca=" + cert,
+		"--caller-tls-cert=" + cert, "--caller-tls-key=" + key,
+		"--mesh-tls-cert=" + cert, "--mesh-tls-key=" + key, "--mesh-tls-ca=" + cert,
+		"--admin-tls-cert=" + cert, "--admin-tls-key=" + key,
+		"--caller-listen=127.0.0.1:0", "--mesh-listen=127.0.0.1:0", "--gossip-listen=127.0.0.1:0", "--admin-listen=127.0.0.1:0",
+	}
+	var hosts []*host.Host
+	for _, id := range []string{"h1", "h2"} {
+		flags := append(append([]string{}, files...), "--host="+id)
+		if len(hosts) > 0 {
+			flags = append(flags, "--seed="+hosts[0].GossipAddress())
+		}
+		set, err := parse(t, flags...).settings()
+		is.NoErr(err)
+		h, err := host.Start(set, zap.NewNop())
+		is.NoErr(err)
+		t.Cleanup(h.Kill)
+		hosts = append(hosts, h)
+	}
+	for _, h := range hosts {
+		conn := connectTLS(t, ctx, h, cert)
+		_, err := conn.Exec(ctx, "CREATE TABLE IF NOT EXISTS rounds (id integer primary key)")
+		is.NoErr(err)
+	}
+	response, err := trustingClient(t, cert).Get("https://" + hosts[0].AdminAddress() + "/healthz")
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	_, err = pgx.Connect(ctx, "postgres://app@"+hosts[0].CallerAddress()+"/ramp-logs-1?sslmode=verify-ca&sslrootcert="+otherCert(t))
+	is.True(err != nil) // an unknown authority is not accepted
+}
+
+// otherCert returns the file of a certificate that signed nothing else.
+func otherCert(t *testing.T) string {
+	t.Helper()
+	cert, _ := writeCert(t, t.TempDir())
+	return cert
+}
+
+// connectTLS connects to a host once it has its configuration.
+func connectTLS(t *testing.T, ctx context.Context, h *host.Host, ca string) *pgx.Conn {
+	t.Helper()
+	for {
+		conn, err := pgx.Connect(ctx, "postgres://app@"+h.CallerAddress()+"/ramp-logs-1?sslmode=verify-full&sslrootcert="+ca)
+		if err == nil {
+			t.Cleanup(func() { _ = conn.Close(context.Background()) })
+			return conn
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatal(err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// trustingClient returns an HTTP client that trusts the certificate.
+func trustingClient(t *testing.T, ca string) *http.Client {
+	t.Helper()
+	pool, err := loadPool("test", ca)
+	is.New(t).NoErr(err)
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+}
