Pass nothing on while taking the whole configuration

Cause: a host that started as a relay pushed the configuration that it took from a peer to all hosts of its data centre again.

--- a/core/config/distributor.go
+++ b/core/config/distributor.go
@@ -209,9 +209,13 @@
 }
 
 // spread passes objects on to the data centre if this host is a relay and they did
-// not come from a relay of the same data centre.
+// not come from a relay of the same data centre. A relay that still takes the whole
+// configuration passes nothing on.
 func (d *Distributor) spread(objects []Object, from types.Host) {
-	if len(objects) == 0 || !d.peers.isRelay(d.settings.Host) || d.peers.isRelay(from) {
+	if len(objects) == 0 || !d.store.complete {
+		return
+	}
+	if !d.peers.isRelay(d.settings.Host) || d.peers.isRelay(from) {
 		return
 	}
 	d.pushToPeers(objects, from)
--- a/core/config/distributor_test.go
+++ b/core/config/distributor_test.go
@@ -93,6 +93,21 @@
 	is.Equal(len(f.reverted), 0)
 }
 
+func TestNewRelayDoesNotRepeatTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	hosts := []types.Host{"a", "b", "c", "d"}
+	body := service(0)
+	push := config.Push{Objects: []config.Object{{Key: body.Key(), Version: 1, Body: body}}}
+	for _, h := range hosts {
+		d := config.NewDistributor(config.Settings{Host: h, DataCentre: "dc", Seed: 1})
+		d.Step(1, config.Peers{Groups: []config.PeerGroup{{DataCentre: "dc", Hosts: hosts}}})
+		for _, eff := range d.Step(2, config.PeerMessage{From: "elsewhere", Body: push}) {
+			_, sent := eff.(config.Send)
+			is.True(!sent)
+		}
+	}
+}
+
 func TestNewHostServesOnlyWithConfiguration(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(5, 6, 1)
@@ -139,6 +154,7 @@
 	f.run(2 * time.Second)
 	o := f.platform.change()
 	took := f.until(10*time.Second, func() bool { return f.lagging(o.Key, o.Version, anyHost) == 0 })
+	t.Logf("in force after %v", took)
 	is.True(took <= inForceLarge)
 	is.Equal(len(f.reverted), 0)
 }
--- a/core/config/platform.go
+++ b/core/config/platform.go
@@ -113,10 +113,7 @@
 	p.listing = false
 	fresh := d.store.ApplyWhole(ev.Objects, ev.Revision)
 	d.changed = append(d.changed, fresh...)
-	if d.store.complete {
-		// A first list holds what the peers fetch or have already.
-		d.spread(fresh, "")
-	}
+	d.spread(fresh, "")
 	d.setComplete()
 	if p.active {
 		d.effects = append(d.effects, WatchPlatform{After: ev.Revision})
