--- a/cmd/internal/capacity/baddays.go
+++ b/cmd/internal/capacity/baddays.go
@@ -19,13 +19,14 @@
 )
 
 // measureMembers measures membership in the steady state and on bad days.
-func measureMembers(f fleet) ([]Row, []Event) {
+func measureMembers(f fleet, note Note) ([]Row, []Event) {
 	m := newMembers(f)
 	started := m.loadUntil(5*time.Minute, m.allAgreed)
+	note("%s: hosts agree after %v", f.name, started.passed)
 	settled := m.settle()
+	note("%s: at rest after %v", f.name, settled.passed)
 	rows := m.measureSteady()
-	events := []Event{m.startEvent(started, settled)}
-	events = append(events, m.loseRack())
+	events := []Event{m.startEvent(started, settled), m.loseRack()}
 	m.settle()
 	events = append(events, m.replaceHosts(rows[0].Bytes), m.loseCentre())
 	return rows, events
@@ -50,8 +51,8 @@
 		m.stop(k*m.fleet.centres + 1)
 	}
 	const centre = 1
-	own := m.loadUntil(2*time.Minute, func() bool { return m.agreed(centre, func(c int) bool { return c == centre }) })
-	all := m.loadUntil(2*time.Minute, func() bool { return m.agreed(centre, everywhere) })
+	own := m.loadUntil(2*time.Minute, func() bool { return m.agreed(func(c int) bool { return c == centre }) })
+	all := m.loadUntil(2*time.Minute, m.allAgreed)
 	return Event{
 		Name: "a rack is lost: membership, " + m.size(),
 		Result: fmt.Sprintf("known in the data centre after %v, everywhere after %v; %s/s a host",
@@ -207,7 +208,7 @@
 		worst = max(worst, w.run(time.Minute, w.hasPrimary))
 	}
 	return Event{
-		Name:      fmt.Sprintf("a primary is lost, %d times", rounds),
+		Name:      fmt.Sprintf("a primary is lost, %d times, %d databases", rounds, f.databases),
 		Result:    fmt.Sprintf("a new primary after at most %v", worst),
 		Budget:    verdict(worst <= primaryBudget, "20 s"),
 		Mechanism: "suspicion at a majority, fence, wait for W, promotion",
--- a/cmd/internal/capacity/capacity.go
+++ b/cmd/internal/capacity/capacity.go
@@ -18,9 +18,12 @@
 	endMark   = "<!-- capacity: end -->"
 )
 
+// Note shows the progress of a run.
+type Note func(format string, args ...any)
+
 // Run makes the named measurements of the named fleets. It stops between two
 // measurements once ctx ends, and returns what it has.
-func Run(ctx context.Context, names, roles []string, note func(format string, args ...any)) *Report {
+func Run(ctx context.Context, names, roles []string, note Note) *Report {
 	report := &Report{Machine: fmt.Sprintf("%d processors, %s/%s, %s", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, runtime.Version())}
 	for _, f := range fleets {
 		if !slices.Contains(names, f.name) {
@@ -34,7 +37,7 @@
 				continue
 			}
 			start := time.Now()
-			rows, events := measurement.measure(f)
+			rows, events := measurement.measure(f, note)
 			report.Rows = append(report.Rows, rows...)
 			report.Events = append(report.Events, events...)
 			note("%s: %s measured in %v", f.name, measurement.name, time.Since(start).Round(time.Millisecond))
@@ -47,13 +50,13 @@
 // measurement is a part of a run.
 type measurement struct {
 	name    string
-	measure func(fleet) ([]Row, []Event)
+	measure func(fleet, Note) ([]Row, []Event)
 }
 
 var measurements = []measurement{
-	{name: "entry", measure: func(f fleet) ([]Row, []Event) { return []Row{measureEntry(f)}, nil }},
-	{name: "owner", measure: func(f fleet) ([]Row, []Event) { return measureOwners(f), []Event{losePrimary(f)} }},
-	{name: "configuration", measure: func(f fleet) ([]Row, []Event) {
+	{name: "entry", measure: func(f fleet, _ Note) ([]Row, []Event) { return []Row{measureEntry(f)}, nil }},
+	{name: "owner", measure: func(f fleet, _ Note) ([]Row, []Event) { return measureOwners(f), []Event{losePrimary(f)} }},
+	{name: "configuration", measure: func(f fleet, _ Note) ([]Row, []Event) {
 		rows, event := measureConfig(f)
 		return rows, append([]Event{event}, measureConfigDays(f)...)
 	}},
--- a/cmd/internal/capacity/members.go
+++ b/cmd/internal/capacity/members.go
@@ -96,37 +96,44 @@
 	return p.machine
 }
 
-// agreed reports whether each running host in a data centre that observes
-// accepts sees exactly the running hosts of the data centre centre.
-func (m *members) agreed(centre int, observes func(centre int) bool) bool {
-	want := 0
-	for i := centre; i < m.fleet.hosts; i += m.fleet.centres {
-		if m.bus.peers[i] != nil {
-			want++
+// running returns the number of running hosts of each data centre.
+func (m *members) running() []int {
+	running := make([]int, m.fleet.centres)
+	for i, p := range m.bus.peers {
+		if p != nil {
+			running[m.bus.centres[i]]++
 		}
 	}
-	for i := range m.fleet.hosts {
+	return running
+}
+
+// agreed reports whether each running host in the data centres that observes
+// accepts sees exactly the running hosts of all data centres.
+func (m *members) agreed(observes func(centre int) bool) bool {
+	running := m.running()
+	for i, centre := range m.bus.centres {
 		machine := m.machine(i)
-		if machine == nil || !observes(i%m.fleet.centres) {
-			continue
-		}
-		if len(machine.Snapshot().Live(centreName(centre))) != want {
+		if machine != nil && observes(centre) && !sees(machine, running) {
 			return false
 		}
 	}
 	return true
 }
 
-// allAgreed reports whether each running host sees exactly the running hosts.
-func (m *members) allAgreed() bool {
-	for centre := range m.fleet.centres {
-		if !m.agreed(centre, everywhere) {
+// sees reports whether a machine sees as many hosts in each data centre as run there.
+func sees(machine *membership.Machine, running []int) bool {
+	snapshot := machine.Snapshot()
+	for centre, count := range running {
+		if len(snapshot.Live(centreName(centre))) != count {
 			return false
 		}
 	}
 	return true
 }
 
+// allAgreed reports whether each running host sees exactly the running hosts.
+func (m *members) allAgreed() bool { return m.agreed(everywhere) }
+
 func everywhere(int) bool { return true }
 
 // relays marks the hosts that exchange members or configuration with other data
--- a/cmd/internal/capacity/sockets.go
+++ b/cmd/internal/capacity/sockets.go
@@ -7,7 +7,7 @@
 )
 
 // measureSockets measures what a datagram costs on loopback, sent and received.
-func measureSockets(f fleet) ([]Row, []Event) {
+func measureSockets(f fleet, _ Note) ([]Row, []Event) {
 	cost, err := datagramCost()
 	if err != nil {
 		return nil, []Event{{Name: "datagrams on loopback", Result: "not measured: " + err.Error()}}
