--- a/node/owner/assign.go
+++ b/node/owner/assign.go
@@ -48,11 +48,11 @@
 	}
 	if !reflect.DeepEqual(h.spec, db) {
 		h.spec = db
-		h.task.Post(failover.SpecChanged{Spec: db})
+		h.watch.Post(failover.SpecChanged{Spec: db})
 	}
 	if !maps.Equal(h.owners, owners) {
 		h.owners = owners
-		h.task.Post(failover.OwnersChanged{Owners: maps.Clone(owners)})
+		h.watch.Post(failover.OwnersChanged{Owners: maps.Clone(owners)})
 	}
 }
 
@@ -67,14 +67,16 @@
 	}
 	wctx, cancel := context.WithCancel(r.work)
 	h := &watchHandle{
-		task:   watch.New(watch.Settings{Failover: cfg, TLS: r.set.TLS, Out: r.out()}, r.log),
-		acks:   newAckTask(),
+		databaseTasks: databaseTasks{
+			watch: watch.New(watch.Settings{Failover: cfg, TLS: r.set.TLS, Out: r.out()}, r.log),
+			acks:  newAckTask(),
+		},
 		cancel: cancel,
 		spec:   db,
 		owners: owners,
 	}
 	r.databases[db.ID] = h
-	go h.task.Run(wctx)
+	go h.watch.Run(wctx)
 	go h.acks.run(wctx)
 }
 
@@ -135,7 +137,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.work)
-	task := newEndpointTask(r.endpointConfig(db.ID, e), qcfg, w.task, r.log)
+	task := newEndpointTask(r.endpointConfig(db.ID, e), qcfg, w.watch, r.log)
 	r.endpoints[e.ID] = &endpointHandle{
 		task: task, cancel: cancel, spec: e, db: db.ID, service: s, promise: s.Promise, qcfg: qcfg,
 	}
@@ -196,7 +198,7 @@
 func (r *Registry) startReplacement(h *endpointHandle) {
 	w := r.databases[h.db]
 	if w != nil && w.view.Primary == h.spec.ID {
-		w.task.Post(failover.PlannedChange{})
+		w.watch.Post(failover.PlannedChange{})
 	}
 }
 
--- a/node/owner/batch.go
+++ b/node/owner/batch.go
@@ -23,7 +23,7 @@
 // to the entry host only after the acknowledgement's conditions hold.
 func (x *txn) runBatch(ctx context.Context, b *meshpb.Batch) (types.Outcome, byte, types.LogPoint) {
 	commits := x.write && (!x.inTx || b.GetCanCommit())
-	if commits && !x.watch.task.MaySend(ctx, x.term) {
+	if commits && !x.tasks.watch.MaySend(ctx, x.term) {
 		return x.abandon(types.Refused(types.ReasonNoAuthority, x.open.GetEndpoint()))
 	}
 	end := x.execute(ctx, b)
@@ -88,14 +88,14 @@
 func (x *txn) acknowledge(ctx context.Context, d endpoint.Done, commits bool) types.Outcome {
 	committed := d.Committed != (types.LogPoint{})
 	if committed && x.promise == types.PromiseReplicated {
-		if !x.watch.acks.wait(ctx, d.Committed) {
+		if !x.tasks.acks.wait(ctx, d.Committed) {
 			return types.InDoubt(types.ReasonNoMajority, "commit "+d.Committed.String())
 		}
 	}
 	if !x.fresh && !committed {
 		return types.Outcome{}
 	}
-	if x.watch.task.MayAck(ctx, x.term) {
+	if x.tasks.watch.MayAck(ctx, x.term) {
 		return types.Outcome{}
 	}
 	if committed || commits {
--- a/node/owner/registry.go
+++ b/node/owner/registry.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -67,10 +66,15 @@
 	former []*endpointTask
 }
 
-// watchHandle is the watch and the acknowledgement task of a database.
+// databaseTasks are the tasks that serve a database; both are nil for none.
+type databaseTasks struct {
+	watch *watch.Task
+	acks  *ackTask
+}
+
+// watchHandle is what the registry knows of a database's tasks.
 type watchHandle struct {
-	task   *watch.Task
-	acks   *ackTask
+	databaseTasks
 	cancel context.CancelFunc
 	spec   types.DatabaseSpec
 	owners map[types.Endpoint]types.Host
@@ -101,7 +105,7 @@
 type lookupReply struct {
 	id      types.RequestID
 	ep      *endpointTask
-	watch   *watchHandle
+	tasks   databaseTasks
 	promise types.Promise
 }
 
@@ -143,7 +147,7 @@
 }
 
 type databaseReply struct {
-	watch     *watchHandle
+	watch     *watch.Task
 	endpoints []types.Endpoint
 }
 
@@ -208,7 +212,7 @@
 	case allRequest:
 		m.reply <- r.all()
 	case reportRequest:
-		m.reply <- maps.Clone(r.databases)
+		m.reply <- r.watches()
 	case leaveMessage:
 		r.leave()
 	default:
@@ -265,23 +269,29 @@
 func (r *Registry) toWatch(db types.Database, ev failover.Event) bool {
 	h, ok := r.databases[db]
 	if ok {
-		h.task.Post(ev)
+		h.watch.Post(ev)
 	}
 	return ok
 }
 
 func (r *Registry) lookup(m lookup) lookupReply {
 	r.requests++
-	reply := lookupReply{id: r.requests, watch: r.databases[m.database]}
-	if h, ok := r.endpoints[m.endpoint]; ok && h.db == m.database && reply.watch != nil {
+	reply := lookupReply{id: r.requests}
+	h, owned := r.endpoints[m.endpoint]
+	d, watched := r.databases[m.database]
+	if owned && watched && h.db == m.database {
 		reply.ep = h.task
+		reply.tasks = d.databaseTasks
 		reply.promise = h.promise
 	}
 	return reply
 }
 
 func (r *Registry) database(db types.Database) databaseReply {
-	reply := databaseReply{watch: r.databases[db]}
+	reply := databaseReply{}
+	if d, ok := r.databases[db]; ok {
+		reply.watch = d.watch
+	}
 	for id, h := range r.endpoints {
 		if h.db == db {
 			reply.endpoints = append(reply.endpoints, id)
@@ -291,6 +301,15 @@
 	return reply
 }
 
+// watches returns the watches of all databases.
+func (r *Registry) watches() map[types.Database]*watch.Task {
+	out := make(map[types.Database]*watch.Task, len(r.databases))
+	for id, d := range r.databases {
+		out[id] = d.watch
+	}
+	return out
+}
+
 // all returns the tasks of the owned endpoints, and those of former ones that
 // still run transactions.
 func (r *Registry) all() []*endpointTask {
@@ -356,7 +375,7 @@
 		return
 	}
 	found := <-m.reply
-	x := &txn{stream: s, open: open, ep: found.ep, watch: found.watch, promise: found.promise, id: found.id}
+	x := &txn{stream: s, open: open, ep: found.ep, tasks: found.tasks, promise: found.promise, id: found.id}
 	if found.ep == nil {
 		x.sendResult(types.Refused(types.ReasonNotOwner, open.GetEndpoint()), 'I', types.LogPoint{})
 		s.Close()
--- a/node/owner/state.go
+++ b/node/owner/state.go
@@ -8,6 +8,7 @@
 	"baobabfield.example/core/failover"
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
+	"baobabfield.example/node/watch"
 	"baobabfield.example/wire/meshpb"
 )
 
@@ -27,7 +28,7 @@
 	if found.watch == nil {
 		return answer
 	}
-	view := found.watch.task.View(ctx)
+	view := found.watch.View(ctx)
 	answer.View = encodeView(db, view)
 	for _, id := range found.endpoints {
 		if e, ok := endpointView(view, id); ok {
@@ -59,19 +60,19 @@
 
 // reportRequest asks for the watches of all databases.
 type reportRequest struct {
-	reply chan map[types.Database]*watchHandle
+	reply chan map[types.Database]*watch.Task
 }
 
 // Report collects the state of all tasks.
 func (r *Registry) Report(ctx context.Context) Report {
 	out := Report{Views: map[types.Database]failover.View{}}
-	m := reportRequest{reply: make(chan map[types.Database]*watchHandle, 1)}
+	m := reportRequest{reply: make(chan map[types.Database]*watch.Task, 1)}
 	all := allRequest{reply: make(chan []*endpointTask, 1)}
 	if !r.post(m) || !r.post(all) {
 		return out
 	}
-	for db, h := range <-m.reply {
-		out.Views[db] = h.task.View(ctx)
+	for db, w := range <-m.reply {
+		out.Views[db] = w.View(ctx)
 	}
 	for _, ep := range <-all.reply {
 		if s, ok := ep.askStatus(ctx); ok {
--- a/node/owner/txn.go
+++ b/node/owner/txn.go
@@ -45,7 +45,7 @@
 	stream  *mesh.Stream
 	open    *meshpb.Open
 	ep      *endpointTask
-	watch   *watchHandle
+	tasks   databaseTasks
 	promise types.Promise
 	id      types.RequestID
 
@@ -157,7 +157,7 @@
 // prepare checks that the endpoint may serve the request, and sets the term
 // that it must be in.
 func (x *txn) prepare(ctx context.Context) types.Outcome {
-	view := x.watch.task.View(ctx)
+	view := x.tasks.watch.View(ctx)
 	self, ok := endpointView(view, types.Endpoint(x.open.GetEndpoint()))
 	if !ok {
 		return types.Refused(types.ReasonNotOwner, x.open.GetEndpoint())
@@ -197,7 +197,7 @@
 
 // admitRole checks authority at the primary, or the age of a replica's data.
 func (x *txn) admitRole(ctx context.Context, primary bool, self failover.EndpointView) types.Outcome {
-	if primary && x.watch.task.MaySend(ctx, x.term) {
+	if primary && x.tasks.watch.MaySend(ctx, x.term) {
 		x.fresh = true
 		return types.Outcome{}
 	}
@@ -274,7 +274,7 @@
 		Transaction: uint32(status),
 		State:       x.state(),
 	}
-	if x.watch != nil {
+	if x.tasks.watch != nil {
 		r.View = x.dbView(out)
 	}
 	if committed != (types.LogPoint{}) {
@@ -286,7 +286,7 @@
 // dbView returns the database's view, a current one where the request failed.
 func (x *txn) dbView(out types.Outcome) *meshpb.DatabaseView {
 	if out.Kind != types.Done || x.view.Primary == "" {
-		x.view = x.watch.task.View(context.Background())
+		x.view = x.tasks.watch.View(context.Background())
 	}
 	return encodeView(types.Database(x.open.GetDatabase()), x.view)
 }
