--- a/core/config/build.go
+++ b/core/config/build.go
@@ -381,10 +381,10 @@
 	if len(stopped) == 0 {
 		return
 	}
-	b.warn(WarnInUse, object, "%q is still in use in %d ways", object, len(stopped))
-	for _, u := range totalsByJob(stopped) {
-		b.warnJob(u)
+	for _, t := range totalsByJob(stopped) {
+		b.warnJob(t)
 	}
+	b.warn(WarnInUse, object, "%q is still in use in %d ways", object, len(stopped))
 	slices.SortFunc(stopped, func(x, y Use) int {
 		return cmp.Or(cmp.Compare(y.Calls, x.Calls), compareUses(x, y))
 	})
@@ -392,40 +392,60 @@
 	slices.SortFunc(b.plan.Uses, compareUses)
 }
 
+// jobTotal is the sum of the uses of one job.
+type jobTotal struct {
+	job                 types.Job
+	calls               uint64
+	firstSeen, lastSeen int64
+	// caller is the one seen last.
+	caller string
+	// several is set if other callers used the job too.
+	several bool
+}
+
+// add adds a use of the job.
+func (t *jobTotal) add(u Use) {
+	t.calls += u.Calls
+	t.firstSeen = min(t.firstSeen, u.FirstSeen)
+	t.several = t.several || u.Caller != t.caller
+	if u.LastSeen > t.lastSeen {
+		t.lastSeen = u.LastSeen
+		t.caller = u.Caller
+	}
+}
+
 // totalsByJob returns the sum of the uses of each job, in order of the jobs' names.
-func totalsByJob(uses []Use) []Use {
-	var totals []Use
+func totalsByJob(uses []Use) []jobTotal {
+	var totals []jobTotal
 	for _, u := range uses {
 		if u.Job == "" {
 			continue
 		}
-		i := slices.IndexFunc(totals, func(t Use) bool { return t.Job == u.Job })
+		i := slices.IndexFunc(totals, func(t jobTotal) bool { return t.job == u.Job })
 		if i < 0 {
-			totals = append(totals, u)
-			continue
-		}
-		t := &totals[i]
-		t.Calls += u.Calls
-		t.FirstSeen = min(t.FirstSeen, u.FirstSeen)
-		if u.LastSeen > t.LastSeen {
-			t.LastSeen = u.LastSeen
-			t.Caller = u.Caller
+			totals = append(totals, jobTotal{job: u.Job, firstSeen: u.FirstSeen, caller: u.Caller})
+			i = len(totals) - 1
 		}
+		totals[i].add(u)
 	}
-	slices.SortFunc(totals, func(x, y Use) int { return cmp.Compare(x.Job, y.Job) })
+	slices.SortFunc(totals, func(x, y jobTotal) int { return cmp.Compare(x.job, y.job) })
 	return totals
 }
 
 // warnJob warns of a job that still fires.
-func (b *builder) warnJob(u Use) {
-	last := time.Unix(0, u.LastSeen).UTC().Format(time.RFC3339)
-	if u.Calls < 2 {
-		b.warn(WarnJobFiring, string(u.Job), "job %q was called once, from %s at %s", u.Job, u.Caller, last)
+func (b *builder) warnJob(t jobTotal) {
+	last := time.Unix(0, t.lastSeen).UTC().Format(time.RFC3339)
+	from := t.caller
+	if t.several {
+		from = "several callers, the last one " + t.caller
+	}
+	if t.calls < 2 {
+		b.warn(WarnJobFiring, string(t.job), "job %q was called from %s, last %s", t.job, from, last)
 		return
 	}
-	every := time.Duration(u.LastSeen-u.FirstSeen) / time.Duration(u.Calls-1)
-	b.warn(WarnJobFiring, string(u.Job), "job %q was called %d times, about every %v, last from %s at %s",
-		u.Job, u.Calls, every.Round(time.Second), u.Caller, last)
+	every := time.Duration(t.lastSeen-t.firstSeen) / time.Duration(t.calls-1)
+	b.warn(WarnJobFiring, string(t.job), "job %q was called %d times from %s, about every %v, last %s",
+		t.job, t.calls, from, every.Round(time.Second), last)
 }
 
 // IntentForLeaving returns the intent for an endpoint that the platform lists as
