Let other data centres' hosts serve endpoints whose own hosts are all gone

Cause: relays notice a silent data centre, but its hosts stay alive in the membership, so that a healthy primary whose only host was killed had an owner that nobody could reach: TestLastHostBesideThePrimaryKilled ended after 120 s without a write. Ruled out: the owner mapping, which already falls back where no host is live. Change: each host probes the other data centres over the mesh; the hosts of one that misses three probes own nothing in its view.

--- a/node/host/coordinator.go
+++ b/node/host/coordinator.go
@@ -34,28 +34,16 @@
 			return
 		case m := <-c.host.memberChanges:
 			c.membersChanged(ctx, m.Snapshot)
+		case v := <-c.host.views:
+			c.viewChanged(ctx, v)
 		case m := <-c.host.confChanges:
 			c.confChanged(ctx, m)
 		}
 	}
 }
 
-// membersChanged passes a new view of the hosts to all tasks.
+// membersChanged passes a new view of the hosts to the tasks that reach them.
 func (c *coordinator) membersChanged(ctx context.Context, s membership.Snapshot) {
-	c.spreadMembers(s)
-	c.host.operator.SetMembers(ctx, s)
-	peers := config.Peers{}
-	for _, dc := range s.DataCentres() {
-		peers.Groups = append(peers.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
-	}
-	select {
-	case c.host.conf.Peers() <- peers:
-	case <-ctx.Done():
-	}
-}
-
-// spreadMembers passes a view of the hosts to the tasks that serve requests.
-func (c *coordinator) spreadMembers(s membership.Snapshot) {
 	h := c.host
 	addresses := map[types.Host]string{}
 	hosts := []types.Host{}
@@ -67,8 +55,23 @@
 	}
 	h.mesh.SetAddresses(addresses)
 	h.callers.SetPeers(hosts)
-	h.router.SetMembers(s)
-	h.registry.SetMembers(s)
+	h.reach.SetMembers(ctx, s)
+	peers := config.Peers{}
+	for _, dc := range s.DataCentres() {
+		peers.Groups = append(peers.Groups, config.PeerGroup{DataCentre: dc, Hosts: s.Live(dc)})
+	}
+	select {
+	case h.conf.Peers() <- peers:
+	case <-ctx.Done():
+	}
+}
+
+// viewChanged passes a new view of the hosts to the tasks that depend on who
+// owns which endpoint.
+func (c *coordinator) viewChanged(ctx context.Context, v membership.View) {
+	c.host.router.SetMembers(v)
+	c.host.registry.SetMembers(v)
+	c.host.operator.SetMembers(ctx, v)
 }
 
 // confChanged passes a new configuration to all tasks.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -22,6 +22,7 @@
 	"baobabfield.example/node/operator"
 	"baobabfield.example/node/owner"
 	"baobabfield.example/node/platform"
+	"baobabfield.example/node/reach"
 	"baobabfield.example/node/router"
 	"baobabfield.example/wire/token"
 )
@@ -61,11 +62,13 @@
 	notes    *notesTask
 	payloads *payloadSender
 	operator *operator.Task
+	reach    *reach.Task
 	admin    *admin.Server
 	platform *platform.Client
 
 	memberChanges chan membership.Changed
 	confChanges   chan config.Changed
+	views         chan membership.View
 	coordinator   *coordinator
 
 	cancel     context.CancelFunc
@@ -83,6 +86,7 @@
 		log:           log.With(zap.String("host", string(set.Host))),
 		memberChanges: make(chan membership.Changed, changeQueue),
 		confChanges:   make(chan config.Changed, changeQueue),
+		views:         make(chan membership.View, changeQueue),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	work, cancelWork := context.WithCancel(context.Background())
@@ -119,6 +123,7 @@
 		Platform: h.platform, Sender: h.payloads, Changes: h.confChanges,
 		Recorder: h.events.Recorder(recorderConf), Metrics: metrics.NewSet(),
 	})
+	h.reach = reach.New(set.Host, set.DataCentre, seed(set.Host), h.mesh, h.views, h.log)
 	h.router = router.New(router.Settings{
 		Host: set.Host, DataCentre: set.DataCentre, Seed: seed(set.Host), MaxAge: set.MaxAge,
 	}, h.mesh, h.log)
@@ -192,7 +197,7 @@
 	h.coordinator = &coordinator{host: h}
 	for _, task := range []func(context.Context){
 		h.mesh.Run, h.events.Run, h.notes.run, h.payloads.run, h.member.Run, h.conf.Run,
-		h.router.Run, h.registry.Run, h.callers.Run, h.coordinator.run, h.dispatch, h.readHosts, h.operator.Run, h.runAdmin,
+		h.router.Run, h.registry.Run, h.callers.Run, h.coordinator.run, h.dispatch, h.readHosts, h.operator.Run, h.reach.Run, h.runAdmin,
 	} {
 		go task(ctx)
 	}
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -74,7 +74,7 @@
 	inbox    chan any
 	answers  chan bool
 	snapshot config.Snapshot
-	members  membership.Snapshot
+	members  membership.View
 	leaving  bool
 	platform platformState
 }
@@ -113,7 +113,7 @@
 func (t *Task) SetConfig(ctx context.Context, s config.Snapshot) { t.post(ctx, s) }
 
 // SetMembers replaces the view of the hosts.
-func (t *Task) SetMembers(ctx context.Context, s membership.Snapshot) { t.post(ctx, s) }
+func (t *Task) SetMembers(ctx context.Context, v membership.View) { t.post(ctx, v) }
 
 // post sends a message unless the context ends.
 func (t *Task) post(ctx context.Context, msg any) {
@@ -152,7 +152,7 @@
 	switch m := msg.(type) {
 	case config.Snapshot:
 		t.snapshot = m
-	case membership.Snapshot:
+	case membership.View:
 		t.members = m
 	case recordEvent:
 		t.set.Recorder.Record(m.event)
@@ -184,7 +184,7 @@
 	Settings
 	log      *zap.Logger
 	snapshot config.Snapshot
-	members  membership.Snapshot
+	members  membership.View
 	leaving  bool
 	platform platformState
 	post     func(ctx context.Context, msg any)
--- a/node/owner/registry.go
+++ b/node/owner/registry.go
@@ -57,7 +57,7 @@
 	work context.Context
 
 	conf      config.Snapshot
-	members   membership.Snapshot
+	members   membership.View
 	databases map[types.Database]*watchHandle
 	endpoints map[types.Endpoint]*endpointHandle
 	leaving   bool
@@ -192,7 +192,7 @@
 	case config.Snapshot:
 		r.conf = m
 		r.assign()
-	case membership.Snapshot:
+	case membership.View:
 		r.members = m
 		r.assign()
 	case lookup:
@@ -234,7 +234,7 @@
 func (r *Registry) SetConfig(s config.Snapshot) { r.post(s) }
 
 // SetMembers replaces the view of the hosts.
-func (r *Registry) SetMembers(s membership.Snapshot) { r.post(s) }
+func (r *Registry) SetMembers(v membership.View) { r.post(v) }
 
 // Leave refuses new work from now on; running transactions go on.
 func (r *Registry) Leave() { r.post(leaveMessage{}) }
--- /dev/null
+++ b/node/reach/reach.go
@@ -0,0 +1,138 @@
+// Package reach probes the other data centres over the mesh, so that a host
+// notices when no host of a data centre answers it.
+package reach
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/membership"
+	"baobabfield.example/core/types"
+	"baobabfield.example/node/mesh"
+	"baobabfield.example/wire/meshpb"
+)
+
+const (
+	// probeInterval is the time between two probes of a data centre.
+	probeInterval = 2 * time.Second
+	// probeTimeout bounds one probe.
+	probeTimeout = time.Second
+	// inboxSize is the number of messages that wait for the task.
+	inboxSize = 64
+)
+
+// Task owns what the host knows of the data centres' reachability.
+type Task struct {
+	host    types.Host
+	own     types.DataCentre
+	mesh    *mesh.Task
+	log     *zap.Logger
+	views   chan<- membership.View
+	members chan membership.Snapshot
+	results chan result
+	current membership.Snapshot
+	reach   *membership.Reach
+	rng     *rand.Rand
+}
+
+// result is the result of a probe.
+type result struct {
+	dc       types.DataCentre
+	answered bool
+}
+
+// New returns the task, which sends each new view to views.
+func New(host types.Host, own types.DataCentre, seed uint64, m *mesh.Task, views chan<- membership.View, log *zap.Logger) *Task {
+	return &Task{
+		host:    host,
+		own:     own,
+		mesh:    m,
+		log:     log,
+		views:   views,
+		members: make(chan membership.Snapshot, inboxSize),
+		results: make(chan result, inboxSize),
+		reach:   membership.NewReach(),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// SetMembers replaces the view of the hosts.
+func (t *Task) SetMembers(ctx context.Context, s membership.Snapshot) {
+	select {
+	case t.members <- s:
+	case <-ctx.Done():
+	}
+}
+
+// Run serves until the context ends.
+func (t *Task) Run(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			t.probeAll(ctx)
+		case s := <-t.members:
+			t.current = s
+			t.publish(ctx)
+		case r := <-t.results:
+			if t.reach.Probed(r.dc, r.answered) {
+				t.log.Info("data centre's reachability changed", zap.String("data_centre", string(r.dc)), zap.Bool("answers", r.answered))
+				t.publish(ctx)
+			}
+		}
+	}
+}
+
+// publish sends the current view.
+func (t *Task) publish(ctx context.Context) {
+	select {
+	case t.views <- membership.View{Snapshot: t.current, Silent: t.reach.Silent()}:
+	case <-ctx.Done():
+	}
+}
+
+// probeAll probes a random live host of each other data centre.
+func (t *Task) probeAll(ctx context.Context) {
+	for _, dc := range t.current.DataCentres() {
+		hosts := t.current.Live(dc)
+		if dc == t.own || len(hosts) == 0 {
+			continue
+		}
+		go t.probe(ctx, dc, hosts[t.rng.IntN(len(hosts))])
+	}
+}
+
+// probe asks a host for the state of no database and reports whether it answered.
+func (t *Task) probe(ctx context.Context, dc types.DataCentre, h types.Host) {
+	asking, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answered := t.ask(asking, h)
+	select {
+	case t.results <- result{dc: dc, answered: answered}:
+	case <-ctx.Done():
+	}
+}
+
+func (t *Task) ask(ctx context.Context, h types.Host) bool {
+	s, err := t.mesh.Open(ctx, h)
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	if s.Send(&meshpb.Frame{Body: &meshpb.Frame_StateRequest{StateRequest: &meshpb.StateRequest{}}}) != nil {
+		return false
+	}
+	select {
+	case _, ok := <-s.Frames():
+		return ok
+	case <-ctx.Done():
+		t.mesh.Suspect(h)
+		return false
+	}
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -128,7 +128,7 @@
 	stopped chan struct{}
 
 	conf      config.Snapshot
-	members   membership.Snapshot
+	members   membership.View
 	databases map[types.Database]*database
 	gate      *admission.Gate
 	rng       routing.Rand
@@ -203,7 +203,7 @@
 	case config.Snapshot:
 		t.conf = m
 		t.configure()
-	case membership.Snapshot:
+	case membership.View:
 		t.members = m
 	case check:
 		m.reply <- t.check(m)
@@ -230,7 +230,7 @@
 func (t *Task) SetConfig(s config.Snapshot) { t.post(s) }
 
 // SetMembers replaces the view of the hosts.
-func (t *Task) SetMembers(s membership.Snapshot) { t.post(s) }
+func (t *Task) SetMembers(v membership.View) { t.post(v) }
 
 // Learn passes on what an owner told.
 func (t *Task) Learn(view *meshpb.DatabaseView, state *meshpb.EndpointState) {
