--- a/core/config/build.go
+++ b/core/config/build.go
@@ -381,10 +381,10 @@
 	if len(stopped) == 0 {
 		return
 	}
+	b.warn(WarnInUse, object, "%q is still in use in %d ways", object, len(stopped))
 	for _, t := range totalsByJob(stopped) {
 		b.warnJob(t)
 	}
-	b.warn(WarnInUse, object, "%q is still in use in %d ways", object, len(stopped))
 	slices.SortFunc(stopped, func(x, y Use) int {
 		return cmp.Or(cmp.Compare(y.Calls, x.Calls), compareUses(x, y))
 	})
@@ -399,15 +399,12 @@
 	firstSeen, lastSeen int64
 	// caller is the one seen last.
 	caller string
-	// several is set if other callers used the job too.
-	several bool
 }
 
 // add adds a use of the job.
 func (t *jobTotal) add(u Use) {
 	t.calls += u.Calls
 	t.firstSeen = min(t.firstSeen, u.FirstSeen)
-	t.several = t.several || u.Caller != t.caller
 	if u.LastSeen > t.lastSeen {
 		t.lastSeen = u.LastSeen
 		t.caller = u.Caller
@@ -435,17 +432,13 @@
 // warnJob warns of a job that still fires.
 func (b *builder) warnJob(t jobTotal) {
 	last := time.Unix(0, t.lastSeen).UTC().Format(time.RFC3339)
-	from := t.caller
-	if t.several {
-		from = "several callers, the last one " + t.caller
-	}
 	if t.calls < 2 {
-		b.warn(WarnJobFiring, string(t.job), "job %q was called from %s, last %s", t.job, from, last)
+		b.warn(WarnJobFiring, string(t.job), "job %q was called once, from %s at %s", t.job, t.caller, last)
 		return
 	}
 	every := time.Duration(t.lastSeen-t.firstSeen) / time.Duration(t.calls-1)
-	b.warn(WarnJobFiring, string(t.job), "job %q was called %d times from %s, about every %v, last %s",
-		t.job, t.calls, from, every.Round(time.Second), last)
+	b.warn(WarnJobFiring, string(t.job), "job %q was called %d times, about every %v, last from %s at %s",
+		t.job, t.calls, every.Round(time.Second), t.caller, last)
 }
 
 // IntentForLeaving returns the intent for an endpoint that the platform lists as
--- a/core/config/plan_test.go
+++ b/core/config/plan_test.go
@@ -114,7 +114,7 @@
 	is.NoErr(err)
 	is.True(warned(p, WarnJobFiring))
 	is.Equal(p.Uses, []Use{use})
-	is.True(strings.Contains(p.Warnings[0].Text, "about every 1h0m0s"))
+	is.True(strings.Contains(p.Warnings[1].Text, "about every 1h0m0s"))
 	var many []Use
 	for i := range 5000 {
 		u := use
