End a change of the endpoint set by a proposed plan; keep serving when ranks contradict

The failover machine reports a completed set; the host that sees it proposes the plan that ends the change. Rival rank plans can sum up to floors above 100%: owners then use the default ranks and log it.

--- a/cmd/baobabctl/operate_test.go
+++ b/cmd/baobabctl/operate_test.go
@@ -5,6 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -206,3 +209,60 @@
 		return false
 	})
 }
+
+func TestChangeOfTheEndpointSet(t *testing.T) {
+	is := is.New(t)
+	d := startDeployment(t)
+	caller := d.connect(0, "")
+	_, err := caller.Exec(d.ctx, "CREATE TABLE rounds (id integer primary key)")
+	is.NoErr(err)
+	var before struct {
+		Services []struct {
+			Spec json.RawMessage `json:"spec"`
+		} `json:"services"`
+	}
+	is.Equal(d.ctl(0, &before, "services"), 0)
+	is.Equal(len(before.Services), 1)
+
+	removed := string(d.Groups()[0].Instances[2].ID())
+	file := filepath.Join(t.TempDir(), "intent.json")
+	intent := `{"kind": "put_service", "service": ` + withoutEndpoint(t, before.Services[0].Spec, removed) + `}`
+	is.NoErr(os.WriteFile(file, []byte(intent), 0o600))
+	d.confirm("-f", file)
+
+	d.eventually("a plan ends the change", func() bool {
+		var list struct {
+			Plans []planned `json:"plans"`
+		}
+		if d.ctl(0, &list, "plan", "list") != 0 {
+			return false
+		}
+		for _, p := range list.Plans {
+			if strings.HasPrefix(p.ID, "complete-") {
+				return d.ctl(0, nil, "plan", "confirm", p.ID) == 0
+			}
+		}
+		return false
+	})
+	for id := range 20 {
+		_, err := caller.Exec(d.ctx, "INSERT INTO rounds VALUES ($1)", id)
+		is.NoErr(err)
+	}
+}
+
+// withoutEndpoint returns a service's JSON without one endpoint.
+func withoutEndpoint(t *testing.T, service json.RawMessage, id string) string {
+	t.Helper()
+	is := is.New(t)
+	var body map[string]any
+	is.NoErr(json.Unmarshal(service, &body))
+	for _, db := range body["databases"].([]any) {
+		db := db.(map[string]any)
+		db["endpoints"] = slices.DeleteFunc(db["endpoints"].([]any), func(e any) bool {
+			return e.(map[string]any)["id"] == id
+		})
+	}
+	out, err := json.Marshal(body)
+	is.NoErr(err)
+	return string(out)
+}
--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -58,10 +58,11 @@
 	if c.QueueLimit < 0 || c.FlowLimit < 0 || c.StatedService < 0 {
 		return fmt.Errorf("queue limit %d, flow limit %d and service time %v must not be negative", c.QueueLimit, c.FlowLimit, c.StatedService)
 	}
-	return checkRanks(c.Ranks)
+	return CheckRanks(c.Ranks)
 }
 
-func checkRanks(ranks []types.RankSpec) error {
+// CheckRanks reports the first fault of a list of ranks.
+func CheckRanks(ranks []types.RankSpec) error {
 	if len(ranks) > maxRanks {
 		return fmt.Errorf("%d ranks are more than %d", len(ranks), maxRanks)
 	}
--- a/node/host/coordinator.go
+++ b/node/host/coordinator.go
@@ -173,8 +173,9 @@
 			h.notes.record(db, m)
 			go h.recordPrimary(ctx, db, m)
 		},
-		Note:    func(db types.Database, n failover.Note) { h.notes.note(db, n) },
-		Planned: func(db types.Database, m failover.PlannedEnded) { h.notes.planned(db, m) },
+		Note:     func(db types.Database, n failover.Note) { h.notes.note(db, n) },
+		Planned:  func(db types.Database, m failover.PlannedEnded) { h.notes.planned(db, m) },
+		Complete: func(db types.Database, m failover.SetComplete) { go h.operator.SetComplete(ctx, db, m.Set) },
 	}
 }
 
--- a/node/operator/leaving.go
+++ b/node/operator/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -15,9 +16,38 @@
 	"baobabfield.example/node/conf"
 )
 
-// platformAuthor is the author of plans that the platform's list leads to.
+// platformAuthor is the author of plans that no operator asked for.
 const platformAuthor = "platform"
 
+// setComplete says that a database's new endpoint set is in force.
+type setComplete struct {
+	db  types.Database
+	set uint32
+}
+
+// SetComplete tells that a database's new endpoint set is in force. A plan is
+// proposed that ends the change.
+func (t *Task) SetComplete(ctx context.Context, db types.Database, set uint32) {
+	t.post(ctx, setComplete{db: db, set: set})
+}
+
+// proposeCompletion proposes a plan that ends the change of an endpoint set.
+func (v view) proposeCompletion(ctx context.Context, m setComplete) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	for _, s := range v.snapshot.Services() {
+		for _, db := range s.Databases {
+			if db.ID != m.db || len(db.PreviousEndpoints) == 0 {
+				continue
+			}
+			id := fmt.Sprintf("complete-%s-%d", m.db, m.set)
+			if err := v.proposeOnce(ctx, id, config.CompleteSet{Service: s.Name, Database: m.db}); err != nil {
+				v.log.Warn("plan for a completed endpoint set not proposed", zap.String("database", string(m.db)), zap.Error(err))
+			}
+		}
+	}
+}
+
 // leavingEndpoints brings the endpoints that the platform lists as leaving.
 type leavingEndpoints struct{ endpoints []types.Endpoint }
 
@@ -71,19 +101,22 @@
 	return "", false
 }
 
-// proposeRetirement stores a plan that retires the endpoint. The plan's id
-// follows from the endpoint, so that it is proposed once.
+// proposeRetirement proposes a plan that retires the endpoint.
 func (v view) proposeRetirement(ctx context.Context, service types.Service, id types.Endpoint) error {
 	name := "leaving-" + string(id)
-	_, err := v.Platform.Get(ctx, config.Key{Kind: config.KindPlan, Name: name})
+	return v.proposeOnce(ctx, name, config.Retire{Retirement: config.Retirement{
+		Name: name, Kind: config.TargetEndpoint, Target: string(id), Service: service, Phase: config.PhaseDraining,
+	}})
+}
+
+// proposeOnce stores a plan with a given id, unless one exists already.
+func (v view) proposeOnce(ctx context.Context, id string, intent config.Intent) error {
+	_, err := v.Platform.Get(ctx, config.Key{Kind: config.KindPlan, Name: id})
 	if !errors.Is(err, conf.ErrNotFound) {
 		return err
 	}
 	plan, err := config.BuildPlan(config.PlanRequest{
-		ID: name, Author: platformAuthor, Snapshot: v.snapshot, Uses: v.uses(ctx).Uses,
-		Intent: config.Retire{Retirement: config.Retirement{
-			Name: name, Kind: config.TargetEndpoint, Target: string(id), Service: service, Phase: config.PhaseDraining,
-		}},
+		ID: id, Author: platformAuthor, Snapshot: v.snapshot, Uses: v.uses(ctx).Uses, Intent: intent,
 	})
 	if err != nil {
 		return err
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -160,6 +160,8 @@
 		if v := t.view(); v.proposes() {
 			go v.proposeAll(ctx, m.endpoints)
 		}
+	case setComplete:
+		go t.view().proposeCompletion(ctx, m)
 	case hostQuery:
 		v := t.view()
 		go func() { m.reply <- v.answer(ctx, m.query) }()
--- a/node/owner/assign.go
+++ b/node/owner/assign.go
@@ -113,12 +113,18 @@
 	}
 }
 
-// ranks returns the configured ranks, or the defaults where there are none.
+// ranks returns the configured ranks, or the defaults where there are none or
+// rival plans have made them contradict each other.
 func (r *Registry) ranks() []types.RankSpec {
-	if ranks := r.conf.Ranks(); len(ranks) > 0 {
-		return ranks
+	ranks := r.conf.Ranks()
+	if len(ranks) == 0 {
+		return admission.DefaultRanks()
 	}
-	return admission.DefaultRanks()
+	if err := admission.CheckRanks(ranks); err != nil {
+		r.log.Error("ranks cannot be used; the defaults apply", zap.Error(err))
+		return admission.DefaultRanks()
+	}
+	return ranks
 }
 
 // startEndpoint starts an endpoint's task; one that runs already ends once its
--- a/node/watch/watch.go
+++ b/node/watch/watch.go
@@ -46,6 +46,7 @@
 	Record   func(db types.Database, m failover.Record)
 	Note     func(db types.Database, n failover.Note)
 	Planned  func(db types.Database, m failover.PlannedEnded)
+	Complete func(db types.Database, m failover.SetComplete)
 }
 
 // Task owns the failover machine of one database.
@@ -214,6 +215,10 @@
 		t.set.Out.Record(t.db, e)
 	case failover.PlannedEnded:
 		t.set.Out.Planned(t.db, e)
+	case failover.SetComplete:
+		t.set.Out.Complete(t.db, e)
+	case failover.SpecStale:
+		t.log.Warn("endpoint set of a later configuration is in force", zap.Uint32("set", e.Set))
 	case failover.Note:
 		t.note(e)
 	default:
