--- a/cmd/baobabctl/operate_test.go
+++ b/cmd/baobabctl/operate_test.go
@@ -100,13 +100,12 @@
 }
 
 // confirm creates a plan through host 0 and confirms it.
-func (d *deployment) confirm(args ...string) planned {
+func (d *deployment) confirm(args ...string) {
 	d.t.Helper()
 	var p planned
 	is := is.New(d.t)
 	is.Equal(d.ctl(0, &p, append([]string{"plan", "create"}, args...)...), 0)
 	is.Equal(d.ctl(0, nil, "plan", "confirm", p.ID), 0)
-	return p
 }
 
 // sqlState returns the SQLSTATE and the message of a refusal.
