Send the end of an answer with its result

Cause: each statement's answer took two frames from the owner, one for the answer and one for the result.

--- a/node/caller/execute.go
+++ b/node/caller/execute.go
@@ -270,12 +270,17 @@
 				t.outcome = brokenOutcome(rolledBack, "owner "+string(host)+" is gone")
 				return t
 			}
-			if r := f.GetResult(); r != nil {
-				return s.result(t, r)
+			r := f.GetResult()
+			part := f.GetAnswer().GetMessages()
+			if r != nil {
+				part = r.GetMessages()
 			}
-			if !s.part(&t, filter, f.GetAnswer()) {
+			if !s.part(&t, filter, part) {
 				return t
 			}
+			if r != nil {
+				return s.result(t, r)
+			}
 		case c := <-s.control:
 			s.controlWhileRunning(c)
 		case <-ctx.Done():
@@ -299,7 +304,10 @@
 }
 
 // part passes on the part before and keeps the new one.
-func (s *sessionTask) part(t *try, filter *pgwire.Filter, a *meshpb.Answer) bool {
+func (s *sessionTask) part(t *try, filter *pgwire.Filter, messages []byte) bool {
+	if len(messages) == 0 {
+		return true
+	}
 	if len(t.rest) > 0 {
 		t.forwarded = true
 		if s.send(t.rest) != nil {
@@ -307,7 +315,7 @@
 			return false
 		}
 	}
-	rest, err := filter.Append(t.rest[:0], a.GetMessages())
+	rest, err := filter.Append(t.rest[:0], messages)
 	if err != nil {
 		t.outcome = types.InDoubt(types.ReasonBroken, err.Error())
 		return false
--- a/node/owner/batch.go
+++ b/node/owner/batch.go
@@ -39,7 +39,9 @@
 	if out := x.acknowledge(ctx, end.done, commits); out.Kind != types.Done {
 		return out, end.done.Status, types.LogPoint{}
 	}
-	if err := x.sendAnswer(end.done.Tail); err != nil {
+	if len(end.done.Tail) <= answerPart {
+		x.tail = end.done.Tail
+	} else if err := x.sendAnswer(end.done.Tail); err != nil {
 		x.broken = end.done.Status != pgwire.StatusIdle
 		return types.InDoubt(types.ReasonBroken, "entry host is gone"), pgwire.StatusIdle, types.LogPoint{}
 	}
--- a/node/owner/txn.go
+++ b/node/owner/txn.go
@@ -59,6 +59,8 @@
 	grant    grant
 	inTx     bool
 	keyGiven bool
+	// tail is the end of the answer that goes with the result.
+	tail []byte
 	// ended is set once the entry host has been told that the transaction is over.
 	ended bool
 	view  failover.View
@@ -274,7 +276,9 @@
 		Detail:      out.Detail,
 		Transaction: uint32(status),
 		State:       x.state(),
+		Messages:    x.tail,
 	}
+	x.tail = nil
 	if x.tasks.watch != nil {
 		r.View = x.dbView(out)
 	}
