--- a/cmd/internal/capacity/exchange.go
+++ b/cmd/internal/capacity/exchange.go
@@ -11,26 +11,20 @@
 // statusExchange encodes a question and an answer as an endpoint does.
 func statusExchange() int {
 	const headers = 2 * 40
-	columns := []struct{ name, value string }{
-		{"role", "replica"},
-		{"term", "4294967297"},
-		{"last_term", "4294967297"},
-		{"last_position", "1234567890"},
-		{"replicated_position", "1234567890"},
-		{"term_starts", "4294967297:0,4294967298:1234567"},
-	}
-	var fields []pgproto3.FieldDescription
 	var values [][]byte
-	for _, column := range columns {
-		fields = append(fields, pgproto3.FieldDescription{Name: []byte(column.name)})
-		values = append(values, []byte(column.value))
+	for _, value := range []string{
+		"replica", "4294967297", "4294967297", "1234567890", "1234567890", "4294967297:0,4294967298:1234567",
+	} {
+		values = append(values, []byte(value))
 	}
 	size := headers
 	for _, message := range []interface {
 		Encode(dst []byte) ([]byte, error)
 	}{
-		&pgproto3.Query{String: "SELECT * FROM baobab_status()"},
-		&pgproto3.RowDescription{Fields: fields},
+		&pgproto3.Bind{PreparedStatement: "baobab0"},
+		&pgproto3.Execute{},
+		&pgproto3.Sync{},
+		&pgproto3.BindComplete{},
 		&pgproto3.DataRow{Values: values},
 		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
 		&pgproto3.ReadyForQuery{TxStatus: 'I'},
--- a/node/endpoint/conn.go
+++ b/node/endpoint/conn.go
@@ -52,6 +52,8 @@
 	term types.Term
 	// readOnly is set while new transactions on the connection are read-only.
 	readOnly bool
+	// prepared names the host's own queries that are prepared on the connection.
+	prepared map[string]string
 	// key identifies the connection in a CancelRequest.
 	key cancelKey
 	// used counts the batches run since the last reset.
@@ -92,7 +94,7 @@
 			return nil, errors.Wrapf(err, "start TLS with endpoint %q", cfg.Endpoint)
 		}
 	}
-	c := &Conn{cfg: cfg, sock: sock, r: bufio.NewReaderSize(sock, readBufferSize)}
+	c := &Conn{cfg: cfg, sock: sock, r: bufio.NewReaderSize(sock, readBufferSize), prepared: map[string]string{}}
 	if err := c.startup(); err != nil {
 		_ = sock.Close()
 		return nil, err
--- a/node/endpoint/control.go
+++ b/node/endpoint/control.go
@@ -44,8 +44,11 @@
 	return c.status("SELECT * FROM baobab_status('" + string(c.cfg.Host) + "')")
 }
 
+// statusColumns are the columns of baobab_status, in order.
+var statusColumns = []string{"role", "term", "last_term", "last_position", "replicated_position", "term_starts"}
+
 func (c *Conn) status(sql string) (Status, error) {
-	row, err := c.row(sql)
+	row, err := c.preparedRow(sql, statusColumns)
 	if err != nil {
 		return Status{}, err
 	}
--- /dev/null
+++ b/node/endpoint/prepared.go
@@ -0,0 +1,64 @@
+package endpoint
+
+import (
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/pkg/errors"
+
+	"baobabfield.example/wire/pgwire"
+)
+
+// preparedRow runs a query that is prepared on its first use, so that later
+// answers carry no description, and returns the columns of its last row.
+func (c *Conn) preparedRow(sql string, columns []string) (map[string]string, error) {
+	name, ok := c.prepared[sql]
+	if !ok {
+		name = "baobab" + strconv.Itoa(len(c.prepared))
+		if err := c.exchange(nil, &pgproto3.Parse{Name: name, Query: sql}, &pgproto3.Sync{}); err != nil {
+			return nil, err
+		}
+		c.prepared[sql] = name
+	}
+	fields := pgproto3.RowDescription{}
+	for _, name := range columns {
+		fields.Fields = append(fields.Fields, pgproto3.FieldDescription{Name: []byte(name)})
+	}
+	row := map[string]string{}
+	take := func(body []byte) error { return decodeRow(&fields, body, row) }
+	err := c.exchange(take, &pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	return row, err
+}
+
+// exchange sends messages and reads the answer up to ReadyForQuery; take gets
+// the body of each data row.
+func (c *Conn) exchange(take func(body []byte) error, messages ...pgproto3.FrontendMessage) error {
+	var buf []byte
+	for _, m := range messages {
+		var err error
+		if buf, err = m.Encode(buf); err != nil {
+			return errors.Wrap(err, "encode message")
+		}
+	}
+	c.extend()
+	if _, err := c.sock.Write(buf); err != nil {
+		return errors.Wrapf(err, "send to endpoint %q", c.cfg.Endpoint)
+	}
+	var refusal error
+	for {
+		m, err := c.next()
+		if err != nil {
+			return errors.Wrapf(err, "read from endpoint %q", c.cfg.Endpoint)
+		}
+		switch m.Type {
+		case 'D':
+			if err := take(m.Body); err != nil {
+				return err
+			}
+		case pgwire.TypeErrorResponse:
+			refusal = c.refused(m.Body)
+		case pgwire.TypeReadyForQuery:
+			return refusal
+		}
+	}
+}
--- a/node/endpoint/run.go
+++ b/node/endpoint/run.go
@@ -47,6 +47,7 @@
 			return err
 		}
 		c.used, c.term, c.readOnly = 0, 0, false
+		clear(c.prepared)
 	}
 	if c.readOnly != readOnly {
 		if err := c.set("default_transaction_read_only", onOff(readOnly)); err != nil {
