--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -96,9 +96,6 @@
 	err     error
 }
 
-// released gives a stream back after a conversation that both ends have ended.
-type released struct{ stream *Stream }
-
 // suspect says that a session gave no answer in time.
 type suspect struct{ host types.Host }
 
@@ -181,10 +178,6 @@
 	}
 }
 
-// Release gives a stream back after a conversation that both ends have ended,
-// so that another conversation can use it.
-func (t *Task) Release(s *Stream) { t.post(released{stream: s}) }
-
 // Open returns a stream to a host; to the host itself it is a pipe.
 func (t *Task) Open(ctx context.Context, h types.Host) (*Stream, error) {
 	req := openRequest{host: h, reply: make(chan openReply, 1)}
@@ -244,42 +237,6 @@
 	}
 }
 
-// keep stores an unused stream, or closes it where there are enough.
-func (t *Task) keep(s *Stream) {
-	p, ok := t.peers[s.Peer]
-	if !ok || !s.usable() || len(p.idle) >= maxIdlePeer || t.idle >= maxIdle {
-		s.Close()
-		return
-	}
-	t.idle++
-	p.idle = append(p.idle, s)
-}
-
-// reuse returns an unused stream, the one used last; nil if there is none.
-func (t *Task) reuse(p *peer) *Stream {
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		s := p.idle[last]
-		p.idle = p.idle[:last]
-		t.idle--
-		if s.usable() {
-			streamsReused.Inc()
-			return s
-		}
-		s.Close()
-	}
-	return nil
-}
-
-// dropIdle closes a peer's unused streams.
-func (t *Task) dropIdle(p *peer) {
-	for _, s := range p.idle {
-		s.Close()
-	}
-	t.idle -= len(p.idle)
-	p.idle = nil
-}
-
 // Send delivers one frame to a host on a stream of its own.
 func (t *Task) Send(ctx context.Context, h types.Host, f *meshpb.Frame) error {
 	s, err := t.Open(ctx, h)
--- /dev/null
+++ b/node/operator/plans.go
@@ -0,0 +1,122 @@
+package operator
+
+import (
+	"context"
+	"slices"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"baobabfield.example/core/config"
+	"baobabfield.example/core/timeline"
+	"baobabfield.example/node/admin"
+	"baobabfield.example/node/conf"
+)
+
+// plans lists the plans of the platform in the order of their versions.
+func (v view) plans(ctx context.Context) ([]config.Plan, *admin.Failure) {
+	objects, err := v.Platform.Plans(ctx)
+	if err != nil {
+		return nil, admin.Unavailable(errors.Wrap(err, "list plans").Error())
+	}
+	slices.SortFunc(objects, func(a, b config.Object) int { return int(int64(a.Version) - int64(b.Version)) })
+	plans := make([]config.Plan, 0, len(objects))
+	for _, o := range objects {
+		if p, ok := o.Body.(config.Plan); ok {
+			plans = append(plans, p)
+		}
+	}
+	return plans, nil
+}
+
+// plan reads one plan.
+func (v view) plan(ctx context.Context, id string) (config.Plan, config.Object, *admin.Failure) {
+	o, err := v.Platform.Get(ctx, config.Key{Kind: config.KindPlan, Name: id})
+	if errors.Is(err, conf.ErrNotFound) {
+		return config.Plan{}, o, admin.NotFound("plan", id)
+	}
+	if err != nil {
+		return config.Plan{}, o, admin.Unavailable(errors.Wrapf(err, "read plan %q", id).Error())
+	}
+	p, ok := o.Body.(config.Plan)
+	if !ok {
+		return config.Plan{}, o, admin.NotFound("plan", id)
+	}
+	return p, o, nil
+}
+
+// createPlan makes a plan from an intent and stores it.
+func (v view) createPlan(ctx context.Context, r admin.CreatePlanRequest) (config.Plan, *admin.Failure) {
+	uses := v.uses(ctx)
+	plan, err := config.BuildPlan(config.PlanRequest{
+		ID: uuid.NewString()[:planIDLength], Author: r.Author, Intent: r.Intent, Snapshot: v.snapshot, Uses: uses.Uses,
+	})
+	if err != nil {
+		return config.Plan{}, admin.Malformed("intent", "%s", err)
+	}
+	if err := v.propose(ctx, plan, r.Call); err != nil {
+		return config.Plan{}, admin.Unavailable(err.Error())
+	}
+	return plan, nil
+}
+
+// propose stores a new plan.
+func (v view) propose(ctx context.Context, plan config.Plan, c admin.Call) error {
+	if _, err := v.Platform.Put(ctx, config.ProposeWrite(plan)); err != nil {
+		return errors.Wrapf(err, "store plan %q", plan.ID)
+	}
+	v.record(ctx, timeline.KindPlanProposed, plan, c)
+	return nil
+}
+
+// record notes a change of a plan in the time line.
+func (v view) record(ctx context.Context, kind timeline.Kind, plan config.Plan, c admin.Call) {
+	v.log.Info("plan changed", zap.String("plan", plan.ID), zap.String("kind", string(kind)), zap.String("author", c.Author))
+	ev := timeline.Event{Kind: kind, Object: "plan/" + plan.ID, Author: c.Author, Cause: c.Cause}
+	v.post(ctx, recordEvent{event: ev})
+}
+
+// confirm puts a plan into force.
+func (v view) confirm(ctx context.Context, r admin.ConfirmPlanRequest) (config.Confirmed, *admin.Failure) {
+	plan, _, f := v.plan(ctx, r.ID)
+	if f != nil && f.Code == admin.FailureNotFound {
+		return config.Confirmed{}, f
+	}
+	confirmed := conf.Confirm(ctx, v.Platform, r.ID)
+	if len(confirmed.Written) > 0 {
+		select {
+		case v.Conf.Written() <- config.Written{Objects: confirmed.Written}:
+		case <-ctx.Done():
+		}
+	}
+	plan.ID = r.ID
+	switch confirmed.State {
+	case config.ConfirmAccepted:
+		v.record(ctx, timeline.KindPlanConfirmed, plan, r.Call)
+	case config.ConfirmRefused:
+		v.record(ctx, timeline.KindPlanStale, plan, r.Call)
+	}
+	return confirmed, nil
+}
+
+// withdraw marks a proposed plan as withdrawn.
+func (v view) withdraw(ctx context.Context, r admin.WithdrawPlanRequest) (config.Confirmed, *admin.Failure) {
+	plan, stored, f := v.plan(ctx, r.ID)
+	if f != nil {
+		return config.Confirmed{}, f
+	}
+	w, err := config.WithdrawWrite(stored)
+	if err != nil {
+		return config.Confirmed{State: config.ConfirmRefused, Text: err.Error()}, nil
+	}
+	_, err = v.Platform.Put(ctx, w)
+	switch {
+	case errors.Is(err, conf.ErrConflict):
+		return config.Confirmed{State: config.ConfirmRefused, Moved: stored.Key, Text: "the plan has changed"}, nil
+	case err != nil:
+		return config.Confirmed{State: config.ConfirmNotYetKnown, Text: "the platform did not answer: " + err.Error()}, nil
+	}
+	v.record(ctx, timeline.KindPlanWithdrawn, plan, r.Call)
+	return config.Confirmed{State: config.ConfirmAccepted}, nil
+}
--- a/node/owner/endpoint.go
+++ b/node/owner/endpoint.go
@@ -35,80 +35,6 @@
 	connsBroken     = metrics.NewCounter("baobab_owner_connections_broken_total")
 )
 
-// submit asks for a connection to the endpoint.
-type submit struct {
-	id       types.RequestID
-	rank     types.Rank
-	feature  types.Feature
-	job      types.Job
-	deadline types.Time
-	write    bool
-	reply    chan grant
-}
-
-// grant hands a connection over, or refuses the request.
-type grant struct {
-	conn *endpoint.Conn
-	// check asks for a check of the connection, which has been idle, before use.
-	check   bool
-	outcome types.Outcome
-	levels  []admission.LevelNotice
-}
-
-// finish gives a connection back.
-type finish struct {
-	id      types.RequestID
-	conn    *endpoint.Conn
-	broken  bool
-	ok      bool
-	service time.Duration
-}
-
-// cancelRequest withdraws a request that has no grant yet.
-type cancelRequest struct{ id types.RequestID }
-
-// connected is the result of opening a connection.
-type connected struct {
-	conn *endpoint.Conn
-	err  error
-}
-
-// hold starts or ends the holding back of new writes.
-type hold struct{ on bool }
-
-// drainEndpoint refuses all new work from now on.
-type drainEndpoint struct{ reason types.Reason }
-
-// reconfigure replaces the queue's configuration.
-type reconfigure struct{ cfg admission.Config }
-
-// statusRequest asks for the endpoint's use.
-type statusRequest struct{ reply chan Status }
-
-// Status describes the use of an owned endpoint.
-type Status struct {
-	Endpoint   types.Endpoint
-	Database   types.Database
-	Slots      int
-	SlotsInUse int
-	Open       int
-	Draining   bool
-	Depth      []RankDepth
-	Levels     []admission.LevelNotice
-}
-
-// RankDepth is the number of requests that wait in a rank.
-type RankDepth struct {
-	Rank  types.Rank
-	Depth int
-}
-
-// idleConn is a connection that no request uses.
-type idleConn struct {
-	conn  *endpoint.Conn
-	since types.Time
-}
-
 // waiter is a request that has a slot and waits for a connection, or that
 // waits for its slot.
 type waiter struct {
@@ -140,12 +66,6 @@
 	restored []restoredLevel
 }
 
-// restoredLevel is a notice that a level is full again.
-type restoredLevel struct {
-	notice admission.LevelNotice
-	until  types.Time
-}
-
 func newEndpointTask(cfg endpoint.Config, qcfg admission.Config, w *watch.Task, log *zap.Logger) *endpointTask {
 	now := clock.Now()
 	return &endpointTask{
@@ -276,59 +196,6 @@
 	w.reply <- grant{outcome: types.Refused(reason, "endpoint "+string(t.cfg.Endpoint)), levels: t.currentLevels()}
 }
 
-// hand gives connections to the requests that hold a slot, and opens
-// connections where too few are idle.
-func (t *endpointTask) hand(ctx context.Context) {
-	for len(t.ready) > 0 && len(t.idle) > 0 {
-		last := len(t.idle) - 1
-		c := t.idle[last]
-		t.idle = t.idle[:last]
-		id := t.ready[0]
-		t.ready = t.ready[1:]
-		t.grant(id, c.conn, clock.Now().Sub(c.since) > idleCheck)
-	}
-	limit := admission.ConnectionLimit(clock.Now(), t.qcfg.Connections-controlConnections, t.since)
-	for t.dialing < len(t.ready) && t.open+t.dialing < max(1, limit) {
-		t.dialing++
-		go t.dial(ctx)
-	}
-}
-
-// grant hands a connection over.
-func (t *endpointTask) grant(id types.RequestID, c *endpoint.Conn, check bool) {
-	w := t.waiting[id]
-	delete(t.waiting, id)
-	w.reply <- grant{conn: c, check: check, levels: t.currentLevels()}
-}
-
-func (t *endpointTask) dial(ctx context.Context) {
-	conn, err := endpoint.Dial(ctx, t.cfg)
-	if !t.post(connected{conn: conn, err: err}) && conn != nil {
-		conn.Close()
-	}
-}
-
-// connected uses a new connection, or refuses the request that waits longest.
-func (t *endpointTask) connected(ctx context.Context, m connected) {
-	t.dialing--
-	if m.err == nil {
-		connsOpened.Inc()
-		t.open++
-		t.idle = append(t.idle, idleConn{conn: m.conn, since: clock.Now()})
-		t.hand(ctx)
-		return
-	}
-	if len(t.ready) == 0 {
-		return
-	}
-	id := t.ready[0]
-	t.ready = t.ready[1:]
-	w := t.waiting[id]
-	delete(t.waiting, id)
-	w.reply <- grant{outcome: types.Refused(types.ReasonUnreachable, m.err.Error())}
-	t.release(ctx, finish{id: id})
-}
-
 // finish takes a connection back and frees the slot.
 func (t *endpointTask) finish(ctx context.Context, m finish) {
 	if m.broken {
@@ -372,15 +239,6 @@
 	t.step(ctx, admission.Event{Kind: admission.EventCancel, ID: id})
 }
 
-// closeIdle closes the idle connections, which a broken one makes suspect.
-func (t *endpointTask) closeIdle() {
-	for _, c := range t.idle {
-		c.conn.Close()
-		t.open--
-	}
-	t.idle = nil
-}
-
 // hold keeps new writes queued, or lets them go on.
 func (t *endpointTask) hold(ctx context.Context, on bool) {
 	t.holding = on
@@ -418,50 +276,3 @@
 	t.qcfg = cfg
 	t.perform(ctx, effects)
 }
-
-// noteLevel keeps a level for the entries.
-func (t *endpointTask) noteLevel(n admission.LevelNotice) {
-	now := clock.Now()
-	t.restored = dropExpired(t.restored, now)
-	if n.Level == admission.LevelFull {
-		t.restored = append(t.restored, restoredLevel{notice: n, until: now.Add(restoredLifetime)})
-	}
-	t.levels = nil
-}
-
-func dropExpired(list []restoredLevel, now types.Time) []restoredLevel {
-	kept := list[:0]
-	for _, r := range list {
-		if now.Before(r.until) {
-			kept = append(kept, r)
-		}
-	}
-	return kept
-}
-
-// currentLevels returns the notices to pass on; the result is not modified later.
-func (t *endpointTask) currentLevels() []admission.LevelNotice {
-	if t.levels == nil {
-		t.levels = t.queue.Levels(nil)
-		for _, r := range t.restored {
-			t.levels = append(t.levels, r.notice)
-		}
-	}
-	return t.levels
-}
-
-func (t *endpointTask) status() Status {
-	s := Status{
-		Endpoint:   t.cfg.Endpoint,
-		Database:   t.cfg.Database,
-		Slots:      t.queue.Slots(),
-		SlotsInUse: t.queue.SlotsInUse(),
-		Open:       t.open,
-		Draining:   t.queue.Draining(),
-		Levels:     t.currentLevels(),
-	}
-	for _, r := range t.qcfg.Ranks {
-		s.Depth = append(s.Depth, RankDepth{Rank: r.Name, Depth: t.queue.Depth(r.Name)})
-	}
-	return s
-}
