--- a/core/admission/config.go
+++ b/core/admission/config.go
@@ -58,11 +58,23 @@
 	if c.QueueLimit < 0 || c.FlowLimit < 0 || c.StatedService < 0 {
 		return fmt.Errorf("queue limit %d, flow limit %d and service time %v must not be negative", c.QueueLimit, c.FlowLimit, c.StatedService)
 	}
-	return CheckRanks(c.Ranks)
+	return checkRanks(c.Ranks)
 }
 
-// CheckRanks reports the first fault of a list of ranks.
-func CheckRanks(ranks []types.RankSpec) error {
+// RanksInForce returns the configured ranks, or the defaults where there are none
+// or where they contradict each other, as after rival plans; the error then names
+// the fault.
+func RanksInForce(configured []types.RankSpec) ([]types.RankSpec, error) {
+	if len(configured) == 0 {
+		return DefaultRanks(), nil
+	}
+	if err := checkRanks(configured); err != nil {
+		return DefaultRanks(), err
+	}
+	return configured, nil
+}
+
+func checkRanks(ranks []types.RankSpec) error {
 	if len(ranks) > maxRanks {
 		return fmt.Errorf("%d ranks are more than %d", len(ranks), maxRanks)
 	}
--- /dev/null
+++ b/core/admission/ranks_test.go
@@ -0,0 +1,27 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/types"
+)
+
+func TestRanksInForce(t *testing.T) {
+	is := is.New(t)
+	ranks, err := RanksInForce(nil)
+	is.NoErr(err)
+	is.Equal(ranks, DefaultRanks())
+
+	own := []types.RankSpec{{Name: "urgent", Target: time.Second, Worth: 1, Floor: 60}}
+	ranks, err = RanksInForce(own)
+	is.NoErr(err)
+	is.Equal(ranks, own)
+
+	rival := append(own, types.RankSpec{Name: "normal", Target: time.Second, Worth: 1, Floor: 60, Order: 1})
+	ranks, err = RanksInForce(rival)
+	is.True(err != nil) // floors above 100%
+	is.Equal(ranks, DefaultRanks())
+}
--- a/node/caller/listener.go
+++ b/node/caller/listener.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"baobabfield.example/core/types"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/mesh"
 	"baobabfield.example/node/netopt"
 	"baobabfield.example/node/router"
@@ -174,12 +175,7 @@
 
 // post sends a message unless the task has ended; it reports whether it was sent.
 func (t *Task) post(msg any) bool {
-	select {
-	case t.inbox <- msg:
-		return true
-	case <-t.stopped:
-		return false
-	}
+	return mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 // Drain refuses new callers and ends each session at the end of its
@@ -204,12 +200,8 @@
 	if !t.post(m) {
 		return 0
 	}
-	select {
-	case n := <-m.reply:
-		return n
-	case <-ctx.Done():
-		return 0
-	}
+	n, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return n
 }
 
 // accept passes new connections on until the listener closes.
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"baobabfield.example/core/types"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/netopt"
 	"baobabfield.example/wire/meshpb"
 )
@@ -172,10 +173,7 @@
 
 // post sends a message unless the task has ended.
 func (t *Task) post(msg any) {
-	select {
-	case t.inbox <- msg:
-	case <-t.stopped:
-	}
+	mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 // Open returns a stream to a host; to the host itself it is a pipe.
--- a/node/owner/acks.go
+++ b/node/owner/acks.go
@@ -7,6 +7,7 @@
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
 	"baobabfield.example/node/endpoint"
+	"baobabfield.example/node/mailbox"
 )
 
 const (
@@ -68,10 +69,7 @@
 }
 
 func (t *ackTask) post(msg any) {
-	select {
-	case t.inbox <- msg:
-	case <-t.stopped:
-	}
+	mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 func (t *ackTask) run(ctx context.Context) {
--- a/node/owner/assign.go
+++ b/node/owner/assign.go
@@ -116,13 +116,9 @@
 // ranks returns the configured ranks, or the defaults where there are none or
 // rival plans have made them contradict each other.
 func (r *Registry) ranks() []types.RankSpec {
-	ranks := r.conf.Ranks()
-	if len(ranks) == 0 {
-		return admission.DefaultRanks()
-	}
-	if err := admission.CheckRanks(ranks); err != nil {
+	ranks, err := admission.RanksInForce(r.conf.Ranks())
+	if err != nil {
 		r.log.Error("ranks cannot be used; the defaults apply", zap.Error(err))
-		return admission.DefaultRanks()
 	}
 	return ranks
 }
--- a/node/owner/endpoint.go
+++ b/node/owner/endpoint.go
@@ -13,6 +13,7 @@
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
 	"baobabfield.example/node/endpoint"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/watch"
 )
 
@@ -84,12 +85,7 @@
 
 // post sends a message unless the task has ended; it reports whether it was sent.
 func (t *endpointTask) post(msg any) bool {
-	select {
-	case t.inbox <- msg:
-		return true
-	case <-t.stopped:
-		return false
-	}
+	return mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 // runningRequest is a request that holds a slot.
--- a/node/owner/registry.go
+++ b/node/owner/registry.go
@@ -16,6 +16,7 @@
 	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/endpoint"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/watch"
 )
 
@@ -192,12 +193,7 @@
 
 // post sends a message unless the registry has ended.
 func (r *Registry) post(msg any) bool {
-	select {
-	case r.inbox <- msg:
-		return true
-	case <-r.stopped:
-		return false
-	}
+	return mailbox.Post(r.inbox, r.stopped, msg)
 }
 
 // SetConfig replaces the configuration in force.
@@ -226,13 +222,8 @@
 	if !r.post(m) {
 		return false
 	}
-	select {
-	case ok := <-m.reply:
-		return ok
-	case <-ctx.Done():
-	case <-r.stopped:
-	}
-	return false
+	ok, _ := mailbox.Await(ctx, r.stopped, m.reply)
+	return ok
 }
 
 // toWatch passes an event to a database's watch, if the host has one.
--- a/node/owner/state.go
+++ b/node/owner/state.go
@@ -8,6 +8,7 @@
 	"baobabfield.example/core/failover"
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/watch"
 	"baobabfield.example/wire/meshpb"
 )
@@ -88,13 +89,7 @@
 	if !t.post(m) {
 		return Status{}, false
 	}
-	select {
-	case s := <-m.reply:
-		return s, true
-	case <-ctx.Done():
-	case <-t.stopped:
-	}
-	return Status{}, false
+	return mailbox.Await(ctx, t.stopped, m.reply)
 }
 
 // idlePoll is the time between two checks for running requests.
--- a/node/router/check.go
+++ b/node/router/check.go
@@ -61,18 +61,11 @@
 	if m.rank == "" {
 		return nil
 	}
-	for _, r := range t.ranks() {
+	ranks, _ := admission.RanksInForce(t.conf.Ranks())
+	for _, r := range ranks {
 		if r.Name == m.rank {
 			return nil
 		}
 	}
 	return &UnknownRankError{Rank: m.rank}
 }
-
-// ranks returns the configured ranks, or the defaults where there are none.
-func (t *Task) ranks() []types.RankSpec {
-	if ranks := t.conf.Ranks(); len(ranks) > 0 {
-		return ranks
-	}
-	return admission.DefaultRanks()
-}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -15,6 +15,7 @@
 	"baobabfield.example/core/membership"
 	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
+	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/mesh"
 	"baobabfield.example/wire/meshpb"
 )
@@ -206,12 +207,7 @@
 
 // post sends a message unless the task has ended; it reports whether it was sent.
 func (t *Task) post(msg any) bool {
-	select {
-	case t.inbox <- msg:
-		return true
-	case <-t.stopped:
-		return false
-	}
+	return mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 // SetConfig replaces the configuration in force.
@@ -276,12 +272,8 @@
 	if !t.post(m) {
 		return false
 	}
-	select {
-	case replaced := <-m.reply:
-		return replaced
-	case <-ctx.Done():
-		return false
-	}
+	replaced, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return replaced
 }
 
 // replaced answers from what is known, and asks for new state.
@@ -300,12 +292,8 @@
 	if !t.post(m) {
 		return false
 	}
-	select {
-	case ok := <-m.reply:
-		return ok
-	case <-ctx.Done():
-		return false
-	}
+	ok, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return ok
 }
 
 // Uses returns who has used which service through this host.
@@ -314,12 +302,8 @@
 	if !t.post(m) {
 		return nil
 	}
-	select {
-	case uses := <-m.reply:
-		return uses
-	case <-ctx.Done():
-		return nil
-	}
+	uses, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return uses
 }
 
 // finished takes a request off its endpoint's count.
--- a/node/watch/watch.go
+++ b/node/watch/watch.go
@@ -16,6 +16,7 @@
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
 	"baobabfield.example/node/endpoint"
+	"baobabfield.example/node/mailbox"
 )
 
 // inboxSize is the number of messages that wait for the task.
@@ -134,10 +135,7 @@
 
 // post sends a message unless the task has ended.
 func (t *Task) post(msg any) {
-	select {
-	case t.inbox <- msg:
-	case <-t.stopped:
-	}
+	mailbox.Post(t.inbox, t.stopped, msg)
 }
 
 // MaySend asks whether a write of the term may be sent to the primary now.
@@ -152,28 +150,16 @@
 
 func (t *Task) ask(ctx context.Context, m authority) bool {
 	t.post(m)
-	select {
-	case ok := <-m.reply:
-		return ok
-	case <-ctx.Done():
-		return false
-	case <-t.stopped:
-		return false
-	}
+	ok, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return ok
 }
 
 // View returns what the machine knows; it is empty once the task has ended.
 func (t *Task) View(ctx context.Context) failover.View {
 	m := viewRequest{reply: make(chan failover.View, 1)}
 	t.post(m)
-	select {
-	case v := <-m.reply:
-		return v
-	case <-ctx.Done():
-		return failover.View{}
-	case <-t.stopped:
-		return failover.View{}
-	}
+	v, _ := mailbox.Await(ctx, t.stopped, m.reply)
+	return v
 }
 
 // step feeds the machine one event and performs the effects.
