Never use a connection with an open transaction again

Found by reading: where a batch in a transaction ended with a refusal, for instance a primary replaced before its answer could be acknowledged, the connection went back to the pool with the transaction still open, and the next request would have run in it. The connection's own transaction status now decides; the test fails without it.

--- a/node/owner/batch.go
+++ b/node/owner/batch.go
@@ -30,6 +30,7 @@
 	if end.err != nil {
 		return x.failed(end, b)
 	}
+	x.connStatus = end.done.Status
 	if out, refused := x.refusal(end.done); refused {
 		return out, pgwire.StatusIdle, types.LogPoint{}
 	}
--- a/node/owner/txn.go
+++ b/node/owner/txn.go
@@ -49,16 +49,20 @@
 	promise types.Promise
 	id      types.RequestID
 
-	conn     *endpoint.Conn
-	term     types.Term
-	write    bool
-	fresh    bool
-	began    time.Time
-	broken   bool
-	allDone  bool
-	grant    grant
-	inTx     bool
-	keyGiven bool
+	conn  *endpoint.Conn
+	term  types.Term
+	write bool
+	fresh bool
+	began time.Time
+	// broken is set where the connection must not be used again.
+	broken bool
+	// connStatus is the transaction status of the connection after its last
+	// batch; 0 before the first one.
+	connStatus byte
+	allDone    bool
+	grant      grant
+	inTx       bool
+	keyGiven   bool
 	// tail is the end of the answer that goes with the result.
 	tail []byte
 	// ended is set once the entry host has been told that the transaction is over.
@@ -149,9 +153,11 @@
 	}
 }
 
-// release gives the connection back.
+// release gives the connection back. One with an open transaction, whatever
+// ended the stream, must not serve another request: it is closed.
 func (x *txn) release() {
-	ok := x.ep.post(finish{id: x.id, conn: x.conn, broken: x.broken, ok: x.allDone, service: time.Since(x.began)})
+	open := x.connStatus != 0 && x.connStatus != pgwire.StatusIdle
+	ok := x.ep.post(finish{id: x.id, conn: x.conn, broken: x.broken || open, ok: x.allDone, service: time.Since(x.began)})
 	if !ok {
 		x.conn.Close()
 	}
--- /dev/null
+++ b/node/owner/txn_test.go
@@ -0,0 +1,30 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/wire/pgwire"
+)
+
+func TestConnectionWithAnOpenTransactionIsNotUsedAgain(t *testing.T) {
+	tests := []struct {
+		status byte
+		broken bool
+		want   bool
+	}{
+		{0, false, false},
+		{pgwire.StatusIdle, false, false},
+		{pgwire.StatusInTx, false, true},
+		{pgwire.StatusFailed, false, true},
+		{pgwire.StatusIdle, true, true},
+	}
+	for _, tt := range tests {
+		is := is.New(t)
+		ep := &endpointTask{inbox: make(chan any, 1), stopped: make(chan struct{})}
+		x := &txn{ep: ep, connStatus: tt.status, broken: tt.broken}
+		x.release()
+		is.Equal((<-ep.inbox).(finish).broken, tt.want)
+	}
+}
