Report a read whose answer may be stale as unknown, not as not run

Found by reading: a read at a primary that lost its authority before the answer could be passed on had run; "not run" must mean that nothing ran. Reads are repeated elsewhere in both cases.

--- a/node/owner/batch.go
+++ b/node/owner/batch.go
@@ -101,10 +101,10 @@
 	if x.tasks.watch.MayAck(ctx, x.term) {
 		return types.Outcome{}
 	}
-	if committed || commits {
-		return types.InDoubt(types.ReasonFenced, "term "+d.Committed.String())
+	if x.inTx && !committed && !commits {
+		return types.Refused(types.ReasonFenced, "transaction rolled back: primary replaced")
 	}
-	return types.Refused(types.ReasonFenced, x.open.GetEndpoint())
+	return types.InDoubt(types.ReasonFenced, x.open.GetEndpoint())
 }
 
 // execute runs a batch while it watches for cancellation and for the entry
