One piece of code for a question to another host; drop what nothing uses

The router, the operator's task and the probe of a host each opened a stream, sent one frame and waited for one: all call mesh.Task.Ask now, and keep who is suspected after a time-out. Conn.Term and StateBadAuthorization had no callers.

--- a/node/endpoint/conn.go
+++ b/node/endpoint/conn.go
@@ -232,6 +232,3 @@
 // Interrupt makes reads and writes in progress fail. It may be called while
 // another task owns the connection.
 func (c *Conn) Interrupt() { _ = c.sock.SetDeadline(time.Unix(1, 0)) }
-
-// Term returns the expected term that is set on the connection.
-func (c *Conn) Term() types.Term { return c.term }
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -207,20 +207,30 @@
 func (t *Task) Answers(ctx context.Context, h types.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	f := &meshpb.Frame{Body: &meshpb.Frame_StateRequest{StateRequest: &meshpb.StateRequest{}}}
+	answer := t.Ask(ctx, h, f)
+	if ctx.Err() != nil {
+		t.Suspect(h)
+	}
+	return answer != nil
+}
+
+// Ask sends a question to a host and returns the first frame of its answer; nil
+// if none comes before the context ends.
+func (t *Task) Ask(ctx context.Context, h types.Host, question *meshpb.Frame) *meshpb.Frame {
 	s, err := t.Open(ctx, h)
 	if err != nil {
-		return false
+		return nil
 	}
 	defer s.Close()
-	if s.Send(&meshpb.Frame{Body: &meshpb.Frame_StateRequest{StateRequest: &meshpb.StateRequest{}}}) != nil {
-		return false
+	if s.Send(question) != nil {
+		return nil
 	}
 	select {
-	case _, ok := <-s.Frames():
-		return ok
+	case answer := <-s.Frames():
+		return answer
 	case <-ctx.Done():
-		t.Suspect(h)
-		return false
+		return nil
 	}
 }
 
--- a/node/operator/ask.go
+++ b/node/operator/ask.go
@@ -67,20 +67,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
-	s, err := v.Mesh.Open(ctx, h)
-	if err != nil {
-		return nil
-	}
-	defer s.Close()
-	if s.Send(&meshpb.Frame{Body: &meshpb.Frame_HostQuery{HostQuery: q}}) != nil {
-		return nil
-	}
-	select {
-	case f := <-s.Frames():
-		return f.GetHostAnswer()
-	case <-ctx.Done():
-		return nil
-	}
+	question := &meshpb.Frame{Body: &meshpb.Frame_HostQuery{HostQuery: q}}
+	return v.Mesh.Ask(ctx, h, question).GetHostAnswer()
 }
 
 // rollout tells the configuration in force on each host.
--- a/node/router/route.go
+++ b/node/router/route.go
@@ -179,22 +179,12 @@
 func (t *Task) askHost(ctx context.Context, h types.Host, db types.Database) *meshpb.StateAnswer {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	s, err := t.mesh.Open(ctx, h)
-	if err != nil {
-		return nil
-	}
-	defer s.Close()
 	ask := &meshpb.Frame{Body: &meshpb.Frame_StateRequest{StateRequest: &meshpb.StateRequest{Database: string(db)}}}
-	if s.Send(ask) != nil {
-		return nil
-	}
-	select {
-	case f := <-s.Frames():
-		return f.GetStateAnswer()
-	case <-ctx.Done():
+	answer := t.mesh.Ask(ctx, h, ask)
+	if ctx.Err() != nil {
 		t.mesh.Suspect(h)
-		return nil
 	}
+	return answer.GetStateAnswer()
 }
 
 // answered takes an owner's answer and lets the parked requests go on as soon
--- a/wire/pgwire/outcome.go
+++ b/wire/pgwire/outcome.go
@@ -8,21 +8,20 @@
 
 // SQLSTATEs that endpoints and callers see.
 const (
-	StateUnknownOutcome   = "08007"
-	StateUnavailable      = "57P03"
-	StateShutdown         = "57P01"
-	StateLimit            = "53400"
-	StateRetired          = "0A000"
-	StateBehind           = "40001"
-	StateBadValue         = "22023"
-	StateProtocol         = "08P01"
-	StateNoDatabase       = "3D000"
-	StateTooLarge         = "54000"
-	StateNotSupported     = "0A000"
-	StateReadOnly         = "25006"
-	StateTermMismatch     = "BB001"
-	StateTooManyConns     = "53300"
-	StateBadAuthorization = "28000"
+	StateUnknownOutcome = "08007"
+	StateUnavailable    = "57P03"
+	StateShutdown       = "57P01"
+	StateLimit          = "53400"
+	StateRetired        = "0A000"
+	StateBehind         = "40001"
+	StateBadValue       = "22023"
+	StateProtocol       = "08P01"
+	StateNoDatabase     = "3D000"
+	StateTooLarge       = "54000"
+	StateNotSupported   = "0A000"
+	StateReadOnly       = "25006"
+	StateTermMismatch   = "BB001"
+	StateTooManyConns   = "53300"
 )
 
 // State returns the SQLSTATE with which a caller sees an outcome other than Done.
