Let authority cover only connections that were open when it was confirmed

Cause: a host whose connections to the primary had gone silent kept its authority for the rest of the 800 ms window; when the primary crashed and came back meanwhile, a new connection led to the restarted instance, while another host, refused by the crashed one, had replaced it without waiting out the window. The refusal also counted if it was older than the pauses, so that a primary that was back in between could be confirmed again.

Ruled out: reads that wait in a pool's queue (they were sent before any commit of the successor can be acknowledged); an owner that has seen the refusal itself (it confirms nothing of a restarted endpoint for 5 s).

Change: a pool uses a connection for the primary only once confirmations asked for after its opening have come; positions count only from such connections; a campaign against a gone primary asks it once more behind the fence and waits out the window unless it refuses again. A gone primary that is back is replaced all the same: its owner would not trust it for 5 s.

--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -41,6 +41,9 @@
 	asked  map[types.Endpoint]types.Time
 	usedAt types.Time
 	used   bool
+	// required is the time before which a question is too old for the newest
+	// connection to the primary.
+	required types.Time
 	// next is the replica that is asked next.
 	next int
 	// fenced is set once a replica holds a later term, fencedBy names it.
@@ -88,6 +91,25 @@
 	return n >= a.needed()
 }
 
+// Since returns the time at which the confirmations that count were asked for, at the
+// latest; only connections to the primary that were open by then lead to the instance
+// that was confirmed, since one opened later may lead to a restarted one.
+func (a *Authority) Since(now types.Time) types.Time {
+	if a.needed() == 0 {
+		return now
+	}
+	times := make([]types.Time, 0, len(a.replicas))
+	for _, r := range a.replicas {
+		times = append(times, a.confirmed[r])
+	}
+	slices.Sort(times)
+	return times[len(times)-a.needed()]
+}
+
+// Require asks for confirmations that are asked for from now on, as a connection to
+// the primary has been opened.
+func (a *Authority) Require(now types.Time) { a.required = now }
+
 // fresh reports whether a replica's confirmation still counts.
 func (a *Authority) fresh(now types.Time, r types.Endpoint) bool {
 	at, ok := a.confirmed[r]
@@ -143,7 +165,7 @@
 	}
 	due := a.needed()
 	for _, r := range a.replicas {
-		if at, ok := a.confirmed[r]; ok && now.Sub(at) < confirmEvery {
+		if at, ok := a.confirmed[r]; ok && now.Sub(at) < confirmEvery && !at.Before(a.required) {
 			due--
 		}
 		if at, ok := a.asked[r]; ok && now.Sub(at) < questionTimeout {
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -146,12 +146,15 @@
 	// term is the highest term seen; paused replicas hold the one after it.
 	term types.Term
 	// target is the position that the candidate must hold in a planned change.
-	target     types.LogPoint
-	candidate  types.Endpoint
-	fencedAt   types.Time
-	promoteAt  types.Time
-	accepted   bool
-	oldStopped bool
+	target    types.LogPoint
+	candidate types.Endpoint
+	fencedAt  types.Time
+	// refusedFenced is set once the old primary has refused a connection that was asked
+	// for after the fence stood.
+	refusedFenced bool
+	promoteAt     types.Time
+	accepted      bool
+	oldStopped    bool
 	// found is an endpoint that leads already.
 	found types.Endpoint
 	// oldWell is set once the old primary has answered as one.
@@ -285,7 +288,7 @@
 // Answered takes an endpoint's row after an order.
 func (c *Campaign) Answered(now types.Time, o Order, st Status) Actions {
 	c.term = max(c.term, st.Term)
-	if o.Endpoint == c.Old && st.Primary && c.Reason != Leaving && c.phase < Promoting {
+	if o.Endpoint == c.Old && st.Primary && c.mayKeepOld() {
 		return c.oldIsWell(now)
 	}
 	switch c.phase {
@@ -304,17 +307,18 @@
 	return Actions{}
 }
 
-// Failed notes that an endpoint gave no answer to an order; gone is set where it
-// refuses connections.
-func (c *Campaign) Failed(now types.Time, o Order, gone bool) Actions {
+// Failed notes that an endpoint gave no answer to an order of a time; gone is set where
+// it refuses connections.
+func (c *Campaign) Failed(now types.Time, o Order, askedAt types.Time, gone bool) Actions {
 	if c.phase == SteppingDown && o.Endpoint == c.Old {
-		// The old primary is out of reach now: fence it instead.
+		// The old primary is out of reach now, whatever the reason: fence it instead.
 		c.Reason = Silent
-		if gone {
-			c.Reason = Gone
-		}
 		return c.startFencing(now)
 	}
+	if c.Reason == Gone && o.Endpoint == c.Old && gone && c.fencedAt != 0 && !askedAt.Before(c.fencedAt) {
+		c.refusedFenced = true
+		return c.checkFenced(now)
+	}
 	if !gone || o.Endpoint == c.Old || c.keepsAll {
 		return Actions{}
 	}
@@ -345,6 +349,12 @@
 	return c.surveyed(now)
 }
 
+// mayKeepOld reports whether the old primary stays if it answers. One that refused
+// connections has restarted: its owner would not trust it for seconds.
+func (c *Campaign) mayKeepOld() bool {
+	return c.Reason != Leaving && c.Reason != Gone && c.phase < Promoting
+}
+
 // oldIsWell ends a campaign against a primary that is within reach again. Where it
 // cannot be used since replicas stayed paused, the token is claimed to resume them.
 func (c *Campaign) oldIsWell(now types.Time) Actions {
@@ -425,10 +435,10 @@
 // only paused replicas and the passing of the window keep its owner from using it.
 func (c *Campaign) mustPause() bool { return !c.oldStopped }
 
-// mustWait reports whether the owner of the old primary may still use it. One that
-// refuses connections has broken those of its owners, who then have to confirm
-// their authority anew.
-func (c *Campaign) mustWait() bool { return !c.oldStopped && c.Reason != Gone }
+// mustWait reports whether an owner of the old primary may still use it. One that
+// refuses connections behind the fence does not run: its owners' connections are dead,
+// and for later ones they have to confirm their authority anew.
+func (c *Campaign) mustWait() bool { return !c.oldStopped && !c.refusedFenced }
 
 // Needed reports whether the campaign still has a reason, given the endpoint that
 // is believed to be the primary now; empty for none. Once a candidate has been
@@ -461,11 +471,15 @@
 	if !c.fenceDone() {
 		return Actions{}
 	}
+	var a Actions
 	if c.fencedAt == 0 {
 		c.fencedAt = now
+		if c.Reason == Gone {
+			a.Orders = c.askOld()
+		}
 	}
 	if c.mustWait() && now.Sub(c.fencedAt) < Window {
-		return Actions{}
+		return a
 	}
 	return c.promoteBest(now)
 }
@@ -547,7 +561,7 @@
 		}
 	case SteppingDown:
 		if now.Sub(c.phaseAt) > stepTimeout {
-			return c.Failed(now, Order{Endpoint: c.Old}, false)
+			return c.Failed(now, Order{Endpoint: c.Old}, c.phaseAt, false)
 		}
 	case Fencing:
 		return c.tickFencing(now)
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -83,14 +83,56 @@
 	is.Equal(c.Tick(start.Add(lead.Window)).Promote, types.Endpoint("c")) // the longest log
 }
 
+// refuse has the old primary refuse a connection that was asked for at a time.
+func refuse(c *lead.Campaign, askedAt types.Time) lead.Actions {
+	return c.Failed(askedAt, lead.Order{Endpoint: "a"}, askedAt, true)
+}
+
 func TestGonePrimaryIsReplacedAtOnce(t *testing.T) {
 	is := is.New(t)
 	c := lead.NewCampaign(start, "s", lead.Gone, "a", replicas, 3)
 	reach(c)
 	c.Claimed(start, 1)
-	c.Answered(start, lead.Order{Endpoint: "b", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
-	a := c.Answered(start, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
-	is.True(a.Promote != "")
+	fenced := start.Add(time.Millisecond)
+	c.Answered(fenced, lead.Order{Endpoint: "b", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
+	a := c.Answered(fenced, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
+	is.Equal(a.Promote, types.Endpoint(""))
+	is.Equal(orders(a)["a"], lead.AskStatus)
+	is.True(refuse(c, fenced).Promote != "")
+}
+
+// A primary that refused connections only before the fence may be back since.
+func TestPrimaryThatMayBeBackIsReplacedOnlyAfterTheWindow(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(start, "s", lead.Gone, "a", replicas, 3)
+	reach(c)
+	c.Claimed(start, 1)
+	fenced := start.Add(time.Millisecond)
+	for _, r := range replicas {
+		c.Answered(fenced, lead.Order{Endpoint: r, Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
+	}
+	is.Equal(refuse(c, start).Promote, types.Endpoint(""))
+	is.Equal(c.Tick(fenced.Add(lead.Window-1)).Promote, types.Endpoint(""))
+	is.True(c.Tick(fenced.Add(lead.Window)).Promote != "")
+}
+
+// A connection that was opened after the replicas had been asked may lead to a primary
+// that has restarted since.
+func TestAuthorityCoversConnectionsOpenedBefore(t *testing.T) {
+	is := is.New(t)
+	a := lead.NewAuthority("a", replicas)
+	a.Use(start)
+	a.Answered("a", start, lead.Status{Primary: true, Term: 3})
+	a.Answered("b", start, lead.Status{Term: 3})
+	is.Equal(a.Since(start), start)
+	is.Equal(len(a.Questions(start)), 0)
+	later := start.Add(10 * time.Millisecond)
+	a.Require(later)
+	is.True(a.Valid(later))
+	is.Equal(len(a.Questions(later)), 1)
+	a.Answered("c", later, lead.Status{Term: 3})
+	is.Equal(a.Since(later), later)
+	is.Equal(lead.NewAuthority("a", nil).Since(later), later)
 }
 
 func TestUnreachableReplicasGetNoClaim(t *testing.T) {
@@ -132,7 +174,8 @@
 	reach(c)
 	c.Claimed(start, 1)
 	c.Answered(start, lead.Order{Endpoint: "b", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
-	first := c.Answered(start, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4}).Promote
+	c.Answered(start, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
+	first := refuse(c, start).Promote
 	second := c.PromoteAnswered(start, false, true).Promote
 	is.True(second != "" && second != first)
 }
@@ -143,7 +186,8 @@
 	reach(c)
 	c.Claimed(start, 1)
 	c.Answered(start, lead.Order{Endpoint: "b", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
-	won := c.Answered(start, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4}).Promote
+	c.Answered(start, lead.Order{Endpoint: "c", Op: lead.Pause}, lead.Status{Term: 3, HeldTerm: 4})
+	won := refuse(c, start).Promote
 	a := c.Answered(start, lead.Order{Endpoint: won}, lead.Status{Primary: true, Term: 4})
 	is.Equal(a.Won, won)
 	// The old primary steps down at once; the replica stays paused until it has had
@@ -162,6 +206,7 @@
 	pause := c.Claimed(start, 1).Orders
 	c.Answered(start, pause[0], lead.Status{Term: 3, HeldTerm: 4})
 	is.Equal(c.Answered(start, pause[1], lead.Status{Term: 3, HeldTerm: 0}).Promote, types.Endpoint(""))
+	is.Equal(refuse(c, start).Promote, types.Endpoint(""))
 }
 
 // After a fence, the confirmation of another replica alone is not enough.
@@ -225,6 +270,7 @@
 	for _, o := range c.Claimed(start, 1).Orders {
 		c.Answered(start, o, lead.Status{Term: 3, HeldTerm: 4})
 	}
+	refuse(c, start)
 	c.PromoteAnswered(start.Add(2900*time.Millisecond), true, false)
 	is.True(!c.Tick(start.Add(3500 * time.Millisecond)).Ended)
 }
@@ -236,7 +282,7 @@
 	c.KeepAll()
 	c.Begin()
 	c.Answered(start, lead.Order{Endpoint: "b"}, lead.Status{Term: 3})
-	a := c.Failed(start, lead.Order{Endpoint: "c"}, true)
+	a := c.Failed(start, lead.Order{Endpoint: "c"}, start, true)
 	is.True(!a.Claim && !a.Ended)
 	is.True(c.Tick(start.Add(time.Second)).Ended)
 }
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -15,7 +15,7 @@
 		p.queue.candidates(now, func(rank, i int, w *waiting) bool {
 			c := p.connFor(&w.req)
 			if c == nil {
-				wantConn = wantConn || w.req.Tx == 0 || w.req.Begin != nil
+				wantConn = wantConn || p.needsConnection(&w.req)
 				return false
 			}
 			p.queue.take(rank, i)
@@ -45,7 +45,7 @@
 	var best *conn
 	bestCost := 0
 	for _, c := range p.order {
-		if c.state != idle {
+		if c.state != idle || (req.Trusted && c.openedAt.After(p.trusted)) {
 			continue
 		}
 		cost := p.changeCost(c, req)
@@ -56,6 +56,17 @@
 	return best
 }
 
+// needsConnection reports whether a request that found no connection waits for a new
+// one: not for that of its transaction, nor for one that is about to be trusted.
+func (p *Pool) needsConnection(req *Request) bool {
+	if req.Tx != 0 && req.Begin == nil {
+		return false
+	}
+	return !req.Trusted || !slices.ContainsFunc(p.order, func(c *conn) bool {
+		return c.state == idle && c.openedAt.After(p.trusted)
+	})
+}
+
 // changeCost counts the commands that a connection needs before the request.
 func (p *Pool) changeCost(c *conn, req *Request) int {
 	set, reset := c.values.Missing(req.Values)
@@ -81,9 +92,8 @@
 	p.emit(Dial{Conn: c.id})
 }
 
-// Connected tells that a connection is open and ready; position is the end of the
-// endpoint's log.
-func (p *Pool) Connected(now types.Time, id ConnID, position types.LogPoint) {
+// Connected tells that a connection is open and ready.
+func (p *Pool) Connected(now types.Time, id ConnID) {
 	c := p.conns[id]
 	if c == nil {
 		p.emit(Close{Conn: id})
@@ -93,8 +103,7 @@
 	p.failures = 0
 	p.retryDial = 0
 	p.dialing--
-	p.notePosition(c.since, position)
-	c.state, c.since = idle, now
+	c.state, c.since, c.openedAt = idle, now, now
 	p.dispatch(now)
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -48,6 +48,7 @@
 	id       ConnID
 	state    connState
 	since    types.Time
+	openedAt types.Time
 	values   statement.Values
 	prepared map[string]bool
 	// tx is the open transaction.
@@ -90,8 +91,11 @@
 	// positionAt the time at which the statement behind it was sent.
 	position   types.LogPoint
 	positionAt types.Time
-	draining   bool
-	effects    []Effect
+	// trusted is the time up to which opened connections certainly lead to the
+	// instance that the owner means.
+	trusted  types.Time
+	draining bool
+	effects  []Effect
 }
 
 // New returns a pool without connections; nextID numbers those that it opens.
@@ -248,6 +252,14 @@
 	return at, ok
 }
 
+// Trust vouches for the connections that were opened up to a time.
+func (p *Pool) Trust(now, openedUpTo types.Time) {
+	if openedUpTo.After(p.trusted) {
+		p.trusted = openedUpTo
+		p.dispatch(now)
+	}
+}
+
 // Drain refuses queued requests and new ones; open transactions go on.
 func (p *Pool) Drain(now types.Time) {
 	p.draining = true
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -39,7 +39,7 @@
 			switch e := e.(type) {
 			case pool.Dial:
 				r.dials = append(r.dials, e.Conn)
-				r.p.Connected(r.now, e.Conn, types.LogPoint{})
+				r.p.Connected(r.now, e.Conn)
 			case pool.Send:
 				r.sent[e.Conn] = e.Command
 				r.order = append(r.order, e.Conn)
@@ -159,6 +159,21 @@
 	r.is.True(!r.results[1].TxOpen)
 }
 
+func TestNewConnectionIsUsedOnceItIsTrusted(t *testing.T) {
+	r := newRig(t, 2, 4)
+	r.submit(pool.Request{ID: 1, Query: write("w"), Trusted: true})
+	r.is.Equal(len(r.order), 0)
+	r.p.Trust(r.now, r.now-1) // vouches only for those opened before
+	r.flush()
+	r.is.Equal(len(r.order), 0)
+	r.submit(pool.Request{ID: 2, Query: write("v"), Trusted: true})
+	r.is.Equal(len(r.dials), 1) // the untrusted one is awaited
+	r.p.Trust(r.now, r.now)
+	r.flush()
+	r.is.Equal(r.answer(statement.Reply{}).ID, "w")
+	r.is.Equal(r.answer(statement.Reply{}).ID, "v")
+}
+
 func TestSessionValuesAreInForce(t *testing.T) {
 	r := newRig(t, 1, 1)
 	var values statement.Values
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -49,6 +49,8 @@
 	Due types.Time
 	// Deadline is when the caller stops waiting.
 	Deadline types.Time
+	// Trusted asks for a connection that Trust vouches for.
+	Trusted bool
 }
 
 // Result is the end of a request.
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -41,6 +41,7 @@
 	conn     pool.ConnID
 	ready    bool
 	dialedAt types.Time
+	openedAt types.Time
 	queue    []*controlOrder
 	current  *controlOrder
 	usedAt   types.Time
@@ -108,7 +109,10 @@
 		m.emit(EndpointClose{Conn: conn})
 		return
 	}
-	c.ready = true
+	c.ready, c.openedAt = true, m.now
+	if o := m.owned[id]; o != nil {
+		m.opened(o)
+	}
 	m.advanceControl(c)
 }
 
@@ -122,7 +126,7 @@
 	c.current = nil
 	c.silentAt = 0
 	if ev.Known {
-		m.statusKnown(done, ev.Status)
+		m.statusKnown(done, c.openedAt, ev.Status)
 	} else {
 		m.orderFailed(done, false)
 	}
@@ -237,8 +241,9 @@
 	}
 }
 
-// statusKnown passes an endpoint's report to all that it concerns.
-func (m *Machine) statusKnown(done *controlOrder, st lead.Status) {
+// statusKnown passes an endpoint's report, on a connection of some age, to all that it
+// concerns.
+func (m *Machine) statusKnown(done *controlOrder, openedAt types.Time, st lead.Status) {
 	id := done.order.Endpoint
 	e, ok := m.cat.Endpoint(id)
 	if !ok {
@@ -254,7 +259,7 @@
 		if o.service != e.Service || o.authority == nil {
 			continue
 		}
-		if o.id == id && st.Primary {
+		if o.id == id && st.Primary && !openedAt.After(o.authority.Since(m.now)) {
 			o.pool.NotePosition(done.sentAt, st.Received)
 		}
 		m.resumeForgotten(o, id, st)
@@ -268,6 +273,7 @@
 			m.fenced(o, "endpoint "+string(id)+" holds a later term")
 		}
 		m.confirm(o)
+		m.trust(o)
 		m.retryWaiting(o)
 		m.answerPositions(o)
 	}
@@ -311,7 +317,7 @@
 		m.answerReach(e, false)
 	}
 	if done.purpose&purposeCampaign != 0 {
-		m.campaignFailed(e.Service, done.order, gone)
+		m.campaignFailed(e.Service, done, gone)
 	}
 }
 
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -134,7 +134,7 @@
 			c := &connSim{w: w, host: h, id: uint64(d.Conn), e: e, open: true, shapes: map[string]statement.Shape{}}
 			h.conns[c.id] = c
 			e.conns[c] = true
-			w.give(h, proxy.EndpointConnected{Conn: d.Conn, Position: e.position()})
+			w.give(h, proxy.EndpointConnected{Conn: d.Conn})
 		}
 	})
 }
@@ -359,7 +359,7 @@
 		if answer.Accepted {
 			e.token = p.Token
 			if !e.primary {
-				w.after(promoteTime, func() { e.lead() })
+				w.after(w.promoteTime, func() { e.lead() })
 			}
 		}
 		w.after(storeDelay, func() {
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -51,10 +51,7 @@
 type PeerClosed struct{ Host types.Host }
 
 // EndpointConnected tells that a connection to an endpoint is ready.
-type EndpointConnected struct {
-	Conn     pool.ConnID
-	Position types.LogPoint
-}
+type EndpointConnected struct{ Conn pool.ConnID }
 
 // EndpointRefused tells that a connection could not be opened. Gone is set where
 // nothing listens at the address, or another instance does.
--- a/core/proxy/leader.go
+++ b/core/proxy/leader.go
@@ -394,10 +394,10 @@
 	}
 }
 
-func (m *Machine) campaignFailed(name types.Service, o lead.Order, gone bool) {
+func (m *Machine) campaignFailed(name types.Service, failed *controlOrder, gone bool) {
 	s := m.service(name)
 	if s.lead.campaign != nil {
-		m.act(s, s.lead.campaign.Failed(m.now, o, gone))
+		m.act(s, s.lead.campaign.Failed(m.now, failed.order, failed.askedAt, gone))
 	}
 }
 
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -181,7 +181,7 @@
 	}
 	o.pool.Submit(m.now, pool.Request{
 		ID: j.id, Tx: j.tx, Begin: j.exec.Begin, Query: j.exec.Query, After: after, Values: j.exec.Values,
-		Rank: j.exec.Rank, Due: j.due, Deadline: j.deadline,
+		Rank: j.exec.Rank, Due: j.due, Deadline: j.deadline, Trusted: j.exec.Primary,
 	})
 }
 
@@ -204,9 +204,25 @@
 		return false
 	}
 	m.confirm(o)
+	m.trust(o)
 	return true
 }
 
+// trust lets the pool of a primary use the connections that its authority covers.
+func (m *Machine) trust(o *owned) {
+	if o.authority != nil && o.authority.Valid(m.now) {
+		o.pool.Trust(m.now, o.authority.Since(m.now))
+	}
+}
+
+// opened has a new connection to a primary covered by its authority.
+func (m *Machine) opened(o *owned) {
+	if o.authority != nil {
+		o.authority.Require(m.now)
+		m.confirm(o)
+	}
+}
+
 // authority returns the authority over an endpoint that serves as the primary.
 func (m *Machine) authority(o *owned) *lead.Authority {
 	var doubt types.Endpoint
@@ -439,7 +455,8 @@
 		m.controlConnected(c.endpoint, ev.Conn)
 	default:
 		if o := m.owned[c.endpoint]; o != nil {
-			o.pool.Connected(m.now, ev.Conn, ev.Position)
+			o.pool.Connected(m.now, ev.Conn)
+			m.opened(o)
 		}
 	}
 }
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -68,6 +68,12 @@
 	deaf     bool
 	faults   []string
 	callers  *callers
+	// narrow is the time that each answer with objects takes on a host's link, one
+	// after the other; busy is when the link is free again.
+	narrow map[types.Host]time.Duration
+	busy   map[types.Host]types.Time
+	// promoteTime is the platform's time for a promotion.
+	promoteTime time.Duration
 	// verbose prints the hosts' log lines and the faults as they come.
 	verbose bool
 }
@@ -101,6 +107,7 @@
 	w := &world{
 		t: t, now: worldStart, rng: random.New(seed), hosts: map[types.Host]*hostSim{},
 		endpoints: map[types.Endpoint]*endpointSim{}, cuts: map[[2]string]bool{}, storeCut: map[types.Host]bool{},
+		promoteTime: promoteTime, busy: map[types.Host]types.Time{},
 	}
 	w.store = newStore(w)
 	for i, dc := range dataCentres {
@@ -343,7 +350,12 @@
 		return
 	}
 	incarnation := h.incarnation
-	w.after(delayBetween(h.dc, to.dc), func() {
+	delay := delayBetween(h.dc, to.dc)
+	if _, ok := e.Message.(proxy.Changes); ok {
+		w.busy[h.id] = max(w.busy[h.id], w.now).Add(w.narrow[h.id])
+		delay += w.busy[h.id].Sub(w.now)
+	}
+	w.after(delay, func() {
 		switch {
 		case w.isCut(h.id, h.dc, string(to.id), to.dc):
 		case to.alive:
@@ -363,10 +375,12 @@
 	values   map[string]proxy.Change
 	watchers []*hostSim
 	down     bool
+	// delay is the time of a call's way to the store, and of its answer's way back.
+	delay time.Duration
 }
 
 func newStore(w *world) *storeSim {
-	return &storeSim{w: w, revision: 10, mirror: feed.New(), current: map[string]feed.Object{}, values: map[string]proxy.Change{}}
+	return &storeSim{w: w, revision: 10, delay: storeDelay, mirror: feed.New(), current: map[string]feed.Object{}, values: map[string]proxy.Change{}}
 }
 
 // Decode returns the value of an object.
@@ -405,7 +419,7 @@
 	}
 	changes := feed.Changes{Kind: o.Kind, AsOf: s.revision, Objects: []feed.Object{o}}
 	for _, h := range s.watchers {
-		s.w.after(storeDelay, func() {
+		s.w.after(s.delay, func() {
 			if s.serves(h) {
 				s.w.give(h, proxy.StoreChanges{Changes: changes})
 			}
@@ -442,7 +456,7 @@
 
 func (s *storeSim) answer(h *hostSim, k feed.Kind, event func(feed.Changes) proxy.Event) {
 	incarnation := h.incarnation
-	s.w.after(storeDelay, func() {
+	s.w.after(s.delay, func() {
 		if h.incarnation != incarnation {
 			return
 		}
@@ -466,7 +480,7 @@
 // claim updates a service's record if its revision still holds.
 func (s *storeSim) claim(h *hostSim, c proxy.Claim) {
 	incarnation := h.incarnation
-	s.w.after(storeDelay, func() {
+	s.w.after(s.delay, func() {
 		answer := proxy.ClaimAnswered{Service: c.Record.Service}
 		if s.serves(h) {
 			current := catalog.Leadership{Service: c.Record.Service}
@@ -480,7 +494,7 @@
 			}
 			answer.Known, answer.Current = true, current
 		}
-		s.w.after(storeDelay, func() {
+		s.w.after(s.delay, func() {
 			if h.incarnation == incarnation {
 				s.w.give(h, answer)
 			}
--- a/node/gateway/endpoint.go
+++ b/node/gateway/endpoint.go
@@ -88,10 +88,10 @@
 	_ = sock.SetDeadline(time.Now().Add(dialTimeout))
 	r = bufio.NewReaderSize(sock, endpointBuffer)
 	if _, err = sock.Write(g.set.Codec.AppendStartup(nil, d.Service, d.Endpoint)); err == nil {
-		code, position, readErr := g.set.Codec.ReadAccepted(r)
+		code, readErr := g.set.Codec.ReadAccepted(r)
 		if readErr == nil && code == statement.OK {
 			_ = sock.SetDeadline(time.Time{})
-			g.post(proxy.EndpointConnected{Conn: d.Conn, Position: position})
+			g.post(proxy.EndpointConnected{Conn: d.Conn})
 			return sock, r, false
 		}
 		err = readErr
--- a/node/gateway/ports.go
+++ b/node/gateway/ports.go
@@ -31,7 +31,7 @@
 
 	AppendStartup(buf []byte, service types.Service, endpoint types.Endpoint) []byte
 	// ReadAccepted reads an endpoint's answer to a startup.
-	ReadAccepted(r *bufio.Reader) (statement.Code, types.LogPoint, error)
+	ReadAccepted(r *bufio.Reader) (statement.Code, error)
 	AppendCommand(buf []byte, c pool.Command) []byte
 	AppendOrder(buf []byte, op lead.Op, term types.Term) []byte
 	// ReadReply reads an endpoint's whole answer.
