Spread large configurations past narrow links

All hosts of the other two data centres asked the one host that had told them first, every 60 ms, for an object of some 350 KB, over its link of 10 Mbit/s.

Ruled out: the store (three hosts a data centre had it within 0.45 s); deaf watches; lost links (none were).

Change: a host remembers up to four others that know a revision, asks one of its own data centre, and another one after 700 ms instead of the same one every 60 ms; objects of 4 KB and more travel compressed, each version once. An EXECUTE does not carry its arguments twice between hosts. Log lines name another host as `peer`, since `host` is the writer.

Test: TestConfigurationSpreadsPastANarrowLink failed before.

--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"baobabfield.example/core/types"
 )
 
 // configBound is the time in which an accepted configuration is in force.
@@ -60,3 +62,23 @@
 		is.True(got.ready)
 	}
 }
+
+// A host on a narrow link that alone has a large configuration does not hold up the
+// others: those that have it pass it on.
+func TestConfigurationSpreadsPastANarrowLink(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 41, 8)
+	w.run(time.Second)
+	w.deaf = true
+	for _, h := range w.sortedHosts() {
+		w.storeCut[h.id] = h.id != "h-a0"
+	}
+	w.narrow = map[types.Host]time.Duration{"h-a0": 250 * time.Millisecond}
+	w.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	w.run(configBound)
+	for _, h := range w.sortedHosts() {
+		got := w.callers.open(h.id, "new-db", "read")
+		w.run(10 * time.Millisecond)
+		is.True(got.ready)
+	}
+}
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/feed"
@@ -16,6 +17,11 @@
 	// behindDelay is the time that the host's own watch has before the host that
 	// knows more is asked.
 	behindDelay = 60 * time.Millisecond
+	// askRepeat is the time after which another host is asked where the first has not
+	// answered: it may be sending the same to a whole data centre on a narrow link.
+	askRepeat = 700 * time.Millisecond
+	// maxTellers is the number of hosts that are remembered to know a revision.
+	maxTellers = 4
 	// exchangeEvery is the time between two comparisons with a random host, which
 	// find what the spreading of news has missed.
 	exchangeEvery = 700 * time.Millisecond
@@ -29,16 +35,46 @@
 type gossip struct {
 	newest map[feed.Kind]uint64
 	tellAt types.Time
-	behind map[feed.Kind]lag
+	behind map[feed.Kind]*lag
 	// comparedAt is the time of the last comparison.
 	comparedAt types.Time
 }
 
-// lag is a revision that another host knows and this one does not.
+// lag is a revision that other hosts know and this one does not.
 type lag struct {
 	revision uint64
-	host     types.Host
-	since    types.Time
+	// tellers are hosts that know it.
+	tellers []types.Host
+	since   types.Time
+	// asked is the host that was asked last, at askedAt; empty for none.
+	asked   types.Host
+	askedAt types.Time
+}
+
+// due reports whether it is time to ask.
+func (l *lag) due(now types.Time) bool {
+	if l.asked == "" {
+		return now.Sub(l.since) >= behindDelay
+	}
+	return now.Sub(l.askedAt) >= askRepeat
+}
+
+// toldBy notes that a host knows a revision.
+func (l *lag) toldBy(h types.Host, revision uint64) {
+	if revision > l.revision {
+		l.revision, l.tellers = revision, nil
+	}
+	if revision == l.revision && len(l.tellers) < maxTellers && !slices.Contains(l.tellers, h) {
+		l.tellers = append(l.tellers, h)
+	}
+}
+
+// lost forgets a host that cannot be asked.
+func (l *lag) lost(h types.Host) {
+	l.tellers = removeHost(l.tellers, h)
+	if l.asked == h {
+		l.asked = ""
+	}
 }
 
 func (g *gossip) due() bool { return g.tellAt != 0 || len(g.behind) > 0 }
@@ -121,16 +157,60 @@
 		g.comparedAt = m.now
 		m.compare()
 	}
-	asked := map[types.Host]bool{}
-	for k, l := range g.behind {
-		if m.now.Sub(l.since) < behindDelay || asked[l.host] {
+	m.askBehind()
+}
+
+// askBehind asks others for the kinds in which this host is behind.
+func (m *Machine) askBehind() {
+	questions := map[types.Host][]Revision{}
+	for _, k := range Kinds {
+		l := m.gossip.behind[k]
+		if l == nil || !l.due(m.now) {
 			continue
 		}
-		asked[l.host] = true
-		l.since = m.now
-		g.behind[k] = l
-		m.log(Debug, "objects asked of another host", f("host", l.host), f("kind", string(k)), f("revision", l.revision))
-		m.send(l.host, AskChanges{Since: m.revisions()})
+		teller, ok := m.chooseTeller(l)
+		if !ok {
+			// A later digest names somebody else.
+			delete(m.gossip.behind, k)
+			continue
+		}
+		l.asked, l.askedAt = teller, m.now
+		m.log(Debug, "objects asked of another host", f("peer", teller), f("kind", string(k)), f("revision", l.revision))
+		questions[teller] = append(questions[teller], Revision{Kind: k, Revision: m.gossip.newest[k]})
+	}
+	for teller, since := range ordered(questions) {
+		m.send(teller, AskChanges{Since: since})
+	}
+}
+
+// chooseTeller picks one of the hosts that know more: of this data centre where there
+// is one, since bytes between data centres are dear, and not the one asked last.
+func (m *Machine) chooseTeller(l *lag) (types.Host, bool) {
+	var near, far []types.Host
+	for _, h := range l.tellers {
+		host, ok := m.cat.Host(h)
+		switch {
+		case !ok || (h == l.asked && len(l.tellers) > 1):
+		case host.DataCentre == m.set.DataCentre:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	picked := random.Pick(&m.rng, near, 1)
+	if len(picked) == 0 {
+		return "", false
+	}
+	return picked[0], true
+}
+
+// tellerLost asks somebody else for what a lost host was to send.
+func (m *Machine) tellerLost(h types.Host) {
+	for _, l := range m.gossip.behind {
+		l.lost(h)
 	}
 }
 
@@ -196,9 +276,12 @@
 		if r.Revision <= m.gossip.newest[r.Kind] {
 			continue
 		}
-		if old, ok := m.gossip.behind[r.Kind]; !ok || old.revision < r.Revision {
-			m.gossip.behind[r.Kind] = lag{revision: r.Revision, host: from, since: m.now}
+		l := m.gossip.behind[r.Kind]
+		if l == nil {
+			l = &lag{since: m.now}
+			m.gossip.behind[r.Kind] = l
 		}
+		l.toldBy(from, r.Revision)
 	}
 	if d.Answer {
 		return
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -113,7 +113,7 @@
 		reachAskers: map[types.Endpoint][]types.Host{},
 
 		peers:   map[types.Host]*peer{},
-		gossip:  gossip{behind: map[feed.Kind]lag{}, newest: map[feed.Kind]uint64{}},
+		gossip:  gossip{behind: map[feed.Kind]*lag{}, newest: map[feed.Kind]uint64{}},
 		refresh: newRefreshing(),
 	}
 }
@@ -191,7 +191,7 @@
 	}
 	host, ok := m.cat.Host(h)
 	if !ok {
-		m.log(Warn, "message not sent", f("host", h), f("reason", "host has no record"))
+		m.log(Warn, "message not sent", f("peer", h), f("reason", "host has no record"))
 		return
 	}
 	p := m.peer(h)
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -102,7 +102,7 @@
 	if known && old.Started >= h.Started {
 		return
 	}
-	m.log(Info, "host introduced", f("host", from), f("data_centre", h.DataCentre), f("started", h.Started))
+	m.log(Info, "host introduced", f("peer", from), f("data_centre", h.DataCentre), f("started", h.Started))
 	m.cat.SetHost(catalog.Host{ID: from, DataCentre: h.DataCentre, MeshAddress: h.MeshAddress, Started: h.Started, Power: h.Power})
 	m.ownersChanged()
 }
@@ -115,7 +115,7 @@
 	p.heardAt, p.pingAt = m.now, 0
 	if p.down {
 		p.down = false
-		m.log(Info, "host back", f("host", h))
+		m.log(Info, "host back", f("peer", h))
 		m.ownersChanged()
 	}
 }
@@ -145,7 +145,7 @@
 		return
 	}
 	m.peer(h).leaving = host.Started
-	m.log(Info, "host leaves", f("host", h))
+	m.log(Info, "host leaves", f("peer", h))
 	m.ownersChanged()
 	m.retryParked(true)
 }
@@ -153,7 +153,7 @@
 // peerLost handles a broken connection to another host: what was outstanding on
 // it is lost.
 func (m *Machine) peerLost(h types.Host) {
-	m.log(Info, "host lost", f("host", h), f("owed", m.peer(h).owes))
+	m.log(Info, "host lost", f("peer", h), f("owed", m.peer(h).owes))
 	m.peerDown(h)
 }
 
@@ -165,6 +165,7 @@
 		p.probeAt = m.now.Add(p.probe)
 	}
 	p.pingAt, p.owes, p.greeted = 0, 0, false
+	m.tellerLost(h)
 	m.ownersChanged()
 	m.ownerLost(h)
 	m.peerTxsEnded(h)
@@ -181,7 +182,7 @@
 		case p.down:
 			m.probePeer(host.ID, p)
 		case p.pingAt != 0 && m.now.Sub(p.pingAt) > pingTimeout:
-			m.log(Warn, "host silent", f("host", host.ID), f("silent", m.now.Sub(p.heardAt)), f("owed", p.owes))
+			m.log(Warn, "host silent", f("peer", host.ID), f("silent", m.now.Sub(p.heardAt)), f("owed", p.owes))
 			m.emit(PeerDrop{Host: host.ID})
 			m.peerDown(host.ID)
 		case p.pingAt == 0 && p.owes > 0 && m.now.Sub(p.heardAt) > quietPeer:
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"baobabfield.example/node/mailbox"
 	"baobabfield.example/node/mesh"
 	"baobabfield.example/node/netopt"
+	"baobabfield.example/wire/peerwire"
 )
 
 const (
@@ -67,6 +68,7 @@
 	conns     map[pool.ConnID]*endpointConn
 	links     map[types.Host]*link
 	addresses map[types.Host]string
+	encoder   *peerwire.Encoder
 	self      catalog.Host
 	counters  map[string]*metrics.Counter
 	histos    map[string]*metrics.Histogram
@@ -109,7 +111,7 @@
 		}),
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callers: map[proxy.SessionID]chan<- []byte{}, conns: map[pool.ConnID]*endpointConn{},
-		links: map[types.Host]*link{}, addresses: map[types.Host]string{},
+		links: map[types.Host]*link{}, addresses: map[types.Host]string{}, encoder: peerwire.NewEncoder(),
 		self:     catalog.Host{ID: set.Host, DataCentre: set.DataCentre, MeshAddress: mesh, Started: now.UnixMilli(), Power: set.Power},
 		counters: map[string]*metrics.Counter{}, histos: map[string]*metrics.Histogram{},
 	}
--- a/node/gateway/link.go
+++ b/node/gateway/link.go
@@ -54,7 +54,7 @@
 		go g.runLink(linkCtx, e.Host, out)
 	}
 	select {
-	case l.out <- peerwire.Encode(e.Message):
+	case l.out <- g.encoder.Encode(e.Message):
 	default:
 		g.dropLink(e.Host)
 		g.postLater(proxy.PeerLost{Host: e.Host})
@@ -114,7 +114,7 @@
 		msg, err := peerwire.Decode(f)
 		if err != nil {
 			g.logs.Line(proxy.Log{Level: proxy.Warn, Event: "message of another host not usable", Fields: []proxy.Field{
-				{Key: "host", Value: from}, {Key: "error", Value: err.Error()},
+				{Key: "peer", Value: from}, {Key: "error", Value: err.Error()},
 			}})
 			continue
 		}
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -49,7 +49,8 @@
 	case *meshpb.ProxyMessage_AskChanges:
 		return proxy.AskChanges{Since: decodeRevisions(b.AskChanges)}, nil
 	case *meshpb.ProxyMessage_Changes:
-		return proxy.Changes{Kinds: decodeChanges(b.Changes)}, nil
+		kinds, err := decodeChanges(b.Changes)
+		return proxy.Changes{Kinds: kinds}, err
 	case *meshpb.ProxyMessage_AskReach:
 		return proxy.AskReach{Service: types.Service(b.AskReach.GetService()), Endpoint: types.Endpoint(b.AskReach.GetEndpoint())}, nil
 	case *meshpb.ProxyMessage_Reach:
@@ -118,16 +119,23 @@
 	return out
 }
 
-func decodeChanges(c *meshpb.ObjectChanges) []feed.Changes {
+func decodeChanges(c *meshpb.ObjectChanges) ([]feed.Changes, error) {
 	var out []feed.Changes
 	for _, k := range c.GetKinds() {
 		changes := feed.Changes{Kind: feed.Kind(k.GetKind()), AsOf: k.GetAsOf(), Full: k.GetFull()}
 		for _, o := range k.GetObjects() {
+			data := o.GetData()
+			if len(o.GetDeflated()) > 0 {
+				var err error
+				if data, err = inflate(o.GetName(), o.GetDeflated()); err != nil {
+					return nil, err
+				}
+			}
 			changes.Objects = append(changes.Objects, feed.Object{
-				Kind: changes.Kind, Name: o.GetName(), Revision: o.GetRevision(), Deleted: o.GetDeleted(), Data: o.GetData(),
+				Kind: changes.Kind, Name: o.GetName(), Revision: o.GetRevision(), Deleted: o.GetDeleted(), Data: data,
 			})
 		}
 		out = append(out, changes)
 	}
-	return out
+	return out, nil
 }
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -14,8 +14,14 @@
 	"baobabfield.example/wire/meshpb"
 )
 
+// Encoder encodes messages. One task owns it.
+type Encoder struct{ deflater deflater }
+
+// NewEncoder returns an encoder.
+func NewEncoder() *Encoder { return &Encoder{deflater: newDeflater()} }
+
 // Encode returns the frame of a message.
-func Encode(msg proxy.Message) *meshpb.Frame {
+func (enc *Encoder) Encode(msg proxy.Message) *meshpb.Frame {
 	p := &meshpb.ProxyMessage{}
 	switch m := msg.(type) {
 	case proxy.Hello:
@@ -48,7 +54,7 @@
 	case proxy.AskChanges:
 		p.Body = &meshpb.ProxyMessage_AskChanges{AskChanges: encodeRevisions(m.Since)}
 	case proxy.Changes:
-		p.Body = &meshpb.ProxyMessage_Changes{Changes: encodeChanges(m.Kinds)}
+		p.Body = &meshpb.ProxyMessage_Changes{Changes: enc.changes(m.Kinds)}
 	case proxy.AskReach:
 		p.Body = &meshpb.ProxyMessage_AskReach{AskReach: &meshpb.EndpointName{
 			Service: string(m.Service), Endpoint: string(m.Endpoint),
@@ -74,8 +80,13 @@
 	if q == nil {
 		return nil
 	}
+	text := q.Stmt.Text
+	if q.Stmt.Kind == statement.Execute {
+		// The endpoint gets it rebuilt from name and value, which hold the same.
+		text = ""
+	}
 	return &meshpb.Statement{
-		Id: q.ID, Kind: uint32(q.Stmt.Kind), Text: q.Stmt.Text, Name: q.Stmt.Name, Value: q.Stmt.Value,
+		Id: q.ID, Kind: uint32(q.Stmt.Kind), Text: text, Name: q.Stmt.Name, Value: q.Stmt.Value,
 		Shape: q.Stmt.Shape.Text, ShapeWrites: q.Stmt.Shape.Writes,
 	}
 }
@@ -115,12 +126,18 @@
 	return out
 }
 
-func encodeChanges(kinds []feed.Changes) *meshpb.ObjectChanges {
+func (enc *Encoder) changes(kinds []feed.Changes) *meshpb.ObjectChanges {
 	out := &meshpb.ObjectChanges{}
 	for _, c := range kinds {
 		k := &meshpb.KindChanges{Kind: string(c.Kind), AsOf: c.AsOf, Full: c.Full}
 		for _, o := range c.Objects {
-			k.Objects = append(k.Objects, &meshpb.StoredObject{Name: o.Name, Revision: o.Revision, Deleted: o.Deleted, Data: o.Data})
+			stored := &meshpb.StoredObject{Name: o.Name, Revision: o.Revision, Deleted: o.Deleted}
+			if len(o.Data) >= deflateFrom {
+				stored.Deflated = enc.deflater.deflate(&o)
+			} else {
+				stored.Data = o.Data
+			}
+			k.Objects = append(k.Objects, stored)
 		}
 		out.Kinds = append(out.Kinds, k)
 	}
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -1,6 +1,7 @@
 package peerwire_test
 
 import (
+	"bytes"
 	"reflect"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 		proxy.AskReach{Service: "s", Endpoint: "e"},
 		proxy.Reach{Service: "s", Endpoint: "e", Primary: true},
 	} {
-		buf, err := proto.Marshal(peerwire.Encode(msg))
+		buf, err := proto.Marshal(peerwire.NewEncoder().Encode(msg))
 		if err != nil {
 			t.Fatalf("%T: %v", msg, err)
 		}
@@ -65,6 +66,28 @@
 	}
 }
 
+// large returns changes with one object of a size that compresses well.
+func large(revision uint64, size int) proxy.Changes {
+	return proxy.Changes{Kinds: []feed.Changes{{Kind: "k", AsOf: revision, Objects: []feed.Object{
+		{Kind: "k", Name: "o", Revision: revision, Data: bytes.Repeat([]byte("route "), size/6)},
+	}}}}
+}
+
+func TestLargeObjectsTravelCompressed(t *testing.T) {
+	enc := peerwire.NewEncoder()
+	for _, revision := range []uint64{7, 7, 8} {
+		msg := large(revision, 1<<20)
+		f := enc.Encode(msg)
+		if n := proto.Size(f); n > 1<<17 {
+			t.Errorf("frame has %d bytes", n)
+		}
+		got, err := peerwire.Decode(f)
+		if err != nil || !reflect.DeepEqual(got, msg) {
+			t.Errorf("revision %d: decoded to another message, %v", revision, err)
+		}
+	}
+}
+
 func TestInvalidMessagesAreErrors(t *testing.T) {
 	for _, p := range []*meshpb.ProxyMessage{
 		{},
@@ -73,9 +96,18 @@
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{Reason: 999}}},
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{Code: 999}}},
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{State: 9}}},
+		storedObject([]byte("no deflate")),
+		storedObject(peerwire.NewEncoder().Encode(large(1, 5<<20)).GetProxy().GetChanges().GetKinds()[0].GetObjects()[0].GetDeflated()),
 	} {
 		if msg, err := peerwire.Decode(&meshpb.Frame{Body: &meshpb.Frame_Proxy{Proxy: p}}); err == nil {
 			t.Errorf("%v: got %+v, no error", p, msg)
 		}
 	}
 }
+
+// storedObject returns a message with one compressed object.
+func storedObject(deflated []byte) *meshpb.ProxyMessage {
+	return &meshpb.ProxyMessage{Body: &meshpb.ProxyMessage_Changes{Changes: &meshpb.ObjectChanges{Kinds: []*meshpb.KindChanges{
+		{Kind: "k", Objects: []*meshpb.StoredObject{{Name: "o", Deflated: deflated}}},
+	}}}}
+}
