--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -167,6 +167,8 @@
 		}
 		if silent {
 			c.silentAt = m.now
+			// The break of a connection that has gone silent would not be heard.
+			m.mayHaveRestarted(id, false)
 		}
 		m.closeControl(c)
 		m.failOrders(c, false)
