Let answers on covered connections vouch for newer ones

Change: an answer on a covered connection shows that the instance has not restarted since its question, and vouches for all connections that were open by then, without any question; a confirmation is asked for only where there is no covered connection.

--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -21,6 +21,9 @@
 	// confirmEvery is the time after which used authority is confirmed again, so
 	// that one lost question does not end it.
 	confirmEvery = 300 * time.Millisecond
+	// refusedPause is the time after which a replica is asked again that was too busy to
+	// answer; a busy one refuses at once, and each question has its price.
+	refusedPause = 40 * time.Millisecond
 	// questionTimeout is the time after which a question counts as lost.
 	questionTimeout = 250 * time.Millisecond
 	// usedFor is how long authority is kept up after its last use.
@@ -38,9 +41,11 @@
 	// whose answer confirms the primary.
 	confirmed map[types.Endpoint]types.Time
 	// asked holds the times of the outstanding questions.
-	asked  map[types.Endpoint]types.Time
-	usedAt types.Time
-	used   bool
+	asked map[types.Endpoint]types.Time
+	// refusedAt holds the times at which questions had no answer.
+	refusedAt map[types.Endpoint]types.Time
+	usedAt    types.Time
+	used      bool
 	// required is the time before which a question is too old for the newest
 	// connection to the primary.
 	required types.Time
@@ -59,6 +64,7 @@
 	return &Authority{
 		Primary: primary, replicas: replicas,
 		confirmed: map[types.Endpoint]types.Time{}, asked: map[types.Endpoint]types.Time{},
+		refusedAt: map[types.Endpoint]types.Time{},
 	}
 }
 
@@ -188,11 +194,14 @@
 	return !a.fenced && a.used && now.Sub(a.usedAt) < usedFor
 }
 
-// ask appends an endpoint unless a question to it is outstanding.
+// ask appends an endpoint unless a question to it is outstanding or was just refused.
 func (a *Authority) ask(now types.Time, e types.Endpoint, out []types.Endpoint) []types.Endpoint {
 	if at, ok := a.asked[e]; ok && now.Sub(at) < questionTimeout {
 		return out
 	}
+	if at, ok := a.refusedAt[e]; ok && now.Sub(at) < refusedPause {
+		return out
+	}
 	a.asked[e] = now
 	return append(out, e)
 }
@@ -225,4 +234,7 @@
 }
 
 // Unanswered notes that a question was lost or refused.
-func (a *Authority) Unanswered(e types.Endpoint) { delete(a.asked, e) }
+func (a *Authority) Unanswered(now types.Time, e types.Endpoint) {
+	delete(a.asked, e)
+	a.refusedAt[e] = now
+}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -116,6 +116,18 @@
 	is.True(c.Tick(fenced.Add(lead.Window)).Promote != "")
 }
 
+// A replica that is too busy to answer is not asked again with every request.
+func TestBusyReplicaIsAskedAgainAfterAPause(t *testing.T) {
+	is := is.New(t)
+	a := lead.NewAuthority("a", []types.Endpoint{"b"})
+	a.Use(start)
+	a.Answered("a", start, lead.Status{Primary: true, Term: 3})
+	is.Equal(len(a.Questions(start)), 1)
+	a.Unanswered(start, "b")
+	is.Equal(len(a.Questions(start.Add(time.Millisecond))), 0)
+	is.Equal(len(a.Questions(start.Add(50*time.Millisecond))), 1)
+}
+
 // A connection that was opened after the replicas had been asked may lead to a primary
 // that has restarted since.
 func TestAuthorityCoversConnectionsOpenedBefore(t *testing.T) {
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -184,6 +184,11 @@
 	}
 	p.heardAt = now
 	p.notePosition(c.sentAt, reply.Position)
+	if !c.openedAt.After(p.trusted) {
+		// The instance has not restarted since the command was sent, so that those
+		// connections which were open by then lead to it, too.
+		p.trusted = max(p.trusted, c.sentAt)
+	}
 	if reply.Code == statement.OK {
 		p.noteDone(c)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/statement"
@@ -260,6 +261,14 @@
 	}
 }
 
+// HasTrusted reports whether there is a connection that Trust vouches for; its answers
+// vouch for later ones.
+func (p *Pool) HasTrusted() bool {
+	return slices.ContainsFunc(p.order, func(c *conn) bool {
+		return c.state != dialing && !c.openedAt.After(p.trusted)
+	})
+}
+
 // Drain refuses queued requests and new ones; open transactions go on.
 func (p *Pool) Drain(now types.Time) {
 	p.draining = true
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -174,6 +174,25 @@
 	r.is.Equal(r.answer(statement.Reply{}).ID, "v")
 }
 
+// An answer on a trusted connection vouches for those opened before its question.
+func TestAnswerOnATrustedConnectionVouchesForOthers(t *testing.T) {
+	r := newRig(t, 2, 4)
+	r.submit(pool.Request{ID: 1, Query: write("a"), Trusted: true})
+	r.p.Trust(r.now, r.now)
+	r.flush()
+	r.now = r.now.Add(time.Millisecond)
+	r.submit(pool.Request{ID: 2, Query: write("b"), Trusted: true}) // dials the second
+	r.is.Equal(len(r.dials), 2)
+	r.is.Equal(len(r.order), 1)
+	r.answer(statement.Reply{}) // was asked before the second was open
+	r.is.Equal(len(r.order), 1) // and serves the next request itself
+	r.submit(pool.Request{ID: 3, Query: write("c"), Trusted: true})
+	r.is.Equal(len(r.order), 1)
+	r.answer(statement.Reply{})
+	r.submit(pool.Request{ID: 4, Query: write("d"), Trusted: true})
+	r.is.Equal(len(r.order), 2) // both are in use
+}
+
 func TestSessionValuesAreInForce(t *testing.T) {
 	r := newRig(t, 1, 1)
 	var values statement.Values
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -267,7 +267,7 @@
 		m.resumeForgotten(o, id, st)
 		before := o.authority.Fenced()
 		if m.restarted(id) {
-			o.authority.Unanswered(id)
+			o.authority.Unanswered(m.now, id)
 		} else {
 			o.authority.Answered(id, done.sentAt, st)
 		}
@@ -309,7 +309,7 @@
 	}
 	for _, o := range ordered(m.owned) {
 		if o.service == e.Service && o.authority != nil {
-			o.authority.Unanswered(id)
+			o.authority.Unanswered(m.now, id)
 		}
 	}
 	if o := m.owned[id]; o != nil && gone {
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -215,9 +215,10 @@
 	}
 }
 
-// opened has a new connection to a primary covered by its authority.
+// opened has a new connection to a primary covered by its authority, unless the answers
+// on others soon vouch for it.
 func (m *Machine) opened(o *owned) {
-	if o.authority != nil {
+	if o.authority != nil && !o.pool.HasTrusted() {
 		o.authority.Require(m.now)
 		m.confirm(o)
 	}
--- a/model/lead.pml
+++ b/model/lead.pml
@@ -26,7 +26,9 @@
 byte age[REPLICAS];
 bool connected = true;
 byte connIncarnation;
-bool covered = true;    /* a confirmation was asked for since the connection was opened */
+bool covered = true;    /* the authority covers the connection */
+bool hasOther;          /* there is an older connection that was covered */
+byte otherIncarnation;
 
 /* An operation: 0 idle, 1 sent, 2 answer on its way. */
 byte op;
@@ -106,6 +108,7 @@
 	if
 	:: heard ->
 		connected = false;
+		hasOther = false;
 		age[0] = LAPSED;
 		age[1] = LAPSED
 	:: else
@@ -113,11 +116,22 @@
 }
 
 inline Open() {
+	if
+	:: connected && covered ->
+		hasOther = true;
+		otherIncarnation = connIncarnation
+	:: else
+	fi;
 	connected = true;
 	connIncarnation = incarnation;
 	covered = false
 }
 
+/* Pool.Replied: an older covered connection answers a later question. */
+inline Vouch() {
+	covered = true
+}
+
 inline Fence(r) {
 	paused[r] = true;
 	if
@@ -174,6 +188,7 @@
 	STEP(op == 1, Run())
 	STEP(op == 2, Acknowledge())
 	STEP(running, Open())
+	STEP(hasOther && running && otherIncarnation == incarnation, Vouch())
 	/* the old primary */
 	STEP(running && incarnation == 0, Crash(true))
 	STEP(running && incarnation == 0, Crash(false))
