Ask a primary for its position only with authority, and not in a loop

In the cut data centre the owner of a primary asked it for its position, did not count the answer, since nothing covered the control connection, and asked again at once, as fast as answers came (log: the same status of one primary at every tick of edge-fortaleza-b-4 from 35 to 41 s).

Change: without authority no position is asked for, with it at most every 50 ms; a status on a control connection that the pool vouches for counts and vouches in turn; a new control connection has itself covered at once.

Test: every host of the world may send 50 orders a second, from the 10 KB a second that a host may spend on control.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -45,7 +45,7 @@
 	var best *conn
 	bestCost := 0
 	for _, c := range p.order {
-		if c.state != idle || (req.Trusted && c.openedAt.After(p.trusted)) {
+		if c.state != idle || (req.Trusted && !p.Trusts(c.openedAt)) {
 			continue
 		}
 		cost := p.changeCost(c, req)
@@ -63,7 +63,7 @@
 		return false
 	}
 	return !req.Trusted || !slices.ContainsFunc(p.order, func(c *conn) bool {
-		return c.state == idle && c.openedAt.After(p.trusted)
+		return c.state == idle && !p.Trusts(c.openedAt)
 	})
 }
 
@@ -184,7 +184,7 @@
 	}
 	p.heardAt = now
 	p.notePosition(c.sentAt, reply.Position)
-	if !c.openedAt.After(p.trusted) {
+	if p.Trusts(c.openedAt) {
 		// The instance has not restarted since the command was sent, so that those
 		// connections which were open by then lead to it, too.
 		p.trusted = max(p.trusted, c.sentAt)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -265,10 +265,13 @@
 // vouch for later ones.
 func (p *Pool) HasTrusted() bool {
 	return slices.ContainsFunc(p.order, func(c *conn) bool {
-		return c.state != dialing && !c.openedAt.After(p.trusted)
+		return c.state != dialing && p.Trusts(c.openedAt)
 	})
 }
 
+// Trusts reports whether Trust vouches for a connection that was opened at a time.
+func (p *Pool) Trusts(openedAt types.Time) bool { return !openedAt.After(p.trusted) }
+
 // Drain refuses queued requests and new ones; open transactions go on.
 func (p *Pool) Drain(now types.Time) {
 	p.draining = true
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -111,7 +111,7 @@
 	}
 	c.ready, c.openedAt = true, m.now
 	if o := m.owned[id]; o != nil {
-		m.opened(o)
+		m.cover(o)
 	}
 	m.advanceControl(c)
 }
@@ -261,8 +261,9 @@
 		if o.service != e.Service || o.authority == nil {
 			continue
 		}
-		if o.id == id && st.Primary && !openedAt.After(o.authority.Since(m.now)) {
+		if o.id == id && st.Primary && o.pool.Trusts(openedAt) {
 			o.pool.NotePosition(done.sentAt, st.Received)
+			o.pool.Trust(m.now, done.sentAt)
 		}
 		m.resumeForgotten(o, id, st)
 		before := o.authority.Fenced()
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -309,6 +309,12 @@
 }
 
 func (w *world) order(h *hostSim, o proxy.EndpointOrder) {
+	if second := w.now - w.now%types.Time(time.Second); second != h.ordersAt {
+		h.ordersAt, h.orders = second, 0
+	}
+	if h.orders++; h.orders == maxOrders+1 {
+		w.fault("host %s sends more than %d orders in a second", h.id, maxOrders)
+	}
 	c := h.conns[uint64(o.Conn)]
 	if c == nil || w.isCut(h.id, h.dc, string(c.e.id), c.e.dc) {
 		return
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -48,6 +48,8 @@
 	// gone counts the refused connections in a row; goneAt is the time of the last.
 	gone   int
 	goneAt types.Time
+	// positionAskedAt is when the endpoint was last asked for its position.
+	positionAskedAt types.Time
 	// unreachableUntil is set while other hosts reach the endpoint and this one
 	// does not.
 	unreachableUntil types.Time
@@ -218,7 +220,14 @@
 // opened has a new connection to a primary covered by its authority, unless the answers
 // on others soon vouch for it.
 func (m *Machine) opened(o *owned) {
-	if o.authority != nil && !o.pool.HasTrusted() {
+	if !o.pool.HasTrusted() {
+		m.cover(o)
+	}
+}
+
+// cover has the connections that are open now covered by the authority.
+func (m *Machine) cover(o *owned) {
+	if o.authority != nil {
 		o.authority.Require(m.now)
 		m.confirm(o)
 	}
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -17,6 +17,9 @@
 	// positionAge is the age up to which a primary's owner answers with what it
 	// knows; after that it asks the primary.
 	positionAge = 300 * time.Millisecond
+	// positionRepeat is the time after which a primary is asked again whose answer did
+	// not count, as its connection was not covered by the authority yet.
+	positionRepeat = 50 * time.Millisecond
 	// positionWait is how long a read waits for a position before another endpoint
 	// is tried.
 	positionWait = 120 * time.Millisecond
@@ -124,12 +127,12 @@
 	}
 	answer := Position{Service: o.service, Endpoint: o.id}
 	if !o.authority.Fenced() {
-		point, at, known := o.pool.Position()
-		if !known || m.now.Sub(at) > positionAge {
-			m.order(lead.Order{Endpoint: o.id, Op: lead.AskStatus}, purposePosition)
+		if !o.authority.Valid(m.now) {
 			return
 		}
-		if !o.authority.Valid(m.now) {
+		point, at, known := o.pool.Position()
+		if !known || m.now.Sub(at) > positionAge {
+			m.askOwnedPosition(o)
 			return
 		}
 		answer.Known, answer.Point, answer.Age = true, point, m.now.Sub(at)
@@ -142,6 +145,15 @@
 	}
 }
 
+// askOwnedPosition asks an owned primary for its position.
+func (m *Machine) askOwnedPosition(o *owned) {
+	if recent(m.now, o.positionAskedAt, positionRepeat) {
+		return
+	}
+	o.positionAskedAt = m.now
+	m.order(lead.Order{Endpoint: o.id, Op: lead.AskStatus}, purposePosition)
+}
+
 // position takes the answer of the primary's owner.
 func (m *Machine) position(p Position) {
 	s := m.service(p.Service)
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -23,6 +23,9 @@
 	remoteDelay = time.Millisecond
 	storeDelay  = 4 * time.Millisecond
 	promoteTime = 600 * time.Millisecond
+	// maxOrders is the number of orders of a host in a second: a host spends at most 10 KB
+	// a second on control, and an order takes some 200 bytes both ways.
+	maxOrders = 50
 	// maxTicks is the number of ticks at one moment that shows a host that spins.
 	maxTicks = 100
 	// worldStart is the first moment, so that no time is zero.
@@ -91,6 +94,9 @@
 	// tickedAt and ticks count the ticks at one moment.
 	tickedAt types.Time
 	ticks    int
+	// ordersAt is the second in which orders were sent.
+	ordersAt types.Time
+	orders   int
 	exited   bool
 	power    int
 	conns    map[uint64]*connSim
