--- a/api/doc.go
+++ b/api/doc.go
@@ -1,5 +1,6 @@
-// Package api holds the OpenAPI document of the admin API; its subpackage holds the
-// code generated from it.
+// Package api holds the OpenAPI documents of the admin API and of the host API; its
+// subpackages hold the code generated from them.
 package api
 
 //go:generate ../.bin/ogen -clean -target admin -package admin -config admin/ogen.yaml admin.yaml
+//go:generate ../.bin/ogen -clean -target host -package host -config host/ogen.yaml host.yaml
--- a/cmd/baobabctl/main.go
+++ b/cmd/baobabctl/main.go
@@ -26,6 +26,7 @@
 	Rollout     RolloutCmd     `cmd:"" help:"Show the configuration in force on each host."`
 	Retirements RetirementsCmd `cmd:"" help:"Show what is leaving, and who still uses it."`
 	Status      StatusCmd      `cmd:"" help:"Show the state of one host."`
+	Beliefs     BeliefsCmd     `cmd:"" help:"Show what one host on the users' platform believes, by its metrics address."`
 	Timeline    TimelineCmd    `cmd:"" help:"Show what happened, over all hosts."`
 	Services    ServicesCmd    `cmd:"" help:"List the services in force."`
 	Ranks       RanksCmd       `cmd:"" help:"List the ranks in force, most urgent first."`
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -23,6 +23,9 @@
 	OwnWrites
 )
 
+// String returns the name of the consistency.
+func (c Consistency) String() string { return [...]string{"primary", "bounded", "own writes"}[c] }
+
 // Route says how the statements of one database are served.
 type Route struct {
 	Database    types.Database
@@ -159,6 +162,9 @@
 	return r, ok
 }
 
+// Routes returns the routes of the configuration. The result must not be changed.
+func (c *Catalog) Routes() []Route { return c.config.Routes }
+
 // Service returns a service of the configuration.
 func (c *Catalog) Service(name types.Service) (Service, bool) {
 	s, ok := c.services[name]
--- /dev/null
+++ b/core/proxy/beliefs_test.go
@@ -0,0 +1,54 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/proxy"
+)
+
+func TestBeliefsOfACalmHost(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 51, 2)
+	openAll(w)
+	w.run(2 * time.Second)
+	b := w.hosts["h-a0"].machine.Beliefs(w.now)
+	is.Equal(b.NotReady, "")
+	is.Equal(b.Version, uint64(1))
+	is.Equal(len(b.Routes), 3)
+	is.Equal(b.Sessions, 7)
+	is.Equal(len(b.Hosts), 6)
+	for _, h := range b.Hosts {
+		is.True(h.Usable)
+	}
+	for _, o := range b.Objects {
+		is.True(o.Revision > 0 || o.Kind == proxy.KindLeadership) // nobody has changed a primary
+		is.True(o.Kind != proxy.KindConfig || o.Age >= 0)
+	}
+	s := b.Services[0]
+	is.Equal(string(s.Primary), "e-a")
+	is.Equal(len(s.Endpoints), 3)
+	is.Equal(s.Campaign, "")
+	holders := 0
+	for _, h := range w.sortedHosts() {
+		for _, e := range h.machine.Beliefs(w.now).Services[0].Endpoints {
+			is.Equal(e.Owned, e.Owner == h.id) // each endpoint is used by its owner alone
+			if e.Authority {
+				holders++
+				is.Equal(e.ID, s.Primary)
+			}
+		}
+	}
+	is.Equal(holders, 1)
+}
+
+func TestBeliefsSayWhyAHostIsNotReady(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 52, 1)
+	w.store.down = true
+	w.killHost("h-a0")
+	w.startHost("h-a0", "a")
+	is.Equal(w.hosts["h-a0"].machine.Beliefs(w.now).NotReady, "no configuration is known")
+}
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -246,9 +246,7 @@
 }
 
 // Ready reports whether callers can be served.
-func (m *Machine) Ready() bool {
-	return !m.stop.begun && m.cat.Version() > 0 && len(m.cat.Hosts()) > 0 && m.anyEndpoint()
-}
+func (m *Machine) Ready() bool { return m.notReady() == "" }
 
 func (m *Machine) anyEndpoint() bool {
 	for _, s := range m.cat.Services() {
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -442,7 +442,7 @@
 func (m *Machine) endpointEvent(ev Event) {
 	switch ev := ev.(type) {
 	case EndpointConnected:
-		m.connected(ev)
+		m.connected(ev.Conn)
 	case EndpointRefused:
 		m.connectionEnded(ev.Conn, ev.Gone)
 	case EndpointBroken:
@@ -456,16 +456,16 @@
 	}
 }
 
-func (m *Machine) connected(ev EndpointConnected) {
-	c, ok := m.conns[ev.Conn]
+func (m *Machine) connected(id pool.ConnID) {
+	c, ok := m.conns[id]
 	switch {
 	case !ok:
-		m.emit(EndpointClose{Conn: ev.Conn})
+		m.emit(EndpointClose{Conn: id})
 	case c.control:
-		m.controlConnected(c.endpoint, ev.Conn)
+		m.controlConnected(c.endpoint, id)
 	default:
 		if o := m.owned[c.endpoint]; o != nil {
-			o.pool.Connected(m.now, ev.Conn)
+			o.pool.Connected(m.now, id)
 			m.opened(o)
 		}
 	}
--- /dev/null
+++ b/node/gateway/beliefs.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	api "baobabfield.example/api/host"
+	"baobabfield.example/core/proxy"
+	"baobabfield.example/node/clock"
+	"baobabfield.example/node/mailbox"
+)
+
+// beliefsQuestion asks for what the host believes.
+type beliefsQuestion struct{ reply chan proxy.Beliefs }
+
+// hostAPI serves the operators' questions by messages to the gateway's task.
+type hostAPI struct{ g *Gateway }
+
+// operatorHandler serves the host API, and the metrics at every other path.
+func (g *Gateway) operatorHandler() (http.Handler, error) {
+	beliefs, err := api.NewServer(hostAPI{g: g})
+	if err != nil {
+		return nil, errors.Wrap(err, "host API")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/beliefs", beliefs)
+	mux.HandleFunc("/", serveMetrics)
+	return mux, nil
+}
+
+// GetBeliefs returns what the host believes now.
+func (h hostAPI) GetBeliefs(ctx context.Context) (*api.Beliefs, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	q := beliefsQuestion{reply: make(chan proxy.Beliefs, 1)}
+	h.g.post(q)
+	b, answered := mailbox.Await(ctx, h.g.stopped, q.reply)
+	if !answered {
+		return nil, errors.Errorf("host %q did not answer within %v", h.g.set.Host, probeTimeout)
+	}
+	return h.g.encodeBeliefs(&b), nil
+}
+
+// NewError converts an error to the API's answer.
+func (h hostAPI) NewError(_ context.Context, err error) *api.ErrorStatusCode {
+	return &api.ErrorStatusCode{StatusCode: http.StatusServiceUnavailable, Response: api.Error{Message: err.Error()}}
+}
+
+// answerBeliefs answers a question in the gateway's own task.
+func (g *Gateway) answerBeliefs(q beliefsQuestion) { q.reply <- g.machine.Beliefs(clock.Now()) }
+
+func (g *Gateway) encodeBeliefs(b *proxy.Beliefs) *api.Beliefs {
+	out := &api.Beliefs{
+		Host: string(g.set.Host), DataCentre: string(g.set.DataCentre), Ready: b.NotReady == "", NotReady: b.NotReady,
+		Sessions: b.Sessions, Waiting: b.Waiting, Objects: []api.Objects{}, Services: []api.Service{}, Hosts: []api.Host{},
+		Configuration: api.Configuration{Version: b.Version, Routes: []api.DatabaseRoute{}},
+	}
+	for _, o := range b.Objects {
+		out.Objects = append(out.Objects, api.Objects{Kind: string(o.Kind), Revision: o.Revision, Age: o.Age})
+	}
+	for _, r := range b.Routes {
+		out.Configuration.Routes = append(out.Configuration.Routes, api.DatabaseRoute{
+			Database: string(r.Database), Service: string(r.Service), Consistency: r.Consistency.String(),
+			MaxAge: r.MaxAge, Timeout: r.Timeout, Objective: r.Objective, Rank: r.Rank,
+		})
+	}
+	for i := range b.Services {
+		out.Services = append(out.Services, encodeService(&b.Services[i]))
+	}
+	for _, h := range b.Hosts {
+		out.Hosts = append(out.Hosts, api.Host{
+			ID: string(h.ID), DataCentre: string(h.DataCentre), Address: h.MeshAddress, Usable: h.Usable,
+		})
+	}
+	return out
+}
+
+func encodeService(s *proxy.ServiceBelief) api.Service {
+	out := api.Service{
+		Name: string(s.Leadership.Service), Primary: string(s.Primary), Token: s.Leadership.Token,
+		Holder: string(s.Leadership.Holder), Campaign: s.Campaign, Endpoints: []api.Endpoint{},
+	}
+	for _, e := range s.Endpoints {
+		out.Endpoints = append(out.Endpoints, api.Endpoint{
+			ID: string(e.ID), DataCentre: string(e.DataCentre), Address: e.Address, Slots: e.Slots,
+			Draining: e.Draining, ClaimsPrimary: e.ClaimsPrimary, Listed: e.Listed, Owner: string(e.Owner),
+			Owned: e.Owned, Authority: e.Authority, Waiting: e.Waiting, Running: e.Running, Connections: e.Connections,
+		})
+	}
+	return out
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -69,6 +69,8 @@
 	links     map[types.Host]*link
 	addresses map[types.Host]string
 	encoder   *peerwire.Encoder
+	// operators serves the metrics and the host API.
+	operators http.Handler
 	self      catalog.Host
 	counters  map[string]*metrics.Counter
 	histos    map[string]*metrics.Histogram
@@ -115,7 +117,8 @@
 		self:     catalog.Host{ID: set.Host, DataCentre: set.DataCentre, MeshAddress: mesh, Started: now.UnixMilli(), Power: set.Power},
 		counters: map[string]*metrics.Counter{}, histos: map[string]*metrics.Histogram{},
 	}
-	return g, listeners, nil
+	g.operators, err = g.operatorHandler()
+	return g, listeners, err
 }
 
 // post sends a message to the gateway's task unless it has ended.
@@ -177,7 +180,7 @@
 	go g.register(ctx, g.set.Store, g.self)
 	go g.acceptCallers(ctx, listeners[0])
 	go serveHTTP(ctx, listeners[1], http.HandlerFunc(g.serveReady))
-	go serveHTTP(ctx, listeners[2], http.HandlerFunc(serveMetrics))
+	go serveHTTP(ctx, listeners[2], g.operators)
 	context.AfterFunc(ctx, func() { _ = listeners[0].Close() })
 }
 
@@ -197,6 +200,8 @@
 		g.writers--
 	case readyQuestion:
 		m.reply <- g.machine.Ready()
+	case beliefsQuestion:
+		g.answerBeliefs(m)
 	case endpointReply:
 		g.step(ctx, g.endpointReplied(m))
 	case linkEnded:
