Take no refusal from another data centre for the end of an endpoint

Where the cut side keeps the store, it paused only its own replica and promoted it, while the old primary was still confirmed by the one that was left out.

Change: a refusal counts in a campaign only inside the data centre, as it did for the old primary already; a replica elsewhere is left out once its entry is gone. After a claim to which the store gave no answer the next campaign waits a second instead of 300 ms.

--- a/core/proxy/comeback_test.go
+++ b/core/proxy/comeback_test.go
@@ -64,3 +64,24 @@
 		})
 	}
 }
+
+// A data centre that is cut off with refusals, but keeps the store, must not take the
+// others' endpoints for dead: their majority still confirms the primary.
+func TestRefusalsOfACutAreNoProof(t *testing.T) {
+	w := newWorld(t, 33, 2)
+	openAll(w)
+	w.run(time.Second)
+	w.refusing = true
+	w.cutCentre("b", true)
+	w.run(6 * time.Second)
+	w.check()
+	if w.now.Sub(w.callers.lastWrite) > time.Second {
+		t.Errorf("no write for %v", w.now.Sub(w.callers.lastWrite))
+	}
+	w.cutCentre("b", false)
+	w.run(3 * time.Second)
+	w.check()
+	if !w.endpoints["e-a"].primary {
+		t.Error("the primary was replaced")
+	}
+}
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -320,7 +320,9 @@
 		m.answerReach(e, false)
 	}
 	if done.purpose&purposeCampaign != 0 {
-		m.campaignFailed(e.Service, done, gone)
+		// From another data centre a cut link can look like a refusal, and an endpoint
+		// that is left out of the fence could still confirm the old primary there.
+		m.campaignFailed(e.Service, done, gone && e.DataCentre == m.set.DataCentre)
 	}
 }
 
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -121,7 +121,13 @@
 
 func (w *world) dial(h *hostSim, d proxy.EndpointDial) {
 	e := w.endpoints[d.Endpoint]
-	if e == nil || w.isCut(h.id, h.dc, string(d.Endpoint), e.dc) {
+	if e == nil {
+		return
+	}
+	if w.isCut(h.id, h.dc, string(d.Endpoint), e.dc) {
+		if w.refusing {
+			w.after(localDelay, func() { w.give(h, proxy.EndpointRefused{Conn: d.Conn, Gone: true}) })
+		}
 		return
 	}
 	incarnation := h.incarnation
--- a/core/proxy/leader.go
+++ b/core/proxy/leader.go
@@ -33,8 +33,11 @@
 	// forgottenAfter is the time after the last change of a service's record at which
 	// a paused replica counts as forgotten.
 	forgottenAfter = 3 * time.Second
-	// campaignPause is the time between two campaigns of this host for a service.
+	// campaignPause is the time between two campaigns of this host for a service, and
+	// claimPause that after one to which the store gave no answer: it is away or cut
+	// off, for seconds as a rule.
 	campaignPause = 300 * time.Millisecond
+	claimPause    = time.Second
 )
 
 // leading is the state of a service's change of primary at this host.
@@ -47,7 +50,8 @@
 	promote types.Endpoint
 	// recordAt is when the record was last changed, as far as this host knows.
 	recordAt types.Time
-	endedAt  types.Time
+	// nextAt is when the next campaign or suspicion may begin.
+	nextAt types.Time
 	// missingSince is when the service was first seen without a usable primary.
 	missingSince types.Time
 	// settle are the orders that follow a change of primary, at settleAt.
@@ -118,7 +122,7 @@
 // watchPrimary looks for a reason to replace a service's primary.
 func (m *Machine) watchPrimary(s *service) {
 	l := &s.lead
-	if m.now.Sub(l.endedAt) < campaignPause && l.endedAt != 0 {
+	if m.now.Before(l.nextAt) {
 		return
 	}
 	primary, known := m.cat.PrimaryOf(s.name)
@@ -209,7 +213,7 @@
 	}
 	// Whatever is decided holds for a moment, so that the question is not asked anew
 	// at every tick.
-	l.asked, l.endedAt = "", m.now
+	l.asked, l.nextAt = "", m.now.Add(campaignPause)
 	if len(l.reachers) > 0 {
 		m.log(Info, "primary left to other hosts", f("service", s.name), f("endpoint", o.id), f("reached_by", l.reachers[0]))
 		o.unreachableUntil = m.now.Add(handOver)
@@ -353,6 +357,9 @@
 		if ev.Known || c.Token == 0 {
 			m.campaignEnded(s, "")
 		}
+		if !ev.Known {
+			l.nextAt = m.now.Add(claimPause)
+		}
 		return
 	}
 	l.record = ev.Current
@@ -411,7 +418,7 @@
 	m.log(Warn, "campaign ended", f("service", s.name), f("reason", string(c.Reason)), f("old", c.Old), f("new", won),
 		f("phase", c.Phase().String()), f("token", c.Token))
 	l.campaign, l.promote = nil, ""
-	l.endedAt, l.missingSince = m.now, 0
+	l.nextAt, l.missingSince = m.now.Add(campaignPause), 0
 	if o := m.owned[c.Old]; o != nil {
 		o.held, o.gone = false, 0
 		if won != "" && o.authority != nil {
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -69,6 +69,8 @@
 	// storeCut are the hosts that the store does not serve.
 	storeCut map[types.Host]bool
 	deaf     bool
+	// refusing is set where cuts answer connections with refusals.
+	refusing bool
 	faults   []string
 	callers  *callers
 	// narrow is the time that each answer with objects takes on a host's link, one
