Split the campaign, the owner and the leader by concern

Moves only: the steps' names, the fence and the promotion of core/lead; suspicion of a primary, its use with authority, and transactions at the owner in core/proxy.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -3,13 +3,9 @@
 import (
 	"time"
 
-	"baobabfield.example/core/statement"
 	"baobabfield.example/core/types"
 )
 
-// Status is an endpoint's report about itself.
-type Status = statement.Status
-
 const (
 	// stepTimeout bounds each step of a campaign that waits for endpoints.
 	stepTimeout = 700 * time.Millisecond
@@ -34,96 +30,6 @@
 	promoteDelay = 450 * time.Millisecond
 )
 
-// Reason says why a primary is replaced.
-type Reason string
-
-// The reasons.
-const (
-	// Leaving: the primary has announced its end; nothing may be lost.
-	Leaving Reason = "primary leaves"
-	// Gone: the primary refuses connections or has disappeared.
-	Gone Reason = "primary is gone"
-	// Silent: the primary does not answer, though it may still run.
-	Silent Reason = "primary is silent"
-	// Stuck: the primary is well, but a campaign that did not end has left replicas
-	// paused, so that it cannot be used.
-	Stuck Reason = "replicas stayed paused"
-	// Demoted: the endpoint no longer is a primary, and there is no other.
-	Demoted Reason = "no endpoint is the primary"
-)
-
-// Phase is a step of a campaign.
-type Phase uint8
-
-// The phases, in order; a campaign skips those that its reason does not need.
-const (
-	// Surveying waits for a sign of life of every replica: a host that does not
-	// reach them cannot replace a primary, and must not keep others from it.
-	Surveying Phase = iota
-	// Claiming waits for the store to grant the token.
-	Claiming
-	// Quieting waits for running writes to end.
-	Quieting
-	// SteppingDown waits for the old primary to give up its role.
-	SteppingDown
-	// Fencing waits for the replicas to be paused, and for the window to pass.
-	Fencing
-	// CatchingUp waits for the candidate to hold the old primary's whole log.
-	CatchingUp
-	// Promoting waits for the platform, and then for the candidate to lead.
-	Promoting
-	// Ended: see Outcome.
-	Ended
-)
-
-var phaseNames = [...]string{"surveying", "claiming", "quieting", "stepping down", "fencing", "catching up", "promoting", "ended"}
-
-// String returns the phase's name.
-func (p Phase) String() string { return phaseNames[p] }
-
-// Op is what a campaign asks of an endpoint.
-type Op uint8
-
-// The operations.
-const (
-	AskStatus Op = iota
-	Pause
-	Resume
-	StepDown
-)
-
-// String returns the operation's name.
-func (o Op) String() string { return [...]string{"status", "pause", "resume", "step down"}[o] }
-
-// Order is an operation for an endpoint.
-type Order struct {
-	Endpoint types.Endpoint
-	Op       Op
-	// Term is that of a Pause or StepDown.
-	Term types.Term
-}
-
-// Actions are what a campaign wants done; each field may be empty.
-type Actions struct {
-	Orders []Order
-	// Claim asks the store for the token.
-	Claim bool
-	// HoldWrites asks for no new work to be sent to the old primary.
-	HoldWrites bool
-	// Promote asks the platform to make the endpoint the primary.
-	Promote types.Endpoint
-	// Record asks the store to note the candidate as chosen.
-	Record types.Endpoint
-	// Settle are orders for SettleDelay after the end: a replica that is resumed
-	// holds no term until it hears of the new primary, and until then it would
-	// confirm the old one to an owner that has not heard either.
-	Settle []Order
-	// Ended is set once the campaign is over.
-	Ended bool
-	// Won is the new primary, where the campaign has succeeded.
-	Won types.Endpoint
-}
-
 // Campaign replaces the primary of one service. One task owns it.
 type Campaign struct {
 	Service types.Service
@@ -253,18 +159,6 @@
 	return Actions{Orders: []Order{{Endpoint: c.Old, Op: AskStatus}}}
 }
 
-func (c *Campaign) startFencing(now types.Time) Actions {
-	c.enter(now, Fencing)
-	c.polledAt = now
-	var orders []Order
-	for _, r := range c.replicas {
-		if !c.excluded[r] {
-			orders = append(orders, Order{Endpoint: r, Op: Pause, Term: c.term + 1})
-		}
-	}
-	return Actions{Orders: orders}
-}
-
 func (c *Campaign) enter(now types.Time, p Phase) { c.phase, c.phaseAt = p, now }
 
 func (c *Campaign) end(won types.Endpoint) Actions {
@@ -391,55 +285,6 @@
 	return orders
 }
 
-// checkCaughtUp promotes the first replica that holds the whole log.
-func (c *Campaign) checkCaughtUp(now types.Time) Actions {
-	var best types.Endpoint
-	for _, r := range c.replicas {
-		st, ok := c.statuses[r]
-		if !ok || c.excluded[r] || st.Received.Less(c.target) {
-			continue
-		}
-		if best == "" || (c.leaving[best] && !c.leaving[r]) {
-			best = r
-		}
-	}
-	if best == "" {
-		return Actions{}
-	}
-	return c.promote(now, best)
-}
-
-// fencing notes the pauses. An endpoint that still takes itself for a primary of
-// before has to step down first.
-func (c *Campaign) fencing(now types.Time, o Order, st Status) Actions {
-	if o.Endpoint == c.Old {
-		return Actions{}
-	}
-	if st.Primary {
-		return Actions{Orders: []Order{{Endpoint: o.Endpoint, Op: StepDown, Term: c.term + 1}}}
-	}
-	c.statuses[o.Endpoint] = st
-	switch {
-	case o.Op == Pause && st.HeldTerm >= o.Term:
-		c.paused[o.Endpoint] = true
-		return c.checkFenced(now)
-	case o.Op == Pause:
-		// It has seen a later term than this campaign: the next poll asks again.
-		c.term = max(c.term, st.HeldTerm)
-		return Actions{}
-	}
-	return Actions{Orders: []Order{{Endpoint: o.Endpoint, Op: Pause, Term: c.term + 1}}}
-}
-
-// mustPause reports whether the old primary may still run, known or not, so that
-// only paused replicas and the passing of the window keep its owner from using it.
-func (c *Campaign) mustPause() bool { return !c.oldStopped }
-
-// mustWait reports whether an owner of the old primary may still use it. One that
-// refuses connections behind the fence does not run: its owners' connections are dead,
-// and for later ones they have to confirm their authority anew.
-func (c *Campaign) mustWait() bool { return !c.oldStopped && !c.refusedFenced }
-
 // Needed reports whether the campaign still has a reason, given the endpoint that
 // is believed to be the primary now; empty for none. Once a candidate has been
 // chosen there is no way back.
@@ -450,100 +295,6 @@
 // Abandon ends a campaign that is not needed any more.
 func (c *Campaign) Abandon() Actions { return c.end("") }
 
-// fenceDone reports whether all replicas that are left have been heard, and
-// paused where the old primary may still run.
-func (c *Campaign) fenceDone() bool {
-	heard := 0
-	for _, r := range c.replicas {
-		if c.excluded[r] {
-			continue
-		}
-		if _, ok := c.statuses[r]; !ok || (c.mustPause() && !c.paused[r]) {
-			return false
-		}
-		heard++
-	}
-	return heard > 0
-}
-
-// checkFenced goes on once the fence stands and the window has passed.
-func (c *Campaign) checkFenced(now types.Time) Actions {
-	if !c.fenceDone() {
-		return Actions{}
-	}
-	var a Actions
-	if c.fencedAt == 0 {
-		c.fencedAt = now
-		if c.Reason == Gone {
-			a.Orders = c.askOld()
-		}
-	}
-	if c.mustWait() && now.Sub(c.fencedAt) < Window {
-		return a
-	}
-	return c.promoteBest(now)
-}
-
-// promoteBest chooses the replica with the longest log.
-func (c *Campaign) promoteBest(now types.Time) Actions {
-	var best types.Endpoint
-	for _, r := range c.replicas {
-		st, ok := c.statuses[r]
-		if !ok || c.excluded[r] {
-			continue
-		}
-		longer := best != "" && c.statuses[best].Received.Less(st.Received)
-		same := best != "" && c.statuses[best].Received == st.Received
-		if best == "" || longer || (same && c.leaving[best]) {
-			best = r
-		}
-	}
-	if best == "" {
-		return c.end("")
-	}
-	return c.promote(now, best)
-}
-
-func (c *Campaign) promote(now types.Time, e types.Endpoint) Actions {
-	c.candidate = e
-	c.accepted = false
-	c.promoteAt = now
-	c.polledAt = now
-	c.enter(now, Promoting)
-	return Actions{Record: e, Promote: e}
-}
-
-// PromoteAnswered takes the platform's answer: whether it accepted the candidate,
-// or says that the candidate does not run.
-func (c *Campaign) PromoteAnswered(now types.Time, accepted, notRunning bool) Actions {
-	if c.phase != Promoting {
-		return Actions{}
-	}
-	if accepted {
-		// From here on the candidate can come to lead at any time.
-		c.accepted = true
-		c.enter(now, Promoting)
-		return Actions{}
-	}
-	if !notRunning {
-		return Actions{}
-	}
-	c.excluded[c.candidate] = true
-	if c.Reason == Leaving {
-		c.enter(now, CatchingUp)
-		return c.checkCaughtUp(now)
-	}
-	return c.promoteBest(now)
-}
-
-// checkPromoted ends the campaign once the candidate leads.
-func (c *Campaign) checkPromoted(_ types.Time, o Order, st Status) Actions {
-	if o.Endpoint == c.candidate && st.Primary {
-		return c.end(c.candidate)
-	}
-	return Actions{}
-}
-
 // Tick moves the campaign on with time.
 func (c *Campaign) Tick(now types.Time) Actions {
 	switch c.phase {
@@ -576,27 +327,6 @@
 	return Actions{}
 }
 
-func (c *Campaign) tickFencing(now types.Time) Actions {
-	if c.fenceDone() {
-		if a := c.checkFenced(now); c.phase != Fencing {
-			return a
-		}
-	}
-	if now.Sub(c.phaseAt) > fenceTimeout {
-		return c.end("")
-	}
-	if now.Sub(c.polledAt) < stepTimeout/4 {
-		return Actions{}
-	}
-	orders := c.askOld()
-	for _, r := range c.replicas {
-		if !c.paused[r] && !c.excluded[r] {
-			orders = append(orders, Order{Endpoint: r, Op: Pause, Term: c.term + 1})
-		}
-	}
-	return c.poll(now, orders)
-}
-
 // poll repeats questions at most every pollEvery.
 func (c *Campaign) poll(now types.Time, orders []Order) Actions {
 	if now.Sub(c.polledAt) < pollEvery {
@@ -606,24 +336,5 @@
 	return Actions{Orders: orders}
 }
 
-// promoteRepeat is the time after which an unanswered promotion is asked again;
-// asking twice for the same endpoint changes nothing.
-const promoteRepeat = 400 * time.Millisecond
-
-func (c *Campaign) tickPromoting(now types.Time) Actions {
-	if now.Sub(c.phaseAt) > promoteTimeout {
-		return c.end("")
-	}
-	var a Actions
-	if now.Sub(c.phaseAt) >= promoteDelay {
-		a = c.poll(now, []Order{{Endpoint: c.candidate, Op: AskStatus}})
-	}
-	if !c.accepted && now.Sub(c.promoteAt) > promoteRepeat {
-		c.promoteAt = now
-		a.Promote = c.candidate
-	}
-	return a
-}
-
 // NextWake returns when Tick has something to do.
 func (c *Campaign) NextWake(now types.Time) types.Time { return now.Add(pollEvery) }
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -22,11 +20,6 @@
 	// unusedAfter is the time without requests after which an endpoint's
 	// connections are closed.
 	unusedAfter = 20 * time.Second
-	// authorityWait is how long a statement waits for the authority to be confirmed,
-	// which takes a few round trips; the entry decides what comes after.
-	authorityWait = 250 * time.Millisecond
-	// fencedPause is the time after which a fenced primary is looked at again.
-	fencedPause = 300 * time.Millisecond
 	// txGrace is added to the limit of idle transactions before an owner ends one
 	// by itself, as the entry does so first.
 	txGrace = 2 * time.Second
@@ -73,19 +66,6 @@
 	return k == statement.Commit || (j.tx == 0 && j.exec.Query.Stmt.Writes())
 }
 
-// txKey names a transaction by the host of its caller.
-type txKey struct {
-	host types.Host
-	tx   TxID
-}
-
-// ownedTx is a transaction that has a connection here.
-type ownedTx struct {
-	id       pool.TxID
-	endpoint types.Endpoint
-	usedAt   types.Time
-}
-
 // own returns the state of an endpoint, made at its first use; nil for an
 // endpoint that is not known.
 func (m *Machine) own(id types.Endpoint) *owned {
@@ -143,23 +123,6 @@
 	m.admit(o, j)
 }
 
-// joinTx finds the transaction of a job, or makes it with its first statement.
-func (m *Machine) joinTx(o *owned, j *job) bool {
-	key := txKey{host: j.from, tx: j.exec.Tx}
-	tx := m.txs[key]
-	if tx == nil {
-		if j.exec.Begin == nil {
-			return false
-		}
-		m.nextPoolTx++
-		tx = &ownedTx{id: m.nextPoolTx, endpoint: o.id}
-		m.txs[key] = tx
-	}
-	tx.usedAt = m.now
-	j.tx = tx.id
-	return tx.endpoint == o.id
-}
-
 // admit submits a job as soon as its endpoint may run it.
 func (m *Machine) admit(o *owned, j *job) {
 	if !m.now.Before(j.deadline) {
@@ -187,84 +150,6 @@
 	})
 }
 
-// mayUsePrimary checks the authority for a job; the job waits or is refused where
-// there is none.
-func (m *Machine) mayUsePrimary(o *owned, j *job) bool {
-	a := m.authority(o)
-	a.Use(m.now)
-	continues := j.tx != 0 && j.exec.Begin == nil
-	switch {
-	case a.Fenced():
-		m.finishJob(o, j, Done{Reason: types.ReasonNotPrimary})
-		return false
-	case !a.Valid(m.now) && !o.held && m.now.Sub(j.arrived) >= authorityWait:
-		m.finishJob(o, j, Done{Reason: types.ReasonNoAuthority})
-		return false
-	case o.held && !continues, !a.Valid(m.now):
-		o.waiting = append(o.waiting, j)
-		m.confirm(o)
-		return false
-	}
-	m.confirm(o)
-	m.trust(o)
-	return true
-}
-
-// trust lets the pool of a primary use the connections that its authority covers.
-func (m *Machine) trust(o *owned) {
-	if o.authority != nil && o.authority.Valid(m.now) {
-		o.pool.Trust(m.now, o.authority.Since(m.now))
-	}
-}
-
-// opened has a new connection to a primary covered by its authority, unless the answers
-// on others soon vouch for it.
-func (m *Machine) opened(o *owned) {
-	if !o.pool.HasTrusted() {
-		m.cover(o)
-	}
-}
-
-// cover has the connections that are open now covered by the authority.
-func (m *Machine) cover(o *owned) {
-	if o.authority != nil {
-		o.authority.Require(m.now)
-		m.confirm(o)
-	}
-}
-
-// authority returns the authority over an endpoint that serves as the primary.
-func (m *Machine) authority(o *owned) *lead.Authority {
-	var doubt types.Endpoint
-	if o.authority != nil && o.authority.Fenced() && m.now.Sub(o.fencedAt) >= fencedPause {
-		doubt = o.authority.FencedBy()
-		o.authority = nil
-	}
-	if o.authority == nil {
-		o.authority = lead.NewAuthority(o.id, m.replicasOf(o))
-		o.authority.Doubt(doubt)
-	}
-	return o.authority
-}
-
-// replicasOf returns the other listed endpoints of an endpoint's service.
-func (m *Machine) replicasOf(o *owned) []types.Endpoint {
-	var out []types.Endpoint
-	for _, e := range m.cat.EndpointsOf(o.service) {
-		if e.ID != o.id && m.cat.Listed(e.ID) {
-			out = append(out, e.ID)
-		}
-	}
-	return out
-}
-
-// confirm asks what the authority needs to be confirmed.
-func (m *Machine) confirm(o *owned) {
-	for _, e := range o.authority.Questions(m.now) {
-		m.order(lead.Order{Endpoint: e, Op: lead.AskStatus}, purposeAuthority)
-	}
-}
-
 // retryWaiting admits the jobs that waited for authority or a position again.
 func (m *Machine) retryWaiting(o *owned) {
 	waiting := o.waiting
@@ -321,20 +206,6 @@
 	m.finishJob(o, j, d)
 }
 
-// mayAcknowledge reports whether the endpoint certainly was the primary when it
-// committed.
-func (m *Machine) mayAcknowledge(o *owned) bool {
-	return o.authority != nil && o.authority.Valid(m.now)
-}
-
-func (m *Machine) fenced(o *owned, reason string) {
-	if o.fencedAt == 0 || m.now.Sub(o.fencedAt) >= fencedPause {
-		m.log(Warn, "authority lost", f("endpoint", o.id), f("service", o.service), f("reason", reason))
-		o.fencedAt = m.now
-	}
-	o.authority.Fence()
-}
-
 // finishJob answers a job and forgets it.
 func (m *Machine) finishJob(o *owned, j *job, d Done) {
 	delete(m.jobs, j.id)
@@ -355,43 +226,6 @@
 	m.send(j.from, d)
 }
 
-// ownedTxEnded gives up a transaction whose caller has gone.
-func (m *Machine) ownedTxEnded(from types.Host, id TxID) {
-	key := txKey{host: from, tx: id}
-	tx := m.txs[key]
-	if tx == nil {
-		return
-	}
-	delete(m.txs, key)
-	o := m.owned[tx.endpoint]
-	if o == nil {
-		return
-	}
-	o.pool.EndTx(m.now, tx.id)
-	o.waiting = slices.DeleteFunc(o.waiting, func(j *job) bool {
-		if j.tx == tx.id {
-			delete(m.jobs, j.id)
-		}
-		return j.tx == tx.id
-	})
-}
-
-// txKeys returns the open transactions in order.
-func (m *Machine) txKeys() []txKey {
-	return slices.SortedFunc(maps.Keys(m.txs), func(a, b txKey) int {
-		return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.tx, b.tx))
-	})
-}
-
-// peerTxsEnded gives up all transactions of a lost host's callers.
-func (m *Machine) peerTxsEnded(h types.Host) {
-	for _, key := range m.txKeys() {
-		if key.host == h {
-			m.ownedTxEnded(h, key.tx)
-		}
-	}
-}
-
 // tickOwned looks after authority, waiting jobs and unused endpoints.
 func (m *Machine) tickOwned() {
 	limit := m.cat.TxIdle() + txGrace
