Cover no connection that a doubted replica has not confirmed

Found by reading: after a fence, the confirmation of the replica that ended it is needed, but the newer one of another replica decided which connections were covered.

--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -109,7 +109,11 @@
 		times = append(times, a.confirmed[r])
 	}
 	slices.Sort(times)
-	return times[len(times)-a.needed()]
+	since := times[len(times)-a.needed()]
+	if a.doubt != "" {
+		since = min(since, a.confirmed[a.doubt])
+	}
+	return since
 }
 
 // Require asks for confirmations that are asked for from now on, as a connection to
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -233,6 +233,9 @@
 	is.Equal(a.Questions(start)[0], types.Endpoint("c"))
 	a.Answered("c", start, lead.Status{Term: 3})
 	is.True(a.Valid(start))
+	// Nor does it cover connections that the doubted one has not confirmed.
+	a.Answered("b", start.Add(time.Millisecond), lead.Status{Term: 3})
+	is.Equal(a.Since(start.Add(time.Millisecond)), start)
 }
 
 // A primary that answers before its successor is chosen stays the primary.
