Keep the endpoints of each service at hand

Every look at a service went through all endpoints of all services and sorted what it found: at every placing, and for every service at every tick. The list of a service is now kept until one of its endpoints changes, and the services' names with the configuration. Same order, same primary; the catalog has tests of its own now.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -115,7 +115,12 @@
 	services  map[types.Service]Service
 	endpoints map[types.Endpoint]Endpoint
 	gone      map[types.Endpoint]types.Time
-	hosts     map[types.Host]Host
+	// byService holds the endpoints of each service in order; a service is left out
+	// after a change until it is asked for.
+	byService map[types.Service][]Endpoint
+	// serviceList holds the services of the configuration in order.
+	serviceList []types.Service
+	hosts       map[types.Host]Host
 	// hostList holds the hosts in order; nil after a change until it is asked for.
 	hostList   []Host
 	leadership map[types.Service]Leadership
@@ -128,6 +133,7 @@
 		services:   map[types.Service]Service{},
 		endpoints:  map[types.Endpoint]Endpoint{},
 		gone:       map[types.Endpoint]types.Time{},
+		byService:  map[types.Service][]Endpoint{},
 		hosts:      map[types.Host]Host{},
 		leadership: map[types.Service]Leadership{},
 	}
@@ -144,9 +150,13 @@
 		c.routes[r.Database] = r
 	}
 	clear(c.services)
+	c.serviceList = nil
 	for _, s := range cfg.Services {
 		c.services[s.Name] = s
+		c.serviceList = append(c.serviceList, s.Name)
 	}
+	slices.Sort(c.serviceList)
+	c.serviceList = slices.Compact(c.serviceList)
 	return true
 }
 
@@ -174,6 +184,10 @@
 // SetEndpoint takes an endpoint's entry.
 func (c *Catalog) SetEndpoint(e Endpoint) {
 	delete(c.gone, e.ID)
+	if old, ok := c.endpoints[e.ID]; ok {
+		delete(c.byService, old.Service)
+	}
+	delete(c.byService, e.Service)
 	c.endpoints[e.ID] = e
 }
 
@@ -193,6 +207,7 @@
 	for id, at := range c.gone {
 		if !now.Before(at) {
 			delete(c.gone, id)
+			delete(c.byService, c.endpoints[id].Service)
 			delete(c.endpoints, id)
 			out = append(out, id)
 		}
@@ -214,8 +229,12 @@
 	return known && !gone
 }
 
-// EndpointsOf returns a service's endpoints, ordered by id.
+// EndpointsOf returns a service's endpoints, ordered by id. The result must not be
+// changed.
 func (c *Catalog) EndpointsOf(s types.Service) []Endpoint {
+	if out, ok := c.byService[s]; ok {
+		return out
+	}
 	var out []Endpoint
 	for _, e := range c.endpoints {
 		if e.Service == s {
@@ -223,18 +242,13 @@
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	c.byService[s] = out
 	return out
 }
 
-// Services returns the names of the services that routes use, in order.
-func (c *Catalog) Services() []types.Service {
-	out := make([]types.Service, 0, len(c.services))
-	for name := range c.services {
-		out = append(out, name)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
+// Services returns the names of the services of the configuration, in order. The result
+// must not be changed.
+func (c *Catalog) Services() []types.Service { return c.serviceList }
 
 // PrimaryOf returns the endpoint that is believed to be a service's primary: a
 // candidate that has come to lead, the one that was promoted last, or the one that
@@ -247,13 +261,12 @@
 	if e, ok := c.endpoints[lead.Primary]; ok && e.Service == s {
 		return e.ID, true
 	}
-	var best Endpoint
-	for _, e := range c.endpoints {
-		if e.Service == s && e.ClaimsPrimary && (best.ID == "" || e.ID < best.ID) {
-			best = e
+	for _, e := range c.EndpointsOf(s) {
+		if e.ClaimsPrimary {
+			return e.ID, true
 		}
 	}
-	return best.ID, best.ID != ""
+	return "", false
 }
 
 // SetLeadership takes a service's record; it reports false for one that is not newer.
--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,73 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/types"
+)
+
+// ids returns the ids of a service's endpoints.
+func ids(c *catalog.Catalog, s types.Service) []types.Endpoint {
+	out := []types.Endpoint{}
+	for _, e := range c.EndpointsOf(s) {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+func TestEndpointsOfAServiceFollowEveryChange(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	is.Equal(ids(c, "s"), []types.Endpoint{})
+	c.SetEndpoint(catalog.Endpoint{ID: "e2", Service: "s"})
+	c.SetEndpoint(catalog.Endpoint{ID: "e1", Service: "s"})
+	c.SetEndpoint(catalog.Endpoint{ID: "other", Service: "t"})
+	is.Equal(ids(c, "s"), []types.Endpoint{"e1", "e2"})
+	c.SetEndpoint(catalog.Endpoint{ID: "e1", Service: "s", Draining: true})
+	is.True(c.EndpointsOf("s")[0].Draining)
+	c.SetEndpoint(catalog.Endpoint{ID: "e1", Service: "t"}) // changes its service
+	is.Equal(ids(c, "s"), []types.Endpoint{"e2"})
+	is.Equal(ids(c, "t"), []types.Endpoint{"e1", "other"})
+	now := types.Time(time.Second)
+	c.EndpointGone(now, "e2")
+	is.Equal(ids(c, "s"), []types.Endpoint{"e2"}) // kept for a while
+	is.True(!c.Listed("e2"))
+	is.Equal(c.Expire(now.Add(time.Minute)), []types.Endpoint{"e2"})
+	is.Equal(ids(c, "s"), []types.Endpoint{})
+}
+
+func TestPrimaryIsTheRecordedOneElseTheOneThatClaims(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	_, known := c.PrimaryOf("s")
+	is.True(!known)
+	c.SetEndpoint(catalog.Endpoint{ID: "e1", Service: "s"})
+	c.SetEndpoint(catalog.Endpoint{ID: "e2", Service: "s", ClaimsPrimary: true})
+	c.SetEndpoint(catalog.Endpoint{ID: "e3", Service: "s", ClaimsPrimary: true})
+	primary, _ := c.PrimaryOf("s")
+	is.Equal(primary, types.Endpoint("e2"))
+	is.True(c.SetLeadership(catalog.Leadership{Service: "s", Primary: "e1", Candidate: "e3", Revision: 2}))
+	primary, _ = c.PrimaryOf("s")
+	is.Equal(primary, types.Endpoint("e3")) // the candidate leads already
+	is.True(!c.SetLeadership(catalog.Leadership{Service: "s", Primary: "e2", Revision: 1}))
+	is.True(c.SetLeadership(catalog.Leadership{Service: "s", Primary: "e1", Revision: 3}))
+	primary, _ = c.PrimaryOf("s")
+	is.Equal(primary, types.Endpoint("e1"))
+}
+
+func TestOlderConfigurationsAndHostsAreNoNews(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	is.True(c.SetConfig(catalog.Config{Version: 4, Services: []catalog.Service{{Name: "t"}, {Name: "s"}, {Name: "t"}}}))
+	is.Equal(c.Services(), []types.Service{"s", "t"})
+	is.True(!c.SetConfig(catalog.Config{Version: 3}))
+	is.Equal(len(c.Services()), 2)
+	c.SetHost(catalog.Host{ID: "h", Started: 7})
+	c.SetHost(catalog.Host{ID: "h", Started: 6, Leaving: true})
+	h, _ := c.Host("h")
+	is.True(!h.Leaving)
+}
