Say once what continues a transaction, what is still to be paused, and what hosts serve

Found by reading the whole change: the test for a statement of an open transaction stood in five places of the pool and two of the proxy; the orders that pause replicas were built in two places of the fence; four tests of the configuration had the same loop. Dead since the campaign was built: its wake time, its candidate's getter, and the record in its actions, which is stored with the promotion; in the stand-in the draining of an instance and the question whether it leads. Behaviour is unchanged; the tests keep their assertions.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -88,9 +88,6 @@
 // Phase returns the step that the campaign has reached.
 func (c *Campaign) Phase() Phase { return c.phase }
 
-// Candidate returns the chosen endpoint; empty while there is none.
-func (c *Campaign) Candidate() types.Endpoint { return c.candidate }
-
 // Begin returns the first actions.
 func (c *Campaign) Begin() Actions { return Actions{Orders: append(c.askReplicas(), c.askOld()...)} }
 
@@ -335,6 +332,3 @@
 	c.polledAt = now
 	return Actions{Orders: orders}
 }
-
-// NextWake returns when Tick has something to do.
-func (c *Campaign) NextWake(now types.Time) types.Time { return now.Add(pollEvery) }
--- a/core/lead/fence.go
+++ b/core/lead/fence.go
@@ -7,13 +7,18 @@
 func (c *Campaign) startFencing(now types.Time) Actions {
 	c.enter(now, Fencing)
 	c.polledAt = now
+	return Actions{Orders: c.pauses()}
+}
+
+// pauses are the orders for the replicas that are still to be paused.
+func (c *Campaign) pauses() []Order {
 	var orders []Order
 	for _, r := range c.replicas {
-		if !c.excluded[r] {
+		if !c.paused[r] && !c.excluded[r] {
 			orders = append(orders, Order{Endpoint: r, Op: Pause, Term: c.term + 1})
 		}
 	}
-	return Actions{Orders: orders}
+	return orders
 }
 
 // fencing notes the pauses. An endpoint that still takes itself for a primary of
@@ -93,11 +98,5 @@
 	if now.Sub(c.polledAt) < stepTimeout/4 {
 		return Actions{}
 	}
-	orders := c.askOld()
-	for _, r := range c.replicas {
-		if !c.paused[r] && !c.excluded[r] {
-			orders = append(orders, Order{Endpoint: r, Op: Pause, Term: c.term + 1})
-		}
-	}
-	return c.poll(now, orders)
+	return c.poll(now, append(c.askOld(), c.pauses()...))
 }
--- a/core/lead/order.go
+++ b/core/lead/order.go
@@ -84,10 +84,9 @@
 	Claim bool
 	// HoldWrites asks for no new work to be sent to the old primary.
 	HoldWrites bool
-	// Promote asks the platform to make the endpoint the primary.
+	// Promote asks the platform to make the endpoint the primary, once the store has
+	// noted it as chosen.
 	Promote types.Endpoint
-	// Record asks the store to note the candidate as chosen.
-	Record types.Endpoint
 	// Settle are orders for SettleDelay after the end: a replica that is resumed
 	// holds no term until it hears of the new primary, and until then it would
 	// confirm the old one to an owner that has not heard either.
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -50,7 +50,7 @@
 	c.promoteAt = now
 	c.polledAt = now
 	c.enter(now, Promoting)
-	return Actions{Record: e, Promote: e}
+	return Actions{Promote: e}
 }
 
 // PromoteAnswered takes the platform's answer: whether it accepted the candidate,
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -35,7 +35,7 @@
 // connFor returns the connection on which a request can start: the one of its
 // transaction, or an idle one, if possible with the session's values.
 func (p *Pool) connFor(req *Request) *conn {
-	if req.Tx != 0 && req.Begin == nil {
+	if req.continues() {
 		c := p.byTx[req.Tx]
 		if c == nil || c.state != pinned {
 			return nil
@@ -59,7 +59,7 @@
 // needsConnection reports whether a request that found no connection waits for a new
 // one: not for that of its transaction, nor for one that is about to be trusted.
 func (p *Pool) needsConnection(req *Request) bool {
-	if req.Tx != 0 && req.Begin == nil {
+	if req.continues() {
 		return false
 	}
 	return !req.Trusted || !slices.ContainsFunc(p.order, func(c *conn) bool {
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -123,7 +123,7 @@
 // Submit queues a request, or refuses it where it cannot be served in time.
 func (p *Pool) Submit(now types.Time, req Request) {
 	w := &waiting{req: req, queuedAt: now}
-	continues := req.Tx != 0 && req.Begin == nil
+	continues := req.continues()
 	switch {
 	case continues && p.byTx[req.Tx] == nil:
 		p.refuse(w, now, types.ReasonBroken)
@@ -278,7 +278,7 @@
 	for r := range p.queue.ranks {
 		for i := 0; i < len(p.queue.ranks[r]); {
 			w := p.queue.ranks[r][i]
-			if w.req.Tx != 0 && w.req.Begin == nil {
+			if w.req.continues() {
 				i++
 				continue
 			}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -162,8 +162,7 @@
 // isLate reports whether a request that starts now misses its objective. A
 // statement inside a transaction is never late: its earlier work would be lost.
 func (q *queue) isLate(now types.Time, rank int, w *waiting) bool {
-	continues := w.req.Tx != 0 && w.req.Begin == nil
-	return !continues && now.Add(q.serviceTime(rank)).After(w.req.Due)
+	return !w.req.continues() && now.Add(q.serviceTime(rank)).After(w.req.Due)
 }
 
 // expired returns the requests whose deadline has passed.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -53,6 +53,10 @@
 	Trusted bool
 }
 
+// continues reports whether the request belongs to a transaction that is open at the
+// endpoint; it runs on that transaction's connection alone.
+func (r *Request) continues() bool { return r.Tx != 0 && r.Begin == nil }
+
 // Result is the end of a request.
 type Result struct {
 	ID RequestID
--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -12,6 +12,17 @@
 // configBound is the time in which an accepted configuration is in force.
 const configBound = 3 * time.Second
 
+// checkServesNew checks that every host serves the database that version 2 adds, within a
+// time each.
+func (w *world) checkServesNew(is *is.I, each time.Duration) {
+	w.t.Helper()
+	for _, h := range w.sortedHosts() {
+		got := w.callers.open(h.id, "new-db", "read")
+		w.run(each)
+		is.True(got.ready)
+	}
+}
+
 func TestConfigurationReachesHostsWithoutTheStore(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 12, 3)
@@ -20,11 +31,7 @@
 	w.run(time.Second)
 	w.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
 	w.run(configBound)
-	for _, h := range w.sortedHosts() {
-		got := w.callers.open(h.id, "new-db", "read")
-		w.run(200 * time.Millisecond)
-		is.True(got.ready) // the host serves the database of the new version
-	}
+	w.checkServesNew(is, 200*time.Millisecond)
 }
 
 // While watches are deaf, a host of each data centre reads the configuration.
@@ -36,11 +43,7 @@
 	w.deaf = true
 	w.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
 	w.run(configBound)
-	for _, h := range w.sortedHosts() {
-		got := w.callers.open(h.id, "new-db", "read")
-		w.run(200 * time.Millisecond)
-		is.True(got.ready)
-	}
+	w.checkServesNew(is, 200*time.Millisecond)
 }
 
 // A host whose links have all gone silent, unnoticed, reads for itself in time.
@@ -56,11 +59,7 @@
 	}
 	w.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
 	w.run(configBound)
-	for _, h := range w.sortedHosts() {
-		got := w.callers.open(h.id, "new-db", "read")
-		w.run(10 * time.Millisecond)
-		is.True(got.ready)
-	}
+	w.checkServesNew(is, 10*time.Millisecond)
 }
 
 // A host on a narrow link that alone has a large configuration does not hold up the
@@ -76,9 +75,5 @@
 	w.narrow = map[types.Host]time.Duration{"h-a0": 250 * time.Millisecond}
 	w.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
 	w.run(configBound)
-	for _, h := range w.sortedHosts() {
-		got := w.callers.open(h.id, "new-db", "read")
-		w.run(10 * time.Millisecond)
-		is.True(got.ready)
-	}
+	w.checkServesNew(is, 10*time.Millisecond)
 }
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -60,6 +60,9 @@
 	due      types.Time
 }
 
+// continues reports whether the job belongs to a transaction that has begun before.
+func (j *job) continues() bool { return j.tx != 0 && j.exec.Begin == nil }
+
 // changesData reports whether the answer acknowledges a change.
 func (j *job) changesData() bool {
 	k := j.exec.Query.Stmt.Kind
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -61,7 +61,7 @@
 func (m *Machine) requiredPosition(o *owned, j *job) (types.LogPoint, bool) {
 	s := m.service(o.service)
 	m.refreshPosition(s)
-	if j.tx != 0 && j.exec.Begin == nil {
+	if j.continues() {
 		return types.LogPoint{}, true
 	}
 	point, ok := s.history.Required(m.now, j.exec.MaxAge)
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -20,7 +20,6 @@
 func (m *Machine) mayUsePrimary(o *owned, j *job) bool {
 	a := m.authority(o)
 	a.Use(m.now)
-	continues := j.tx != 0 && j.exec.Begin == nil
 	switch {
 	case a.Fenced():
 		m.finishJob(o, j, Done{Reason: types.ReasonNotPrimary})
@@ -28,7 +27,7 @@
 	case !a.Valid(m.now) && !o.held && m.now.Sub(j.arrived) >= authorityWait:
 		m.finishJob(o, j, Done{Reason: types.ReasonNoAuthority})
 		return false
-	case o.held && !continues, !a.Valid(m.now):
+	case o.held && !j.continues(), !a.Valid(m.now):
 		o.waiting = append(o.waiting, j)
 		m.confirm(o)
 		return false
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -38,7 +38,6 @@
 	listen   string
 	alive    bool
 	primary  bool
-	draining bool
 	paused   bool
 	term     uint64
 	held     uint64
@@ -81,16 +80,13 @@
 
 // register writes the instance's entry.
 func (i *Instance) register() {
-	role, state := "replica", "ready"
+	role := "replica"
 	if i.primary {
 		role = "primary"
 	}
-	if i.draining {
-		state = "draining"
-	}
 	i.f.store.Put("servers", i.ID, map[string]any{
 		"service": i.service, "address": i.address, "zone": i.zone, "version": "v1", "capacity": slots,
-		"state": state, "warmupLeftMs": 0, "dbRole": role, "seq": 1, "born": i.born,
+		"state": "ready", "warmupLeftMs": 0, "dbRole": role, "seq": 1, "born": i.born,
 	})
 }
 
@@ -133,20 +129,6 @@
 // SetLoseAnswers sets the share, in percent, of answers that are lost.
 func (i *Instance) SetLoseAnswers(percent int) { i.f.ask(func() { i.loseAnswers = percent }) }
 
-// Drain announces the end of the instance.
-func (i *Instance) Drain(on bool) {
-	i.f.ask(func() {
-		i.draining = on
-		i.register()
-	})
-}
-
-// Leads reports whether the instance is a primary.
-func (i *Instance) Leads() (leads bool) {
-	i.f.ask(func() { leads = i.alive && i.primary })
-	return leads
-}
-
 func (i *Instance) follow(primary *Instance) {
 	i.term = primary.term
 	i.log = append([]entry(nil), primary.log...)
