--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -225,3 +225,16 @@
 		m.refresh.readAt[d.ReadFailed] = m.now
 	}
 }
+
+// currencyFields describe how current the host's objects of a kind are: the time since they
+// were last known to be current, and the newer revision that another host advertises.
+func (m *Machine) currencyFields(k feed.Kind) []Field {
+	var fields []Field
+	if at, ok := m.refresh.currentAt[k]; ok {
+		fields = append(fields, field("age", m.now.Sub(at)))
+	}
+	if gap := m.gossip.gaps[k]; gap != nil {
+		fields = append(fields, field("missing_revision", gap.revision), field("missing_for", m.now.Sub(gap.since)))
+	}
+	return fields
+}
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if _, ok := m.catalog.Route(ev.Database); !ok {
-		m.log(Info, "session refused", field("database", ev.Database), field("reason", "no route"), field("config", m.catalog.ConfigVersion()))
+		m.log(Info, "session refused", append([]Field{field("database", ev.Database), field("reason", "no route"), field("config", m.catalog.ConfigVersion())}, m.currencyFields(KindConfig)...)...)
 		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeNoDatabase, Text: "database " + string(ev.Database) + " does not exist"})
 		return
 	}
