--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -25,6 +25,8 @@
 	instances     []*fleet.Instance
 	relays        []*relay
 	configVersion int
+	// addedDatabase is a database that the configuration has in addition; empty for none.
+	addedDatabase string
 	seed          uint64
 }
 
@@ -93,12 +95,18 @@
 func (c *cluster) storeConfiguration() {
 	c.configVersion += 3
 	routes := []map[string]any{}
-	for i, kind := range []string{"primary", "bounded_staleness", "read_your_writes"} {
+	add := func(database, kind string, rank int) {
 		routes = append(routes, map[string]any{
-			"name": kind, "host": kind, "pathPrefix": "/", "type": kind, "timeoutMs": 800 + c.configVersion%7, "targetLatencyMs": 200,
-			"priority": i, "service": "svc", "attempts": 2, "maxStalenessMs": 1500,
+			"name": database, "host": database, "pathPrefix": "/", "type": kind, "timeoutMs": 800 + c.configVersion%7, "targetLatencyMs": 200,
+			"priority": rank, "service": "svc", "attempts": 2, "maxStalenessMs": 1500,
 		})
 	}
+	for i, kind := range []string{"primary", "bounded_staleness", "read_your_writes"} {
+		add(kind, kind, i)
+	}
+	if c.addedDatabase != "" {
+		add(c.addedDatabase, "primary", 0)
+	}
 	c.fleet.Store().Put("config", "main", map[string]any{
 		"version": c.configVersion, "routes": routes, "limits": map[string]any{"txIdleMs": 3000},
 		"services": []map[string]any{{"name": "svc", "maxConns": 40, "syncReplicas": 0}},
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -32,7 +32,17 @@
 	modeQueries   chan chan relayMode
 	modeChanges   chan relayMode
 	resetRequests chan struct{}
-	newConns      chan net.Conn
+	// silenceRequests make the relay discard all further data of the open connections,
+	// without closing them. New connections are served.
+	silenceRequests chan struct{}
+	newConns        chan relayedConn
+}
+
+// relayedConn is a connection with a client and the one to the target. silenced is closed
+// once their data is discarded.
+type relayedConn struct {
+	client, server net.Conn
+	silenced       chan struct{}
 }
 
 func newRelay(t *testing.T, target string) *relay {
@@ -43,7 +53,7 @@
 	}
 	r := &relay{
 		listener: l, target: target, modeQueries: make(chan chan relayMode), modeChanges: make(chan relayMode),
-		resetRequests: make(chan struct{}), newConns: make(chan net.Conn),
+		resetRequests: make(chan struct{}), silenceRequests: make(chan struct{}), newConns: make(chan relayedConn),
 	}
 	done := make(chan struct{})
 	t.Cleanup(func() { _ = l.Close(); close(done) })
@@ -57,15 +67,15 @@
 // run owns the mode and the open connections until done is closed.
 func (r *relay) run(done <-chan struct{}) {
 	mode := modeForward
-	var openConns []net.Conn
+	// silentConns are the silenced ones among openConns, which are at its start.
+	var openConns []relayedConn
+	silentConns := 0
 	resetConns := func() {
 		for _, c := range openConns {
-			if tcp, ok := c.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = c.Close()
+			reset(c.client)
+			reset(c.server)
 		}
-		openConns = nil
+		openConns, silentConns = nil, 0
 	}
 	for {
 		select {
@@ -77,12 +87,25 @@
 			reply <- mode
 		case <-r.resetRequests:
 			resetConns()
+		case <-r.silenceRequests:
+			for _, c := range openConns[silentConns:] {
+				close(c.silenced)
+			}
+			silentConns = len(openConns)
 		case c := <-r.newConns:
 			openConns = append(openConns, c)
 		}
 	}
 }
 
+// reset closes a connection without delivering what it still holds.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // currentMode returns the mode, or modeDiscardAll if run does not take the query
 // within 1 s.
 func (r *relay) currentMode() relayMode {
@@ -110,25 +133,21 @@
 func (r *relay) serveConn(client net.Conn) {
 	server, err := (&net.Dialer{Timeout: time.Second}).Dial("tcp", r.target)
 	if err != nil {
-		if tcp, ok := client.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = client.Close()
+		reset(client)
 		return
 	}
-	for _, c := range []net.Conn{client, server} {
-		select {
-		case r.newConns <- c:
-		case <-time.After(time.Second):
-		}
+	c := relayedConn{client: client, server: server, silenced: make(chan struct{})}
+	select {
+	case r.newConns <- c:
+	case <-time.After(time.Second):
 	}
-	go r.forward(server, client, false)
-	r.forward(client, server, true)
+	go r.forward(server, client, false, c.silenced)
+	r.forward(client, server, true, c.silenced)
 }
 
 // forward copies one direction of a connection as the mode allows. Data that arrives in
-// a discarding mode is never delivered.
-func (r *relay) forward(to, from net.Conn, fromTarget bool) {
+// a discarding mode, or once the connection is silenced, is never delivered.
+func (r *relay) forward(to, from net.Conn, fromTarget bool, silenced <-chan struct{}) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buf := make([]byte, 32<<10)
 	incomplete := false
@@ -137,6 +156,11 @@
 		if err != nil {
 			return
 		}
+		select {
+		case <-silenced:
+			incomplete = true
+		default:
+		}
 		switch r.currentMode() {
 		case modeDelay:
 			time.Sleep(relayDelay)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,16 @@
 	return false
 }
 
+// reporter returns the function that reports a violation: it fails the test, or only logs the
+// violation if KNOWN-RED.txt lists the test.
+func reporter(t *testing.T) func(args ...any) {
+	t.Helper()
+	if isKnownRed(t) {
+		return func(args ...any) { t.Log(append([]any{"known red:"}, args...)...) }
+	}
+	return t.Error
+}
+
 // runSeed runs callers on a new cluster, injects the seed's faults, and checks the
 // outcome.
 func runSeed(t *testing.T, seed uint64, binaryPath string) {
@@ -95,10 +105,7 @@
 	}
 	drainResults(results, counts)
 	t.Log(counts)
-	report := t.Error
-	if isKnownRed(t) {
-		report = func(args ...any) { t.Log(append([]any{"known red:"}, args...)...) }
-	}
+	report := reporter(t)
 	for i, violation := range c.fleet.Violations() {
 		if i < 10 {
 			report(violation)
