core/proxy: read a configuration that another host has read but cannot deliver

A host refused a database that a confirmed configuration had, as long as its requests for the configuration were lost.

Cause: a notice that another host has just read the store made this host's own copy count as current, also if it lacked the revision that was read. Notices come with every read, so the host never read the store itself. It waited for an answer to its request, which nothing bounds on a link that has fallen silent one way.

Evidence: TestConfigurationThatCannotBeFetchedIsRead failed before, with every request between hosts lost and the store in reach.

A notice now counts once this host has the revision. Until then the copy keeps its age, and the host reads the store when that is due.

Ruled out: that notices of failed reads keep a data centre from reading. TestConfigurationIsReadWhereFirstHostsCannotRead, where the first half of the hosts of each data centre wait 0.9 s in vain, passes before and after.

--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -1,11 +1,14 @@
 package proxy_test
 
 import (
+	"sort"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"baobabfield.example/core/proxy"
+	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
 )
 
@@ -97,3 +100,48 @@
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
+
+// Guards against taking another host's read for one's own without what it has read.
+func TestConfigurationThatCannotBeFetchedIsRead(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 17, 4)
+	sim.runFor(time.Second)
+	sim.watchesSilent = true
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		_, ok := msg.(proxy.ChangesRequest)
+		return ok
+	}
+	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.runFor(maxConfigDelay)
+	sim.checkServesNewDatabase(is, 10*time.Millisecond)
+}
+
+// Guards against hosts that keep each other from reading by notices of their failed reads.
+func TestConfigurationIsReadWhereFirstHostsCannotRead(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 18, 12)
+	sim.runFor(time.Second)
+	sim.watchesSilent, sim.store.failureDelay = true, 900*time.Millisecond
+	for _, dc := range dataCentres {
+		hosts := sim.hostsInReadOrder(dc)
+		for _, h := range hosts[:len(hosts)/2] {
+			sim.storeCut[h.id] = true
+		}
+	}
+	sim.runFor(2 * time.Second)
+	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.runFor(maxConfigDelay)
+	sim.checkServesNewDatabase(is, 10*time.Millisecond)
+}
+
+// hostsInReadOrder returns the hosts of a data centre in the order in which they read the store.
+func (sim *simulation) hostsInReadOrder(dc types.DataCentre) []*hostSim {
+	var out []*hostSim
+	for _, h := range sim.sortedHosts() {
+		if h.dc == dc {
+			out = append(out, h)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return random.Hash(0, string(out[i].id)) > random.Hash(0, string(out[j].id)) })
+	return out
+}
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -51,6 +51,8 @@
 	// empty for none.
 	requestedFrom types.Host
 	requestedAt   types.Time
+	// readByPeerAt is when the last notice of another host's read of the kind arrived.
+	readByPeerAt types.Time
 }
 
 // fetchDue reports whether the revision should be requested now.
@@ -93,6 +95,7 @@
 		m.gossip.advertiseAt = m.now.Add(digestDelay)
 	}
 	if gap, ok := m.gossip.gaps[c.Kind]; ok && m.gossip.newestRevisions[c.Kind] >= gap.revision {
+		m.refresh.currentAt[c.Kind] = max(m.refresh.currentAt[c.Kind], gap.readByPeerAt)
 		delete(m.gossip.gaps, c.Kind)
 	}
 }
@@ -275,7 +278,6 @@
 // handleDigest records the revisions that this host lacks and another host knows. It replies
 // with a digest if the other host lacks revisions.
 func (m *Machine) handleDigest(from types.Host, d Digest) {
-	m.noteReadByPeer(&d)
 	theirs := map[feed.Kind]uint64{}
 	for _, r := range d.Revisions {
 		if !slices.Contains(Kinds, r.Kind) {
@@ -293,6 +295,7 @@
 		}
 		gap.addSource(from, r.Revision)
 	}
+	m.noteReadByPeer(&d)
 	if d.NoReply {
 		return
 	}
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -216,9 +216,12 @@
 }
 
 // noteReadByPeer records that another host has just read a kind from the store, or that its
-// read has failed.
+// read has failed. If this host lacks a revision that was read, its own objects are current
+// only once it has received that revision.
 func (m *Machine) noteReadByPeer(d *Digest) {
-	if d.JustRead != "" {
+	if gap := m.gossip.gaps[d.JustRead]; gap != nil {
+		gap.readByPeerAt = m.now
+	} else if d.JustRead != "" {
 		m.refresh.currentAt[d.JustRead] = m.now
 	}
 	if d.ReadFailed != "" {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -71,6 +71,8 @@
 	// storeCut holds the hosts that cannot reach the store.
 	storeCut      map[types.Host]bool
 	watchesSilent bool
+	// isLost reports whether a message between hosts is lost; nil for none.
+	isLost func(from types.Host, msg proxy.Message) bool
 	// cutsRefuse makes dials over a broken link fail as refused instead of timing out.
 	cutsRefuse bool
 	violations []string
@@ -363,7 +365,7 @@
 
 func (sim *simulation) sendPeer(h *hostSim, e proxy.PeerSend) {
 	to := sim.hosts[e.Host]
-	if to == nil || sim.isCut(h.id, h.dc, string(to.id), to.dc) {
+	if to == nil || sim.isCut(h.id, h.dc, string(to.id), to.dc) || (sim.isLost != nil && sim.isLost(h.id, e.Message)) {
 		return
 	}
 	incarnation := h.incarnation
@@ -395,7 +397,8 @@
 	reads int
 	down  bool
 	// delay is the time that a request takes to reach the store, and its reply to return.
-	delay time.Duration
+	// failureDelay is the further time after which a read without a reply fails.
+	delay, failureDelay time.Duration
 }
 
 func newStore(sim *simulation) *storeSim {
@@ -482,7 +485,11 @@
 		}
 		if !s.serves(h) {
 			if _, ok := event(feed.Changes{}).(proxy.StoreReadResult); ok {
-				s.sim.deliver(h, proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, Failed: true})
+				s.sim.schedule(s.failureDelay, func() {
+					if h.incarnation == incarnation {
+						s.sim.deliver(h, proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, Failed: true})
+					}
+				})
 			}
 			return
 		}
