--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -90,10 +90,15 @@
 	return c
 }
 
-// storeConfiguration writes the next version of the configuration to the store. Its
-// version number determines the timeout of the routes, so versions differ in content.
+// storeConfiguration writes the next version of the configuration to the store.
 func (c *cluster) storeConfiguration() {
 	c.configVersion += 3
+	c.putConfiguration()
+}
+
+// putConfiguration writes the present version of the configuration to the store. Its number
+// determines the timeout of the routes, so versions differ in content.
+func (c *cluster) putConfiguration() {
 	routes := []map[string]any{}
 	add := func(database, kind string, rank int) {
 		routes = append(routes, map[string]any{
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// maxBodyBytes is the largest request body that is read.
-const maxBodyBytes = 2 * MaxSpecBytes
+const (
+	// maxBodyBytes is the largest request body that is read.
+	maxBodyBytes = 2 * MaxSpecBytes
+	// eraHeader is the response header with the store's era.
+	eraHeader = "Store-Era"
+)
 
 // objectRequest is a decoded request to the object store.
 type objectRequest struct {
@@ -100,6 +104,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(eraHeader, strconv.FormatUint(resp.era, 10))
 	w.WriteHeader(resp.status)
 	if resp.body != nil {
 		_ = json.NewEncoder(w).Encode(resp.body)
@@ -108,6 +113,12 @@
 
 // handle carries out a request other than a watch.
 func (s *store) handle(req objectRequest) response {
+	resp := s.handleInEra(req)
+	resp.era = s.objects.era
+	return resp
+}
+
+func (s *store) handleInEra(req objectRequest) response {
 	switch req.method {
 	case http.MethodGet:
 		return s.handleRead(req)
@@ -155,7 +166,6 @@
 	}
 	return runOnStore(s.ctx, s.store, func() response {
 		s.store.removeWatch(w)
-		resp, _ := s.store.objects.changesSince(w.kind, w.sinceRevision)
-		return resp
+		return s.store.changesFor(w)
 	})
 }
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -45,20 +45,24 @@
 	history  []changeEvent
 	// compactedRevision is the revision up to which the history has been discarded.
 	compactedRevision uint64
+	// era counts how often the objects were restored from a copy.
+	era uint64
 }
 
-// newObjects returns a set without objects, with a revision above 0.
-func newObjects() *objects { return &objects{byKey: map[objectKey]Object{}, revision: 1} }
+// newObjects returns a set without objects, with a revision above 0, in the first era.
+func newObjects() *objects { return &objects{byKey: map[objectKey]Object{}, revision: 1, era: 1} }
 
 // clone returns a copy of the current objects, without their history.
 func (o *objects) clone() *objects {
-	return &objects{byKey: maps.Clone(o.byKey), revision: o.revision}
+	return &objects{byKey: maps.Clone(o.byKey), revision: o.revision, compactedRevision: o.revision, era: o.era}
 }
 
-// response is an HTTP status and a body that is written as JSON.
+// response is an HTTP status and a body that is written as JSON. era is the store's era at
+// the time of the response.
 type response struct {
 	status int
 	body   any
+	era    uint64
 }
 
 func (o *objects) get(k objectKey) response {
@@ -86,10 +90,10 @@
 }
 
 // changesSince returns the changes of a kind after a revision, and whether there are
-// any. If part of that history was compacted, the status is 410 and the second result
-// is true.
+// any. If part of that history was compacted, or the revision does not exist, the status
+// is 410 and the second result is true.
 func (o *objects) changesSince(kind string, since uint64) (response, bool) {
-	if since < o.compactedRevision {
+	if since < o.compactedRevision || since > o.revision {
 		return response{status: http.StatusGone}, true
 	}
 	events := []changeEvent{}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -319,3 +319,27 @@
 	listener.SetCut(false)
 	is.NoErr(<-done)
 }
+
+func TestRestoreReusesRevisionsInNextEra(t *testing.T) {
+	is := is.New(t)
+	s, c := startServer(t)
+	s.Put("ranks", "urgent", "a")
+	backup := s.Backup()
+	lost := s.Put("ranks", "urgent", "b")
+	era := func() uint64 {
+		n, err := runOnStore(s.ctx, s.store, func() uint64 { return s.store.objects.era })
+		is.NoErr(err)
+		return n
+	}
+	eraBefore := era()
+	s.Restore(backup)
+	var got Object
+	_, err := c.request(http.MethodGet, "ranks/urgent", nil, &got)
+	is.NoErr(err)
+	is.Equal(string(got.Spec), `"a"`)
+	is.Equal(era(), eraBefore+1)
+	status, err := c.request(http.MethodGet, fmt.Sprintf("ranks?watch=%d&waitMs=1", lost.Meta.Revision), nil, nil)
+	is.NoErr(err)
+	is.Equal(status, http.StatusGone)
+	is.Equal(s.Put("ranks", "urgent", "c").Meta.Revision, lost.Meta.Revision)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -141,6 +141,26 @@
 	})
 }
 
+// Backup is a copy of the store's objects.
+type Backup struct{ objects *objects }
+
+// Backup returns a copy of the current objects.
+func (s *Server) Backup() Backup {
+	objects, _ := runOnStore(s.ctx, s.store, func() *objects { return s.store.objects.clone() })
+	return Backup{objects}
+}
+
+// Restore replaces the objects by a copy and begins the next era. What was written since the
+// copy was made is lost, and its revisions are assigned again.
+func (s *Server) Restore(b Backup) {
+	s.updateStore(func(st *store) {
+		era := st.objects.era + 1
+		st.objects = b.objects.clone()
+		st.objects.era = era
+		st.completeWatches()
+	})
+}
+
 // faultState is the faults and the cut that apply to a request. Its channel is closed
 // when they change.
 type faultState struct {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -100,14 +100,21 @@
 // completeWatches answers and removes the watches whose kind has changed.
 func (s *store) completeWatches() {
 	s.watches = slices.DeleteFunc(s.watches, func(w *pendingWatch) bool {
-		changes, changed := s.objects.changesSince(w.kind, w.sinceRevision)
+		_, changed := s.objects.changesSince(w.kind, w.sinceRevision)
 		if changed {
-			w.reply <- changes
+			w.reply <- s.changesFor(w)
 		}
 		return changed
 	})
 }
 
+// changesFor returns the response to a watch.
+func (s *store) changesFor(w *pendingWatch) response {
+	resp, _ := s.objects.changesSince(w.kind, w.sinceRevision)
+	resp.era = s.objects.era
+	return resp
+}
+
 func (s *store) setFaults(f Faults) {
 	if !f.StaleReads {
 		s.staleObjects = nil
