platform, node/gateway: log the era of the store with each list

It counts how often the store was restored from a copy, so that a list that is ignored for its low revision can be told from one that did not arrive.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -26,6 +26,8 @@
 type Changes struct {
 	Kind Kind
 	AsOf uint64
+	// Era counts how often the store was restored from a copy; 0 if it is not known.
+	Era uint64
 	// Full marks a list of all objects. Objects that are not in it do not exist.
 	Full    bool
 	Objects []Object
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -144,7 +144,7 @@
 		return
 	}
 	g.logs.Enqueue(proxy.Log{Level: proxy.Debug, Event: "store objects listed", Fields: []proxy.Field{
-		{Key: "kind", Value: string(k)}, {Key: "as_of", Value: c.AsOf}, {Key: "objects", Value: len(c.Objects)},
+		{Key: "kind", Value: string(k)}, {Key: "era", Value: c.Era}, {Key: "as_of", Value: c.AsOf}, {Key: "objects", Value: len(c.Objects)},
 	}})
 	g.post(proxy.StoreReadResult{Changes: c})
 }
