core, platform: order the store's revisions by era

Cause: revisions go back in a restore and are assigned again. Versions of objects were ordered by the bare revision: in the mirror, in digests and requests between hosts, for deletions, and where a watch continues. The next version had a lower revision than the known one, and was dropped as old.

Evidence: with the era logged, lists of era 2 as of 34 and 36 arrive at hosts that know revision 35, and change nothing. Ruled out: lists that do not arrive; an older version in the copy, which is ignored by its version alone.

A revision is now the store's era and number, in one value that orders by the era first. A mirror enters a later era only with a full list, since changes alone do not name what the restored store lacks; lists of an earlier era are ignored; a host that asks from an earlier era gets a full list; a watch that is answered in another era starts again with a list.

Tests that wrote bare numbers use the new type.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -124,7 +124,7 @@
 	Candidate types.Endpoint
 	// Revision is the revision of the record in the store, for conditional
 	// updates.
-	Revision uint64
+	Revision types.Revision
 }
 
 // removalGracePeriod is the time for which an endpoint is kept after its record has
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -6,17 +6,22 @@
 // them in decoded form.
 package feed
 
-import "sort"
+import (
+	"sort"
+
+	"baobabfield.example/core/types"
+)
 
 // Kind names a kind of object, for instance the hosts.
 type Kind string
 
 // Object is one version of an object. The store's revision grows with every change of
-// any object, so that of two versions the one with the greater revision is newer.
+// any object, and with every restore of the store, so that of two versions the one with the
+// greater revision is newer.
 type Object struct {
 	Kind     Kind
 	Name     string
-	Revision uint64
+	Revision types.Revision
 	Deleted  bool
 	// Data is the encoded object, which this package does not decode.
 	Data []byte
@@ -25,9 +30,7 @@
 // Changes are the versions after a revision, up to and including AsOf.
 type Changes struct {
 	Kind Kind
-	AsOf uint64
-	// Era counts how often the store was restored from a copy; 0 if it is not known.
-	Era uint64
+	AsOf types.Revision
 	// Full marks a list of all objects. Objects that are not in it do not exist.
 	Full    bool
 	Objects []Object
@@ -40,10 +43,10 @@
 type Mirror struct{ kinds map[Kind]*kindMirror }
 
 type kindMirror struct {
-	asOf    uint64
+	asOf    types.Revision
 	objects map[string]Object
 	// tombstonesSince is the revision after which every deletion has a tombstone.
-	tombstonesSince uint64
+	tombstonesSince types.Revision
 	// tombstoneCount is the number of deleted objects in the map.
 	tombstoneCount int
 }
@@ -61,9 +64,14 @@
 }
 
 // Apply stores changes and returns the objects that were updated, in the order of
-// their revisions.
+// their revisions. Changes of an earlier era than the known one are ignored. So are changes of
+// a later era that are not a full list, since they lack the objects that the restored store
+// does not have.
 func (m *Mirror) Apply(changes Changes) []Object {
 	km := m.ensureKind(changes.Kind)
+	if km.asOf != 0 && (changes.AsOf.Era() < km.asOf.Era() || (changes.AsOf.Era() > km.asOf.Era() && !changes.Full)) {
+		return nil
+	}
 	var updated []Object
 	listed := map[string]bool{}
 	for _, o := range changes.Objects {
@@ -133,14 +141,16 @@
 }
 
 // AsOf returns the revision up to which a kind is known; 0 for none.
-func (m *Mirror) AsOf(kind Kind) uint64 { return m.ensureKind(kind).asOf }
+func (m *Mirror) AsOf(kind Kind) types.Revision { return m.ensureKind(kind).asOf }
 
-// Since returns the changes after a revision, for another host's mirror.
-func (m *Mirror) Since(kind Kind, revision uint64) Changes {
+// Since returns the changes after a revision, for another host's mirror. They are a full list
+// if the revision is of an earlier era.
+func (m *Mirror) Since(kind Kind, revision types.Revision) Changes {
 	km := m.ensureKind(kind)
-	out := Changes{Kind: kind, AsOf: km.asOf, Full: revision < km.tombstonesSince || revision == 0}
+	out := Changes{Kind: kind, AsOf: km.asOf}
+	out.Full = revision == 0 || revision < km.tombstonesSince || revision.Era() < km.asOf.Era()
 	for _, o := range km.objects {
-		if o.Revision > revision && (!out.Full || !o.Deleted) {
+		if (out.Full || o.Revision > revision) && (!out.Full || !o.Deleted) {
 			out.Objects = append(out.Objects, o)
 		}
 	}
--- a/core/proxy/debugstate.go
+++ b/core/proxy/debugstate.go
@@ -27,7 +27,7 @@
 type ObjectsDebug struct {
 	Kind feed.Kind
 	// Revision is the newest revision that the host has seen.
-	Revision uint64
+	Revision types.Revision
 	// Age is the time since the objects were last known to be current; negative for never.
 	Age time.Duration
 }
--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -6,7 +6,7 @@
 )
 
 // applyEndpoint applies an endpoint's record from the store.
-func (m *Machine) applyEndpoint(e catalog.Endpoint, revision uint64) {
+func (m *Machine) applyEndpoint(e catalog.Endpoint, revision types.Revision) {
 	old, known := m.catalog.Endpoint(e.ID)
 	before, _ := m.catalog.PrimaryOf(e.Service)
 	m.catalog.SetEndpoint(e)
@@ -23,7 +23,7 @@
 	m.tickRequested = true
 	if !known || old.Leaving != e.Leaving || old.ClaimsPrimary != e.ClaimsPrimary || moved || restarted {
 		m.log(Info, "endpoint changed", field("endpoint", e.ID), field("service", e.Service), field("draining", e.Leaving),
-			field("claims_primary", e.ClaimsPrimary), field("born", e.StartedUnixMs), field("revision", revision))
+			field("claims_primary", e.ClaimsPrimary), field("born", e.StartedUnixMs), field("revision", revision.Number()))
 	}
 	if o := m.owned[e.ID]; o != nil {
 		o.pool.Configure(m.poolConfig(e))
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -34,7 +34,7 @@
 // gossipState is the state of the gossip between hosts about the revisions of the platform's
 // objects. It lets a host without access to the store receive changes from other hosts.
 type gossipState struct {
-	newestRevisions map[feed.Kind]uint64
+	newestRevisions map[feed.Kind]types.Revision
 	advertiseAt     types.Time
 	gaps            map[feed.Kind]*revisionGap
 	// exchangedAt is the time of the last anti-entropy exchange.
@@ -43,7 +43,7 @@
 
 // revisionGap is a revision of a kind that other hosts know and this host lacks.
 type revisionGap struct {
-	revision uint64
+	revision types.Revision
 	// sources are hosts that know the revision.
 	sources []types.Host
 	since   types.Time
@@ -64,7 +64,7 @@
 }
 
 // addSource records that a host knows a revision.
-func (g *revisionGap) addSource(h types.Host, revision uint64) {
+func (g *revisionGap) addSource(h types.Host, revision types.Revision) {
 	if revision > g.revision {
 		g.revision, g.sources = revision, nil
 	}
@@ -86,6 +86,7 @@
 
 // applyChanges applies objects received from the store or from another host.
 func (m *Machine) applyChanges(c feed.Changes) {
+	m.noteEra(c.AsOf)
 	changed := m.mirror.Apply(c)
 	for _, o := range changed {
 		m.applyObject(o)
@@ -108,7 +109,7 @@
 	}
 	change, err := m.settings.Decoder.Decode(o)
 	if err != nil {
-		m.log(Warn, "object not usable", field("kind", string(o.Kind)), field("name", o.Name), field("revision", o.Revision), field("error", err.Error()))
+		m.log(Warn, "object not usable", field("kind", string(o.Kind)), field("name", o.Name), field("revision", o.Revision.Number()), field("error", err.Error()))
 		// The earlier revision of an endpoint or a host is no longer valid either.
 		m.applyDeletion(o)
 		return
@@ -116,7 +117,7 @@
 	switch {
 	case change.Config != nil:
 		if m.catalog.SetConfig(*change.Config) {
-			m.log(Info, "configuration in force", field("version", change.Config.Version), field("revision", o.Revision), field("routes", len(change.Config.Routes)))
+			m.log(Info, "configuration in force", field("version", change.Config.Version), field("revision", o.Revision.Number()), field("era", o.Revision.Era()), field("routes", len(change.Config.Routes)))
 			m.updatePoolLimits()
 		}
 	case change.Endpoint != nil:
@@ -183,7 +184,7 @@
 			continue
 		}
 		gap.requestedFrom, gap.requestedAt = source, m.now
-		m.log(Debug, "objects asked of another host", field("peer", source), field("kind", string(k)), field("revision", gap.revision))
+		m.log(Debug, "objects asked of another host", field("peer", source), field("kind", string(k)), field("revision", gap.revision.Number()))
 		requests[source] = append(requests[source], Revision{Kind: k, Revision: m.gossip.newestRevisions[k]})
 	}
 	for host, since := range ordered(requests) {
@@ -278,7 +279,7 @@
 // handleDigest records the revisions that this host lacks and another host knows. It replies
 // with a digest if the other host lacks revisions.
 func (m *Machine) handleDigest(from types.Host, d Digest) {
-	theirs := map[feed.Kind]uint64{}
+	theirs := map[feed.Kind]types.Revision{}
 	for _, r := range d.Revisions {
 		if !slices.Contains(Kinds, r.Kind) {
 			// A host of another version may know more kinds.
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -82,6 +82,7 @@
 	peers   map[types.Host]*peer
 	gossip  gossipState
 	refresh refreshState
+	restore restoreState
 	stop    stopState
 	// dataCentres describes the paths to the other data centres. isolatedSince is the time at
 	// which this host became isolated; zero if it is not.
@@ -131,7 +132,7 @@
 		reachabilityRequesters: map[types.Endpoint][]types.Host{},
 
 		peers:   map[types.Host]*peer{},
-		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}, newestRevisions: map[feed.Kind]uint64{}},
+		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}, newestRevisions: map[feed.Kind]types.Revision{}},
 		refresh: newRefreshState(),
 
 		dataCentres: map[types.DataCentre]*dataCentreState{},
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -107,7 +107,7 @@
 // Revision is the newest known revision of a kind of object.
 type Revision struct {
 	Kind     feed.Kind
-	Revision uint64
+	Revision types.Revision
 }
 
 // Digest advertises the newest revisions that the sender knows.
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -388,8 +388,7 @@
 // storeSim is the platform's store. It also decodes the objects.
 type storeSim struct {
 	sim      *simulation
-	revision uint64
-	mirror   *feed.Mirror
+	revision types.Revision
 	current  map[string]feed.Object
 	values   map[string]proxy.Change
 	watchers []*hostSim
@@ -402,7 +401,7 @@
 }
 
 func newStore(sim *simulation) *storeSim {
-	return &storeSim{sim: sim, revision: 10, delay: storeDelay, mirror: feed.New(), current: map[string]feed.Object{}, values: map[string]proxy.Change{}}
+	return &storeSim{sim: sim, revision: 10, delay: storeDelay, current: map[string]feed.Object{}, values: map[string]proxy.Change{}}
 }
 
 // Decode returns the value of an object.
@@ -411,7 +410,7 @@
 func (s *storeSim) serves(h *hostSim) bool { return !s.down && !s.sim.storeCut[h.id] }
 
 // put stores an object and notifies the watchers.
-func (s *storeSim) put(k feed.Kind, name string, value proxy.Change) uint64 {
+func (s *storeSim) put(k feed.Kind, name string, value proxy.Change) types.Revision {
 	s.revision++
 	key := fmt.Sprintf("%s/%s/%d", k, name, s.revision)
 	if value.Leadership != nil {
@@ -430,7 +429,6 @@
 }
 
 func (s *storeSim) publish(o feed.Object) {
-	s.mirror.Apply(feed.Changes{Kind: o.Kind, AsOf: s.revision, Objects: []feed.Object{o}})
 	if o.Deleted {
 		delete(s.current, string(o.Kind)+"/"+o.Name)
 	} else {
@@ -513,6 +511,7 @@
 			current := catalog.Leadership{Service: c.Record.Service}
 			if o, ok := s.current[string(proxy.KindLeadership)+"/"+string(c.Record.Service)]; ok {
 				current = *s.values[string(o.Data)].Leadership
+				current.Revision = o.Revision
 			}
 			if current.Revision == c.Record.Revision {
 				current = c.Record
--- a/node/gateway/debugstate.go
+++ b/node/gateway/debugstate.go
@@ -64,7 +64,7 @@
 		Configuration: api.Configuration{Version: state.Version, Routes: []api.DatabaseRoute{}},
 	}
 	for _, o := range state.Objects {
-		out.Objects = append(out.Objects, api.Objects{Kind: string(o.Kind), Revision: o.Revision, Age: o.Age})
+		out.Objects = append(out.Objects, api.Objects{Kind: string(o.Kind), Revision: o.Revision.Number(), Age: o.Age})
 	}
 	for _, r := range state.Routes {
 		out.Configuration.Routes = append(out.Configuration.Routes, api.DatabaseRoute{
--- a/node/gateway/ports.go
+++ b/node/gateway/ports.go
@@ -59,8 +59,8 @@
 	// several seconds old.
 	List(ctx context.Context, k feed.Kind, current bool) (feed.Changes, error)
 	// Watch returns the changes after revision since. It returns no changes if none
-	// occur within wait.
-	Watch(ctx context.Context, k feed.Kind, since uint64, wait time.Duration) (feed.Changes, error)
+	// occur within wait. Changes of another era than that of since count as expired history.
+	Watch(ctx context.Context, k feed.Kind, since types.Revision, wait time.Duration) (feed.Changes, error)
 	// PutHost creates or replaces a host's record.
 	PutHost(ctx context.Context, h catalog.Host) error
 	// Claim stores a leadership record if the stored record still has the revision that
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -9,6 +9,7 @@
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/proxy"
+	"baobabfield.example/core/types"
 )
 
 const (
@@ -95,7 +96,7 @@
 
 // watchKind lists one kind of object and watches it until the context ends.
 func (g *Gateway) watchKind(ctx context.Context, store Store, k feed.Kind) {
-	var since uint64
+	var since types.Revision
 	var retry backoff
 	// After the history has expired, the changes missing from a stale list cannot be
 	// read, so the next list must be current.
@@ -144,14 +145,14 @@
 		return
 	}
 	g.logs.Enqueue(proxy.Log{Level: proxy.Debug, Event: "store objects listed", Fields: []proxy.Field{
-		{Key: "kind", Value: string(k)}, {Key: "era", Value: c.Era}, {Key: "as_of", Value: c.AsOf}, {Key: "objects", Value: len(c.Objects)},
+		{Key: "kind", Value: string(k)}, {Key: "era", Value: c.AsOf.Era()}, {Key: "as_of", Value: c.AsOf.Number()}, {Key: "objects", Value: len(c.Objects)},
 	}})
 	g.post(proxy.StoreReadResult{Changes: c})
 }
 
 // readOrWatchChanges lists a kind if since is 0, and otherwise waits for its changes
 // after since.
-func readOrWatchChanges(ctx context.Context, store Store, k feed.Kind, since uint64, current bool) (feed.Changes, error) {
+func readOrWatchChanges(ctx context.Context, store Store, k feed.Kind, since types.Revision, current bool) (feed.Changes, error) {
 	storeCalls.Inc()
 	if since == 0 {
 		return store.List(ctx, k, current)
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -114,7 +114,7 @@
 func decodeRevisions(r *meshpb.Revisions) []proxy.Revision {
 	var out []proxy.Revision
 	for _, k := range r.GetKinds() {
-		out = append(out, proxy.Revision{Kind: feed.Kind(k.GetKind()), Revision: k.GetRevision()})
+		out = append(out, proxy.Revision{Kind: feed.Kind(k.GetKind()), Revision: types.Revision(k.GetRevision())})
 	}
 	return out
 }
@@ -122,7 +122,7 @@
 func decodeChanges(c *meshpb.ObjectChanges) ([]feed.Changes, error) {
 	var out []feed.Changes
 	for _, k := range c.GetKinds() {
-		changes := feed.Changes{Kind: feed.Kind(k.GetKind()), AsOf: k.GetAsOf(), Full: k.GetFull()}
+		changes := feed.Changes{Kind: feed.Kind(k.GetKind()), AsOf: types.Revision(k.GetAsOf()), Full: k.GetFull()}
 		for _, o := range k.GetObjects() {
 			data := o.GetData()
 			if len(o.GetDeflated()) > 0 {
@@ -132,7 +132,7 @@
 				}
 			}
 			changes.Objects = append(changes.Objects, feed.Object{
-				Kind: changes.Kind, Name: o.GetName(), Revision: o.GetRevision(), Deleted: o.GetDeleted(), Data: data,
+				Kind: changes.Kind, Name: o.GetName(), Revision: types.Revision(o.GetRevision()), Deleted: o.GetDeleted(), Data: data,
 			})
 		}
 		out = append(out, changes)
--- a/wire/peerwire/deflate.go
+++ b/wire/peerwire/deflate.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/types"
 )
 
 const (
@@ -31,7 +32,7 @@
 }
 
 type compressedVersion struct {
-	revision uint64
+	revision types.Revision
 	data     []byte
 }
 
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -123,7 +123,7 @@
 func encodeRevisions(list []proxy.Revision) *meshpb.Revisions {
 	out := &meshpb.Revisions{}
 	for _, r := range list {
-		out.Kinds = append(out.Kinds, &meshpb.KindRevision{Kind: string(r.Kind), Revision: r.Revision})
+		out.Kinds = append(out.Kinds, &meshpb.KindRevision{Kind: string(r.Kind), Revision: uint64(r.Revision)})
 	}
 	return out
 }
@@ -131,9 +131,9 @@
 func (enc *Encoder) encodeChanges(kinds []feed.Changes) *meshpb.ObjectChanges {
 	out := &meshpb.ObjectChanges{}
 	for _, c := range kinds {
-		k := &meshpb.KindChanges{Kind: string(c.Kind), AsOf: c.AsOf, Full: c.Full}
+		k := &meshpb.KindChanges{Kind: string(c.Kind), AsOf: uint64(c.AsOf), Full: c.Full}
 		for _, o := range c.Objects {
-			stored := &meshpb.StoredObject{Name: o.Name, Revision: o.Revision, Deleted: o.Deleted}
+			stored := &meshpb.StoredObject{Name: o.Name, Revision: uint64(o.Revision), Deleted: o.Deleted}
 			if len(o.Data) >= minCompressedBytes {
 				stored.Deflated = enc.cache.compress(&o)
 			} else {
--- a/wire/peerwire/fuzz_test.go
+++ b/wire/peerwire/fuzz_test.go
@@ -27,7 +27,7 @@
 	switch o.Kind {
 	case proxy.KindConfig:
 		return proxy.Change{Config: &catalog.Config{
-			Version: o.Revision, Routes: []catalog.Route{{Database: "d", Service: "s", StatementTimeout: time.Second, TargetLatency: time.Second}},
+			Version: o.Revision.Number(), Routes: []catalog.Route{{Database: "d", Service: "s", StatementTimeout: time.Second, TargetLatency: time.Second}},
 			Services: []catalog.Service{{Name: "s", MaxConnections: 40}},
 		}}, nil
 	case proxy.KindEndpoints:
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -67,7 +67,7 @@
 }
 
 // largeChanges returns changes with one object of about size bytes that compresses well.
-func largeChanges(revision uint64, size int) proxy.ChangesResponse {
+func largeChanges(revision types.Revision, size int) proxy.ChangesResponse {
 	return proxy.ChangesResponse{Kinds: []feed.Changes{{Kind: "k", AsOf: revision, Objects: []feed.Object{
 		{Kind: "k", Name: "o", Revision: revision, Data: bytes.Repeat([]byte("route "), size/6)},
 	}}}}
@@ -75,7 +75,7 @@
 
 func TestLargeObjectsAreCompressed(t *testing.T) {
 	enc := peerwire.NewEncoder()
-	for _, revision := range []uint64{7, 7, 8} {
+	for _, revision := range []types.Revision{7, 7, 8} {
 		msg := largeChanges(revision, 1<<20)
 		f := enc.Encode(msg)
 		if n := proto.Size(f); n > 1<<17 {
