core, platform: keep leadership and fencing tokens across a restore of the store

Cause: the restored store holds an earlier leadership record than the hosts know, or none. Its token is granted again; its primary is a replaced one. The condition of a claim compares revisions that mean something else now: it fails for good where the record is gone, and may hold by chance.

Tokens now begin anew above all earlier ones with each era. A record is kept as long as the store has only an earlier one, and the owner of the primary writes it again. A claim counts as stored only in the era of its condition. A campaign waits until the record of the present era is known.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -123,10 +123,39 @@
 	// none.
 	Candidate types.Endpoint
 	// Revision is the revision of the record in the store, for conditional
-	// updates.
+	// updates. Without a number, the store has no record.
 	Revision types.Revision
 }
 
+// progress returns how far the campaign of the record's token has come.
+func (l *Leadership) progress() int {
+	switch {
+	case !l.CampaignOpen:
+		return 2
+	case l.Candidate != "":
+		return 1
+	}
+	return 0
+}
+
+// isEarlierThan reports whether a record was written before another one, by their content.
+func (l *Leadership) isEarlierThan(other *Leadership) bool {
+	if l.FencingToken != other.FencingToken {
+		return l.FencingToken < other.FencingToken
+	}
+	return l.progress() < other.progress()
+}
+
+// tokenEraBits is the position of the era in a fencing token.
+const tokenEraBits = 32
+
+// NextToken returns the fencing token that follows a token. Tokens of a later era of the store
+// are greater than all earlier ones, since a restored store may have lost the last ones.
+func NextToken(token, era uint64) uint64 { return max(token, era<<tokenEraBits) + 1 }
+
+// TokenEra returns the era in which a fencing token was granted.
+func TokenEra(token uint64) uint64 { return token >> tokenEraBits }
+
 // removalGracePeriod is the time for which an endpoint is kept after its record has
 // been deleted from the store. Endpoints whose records expire during an outage of
 // the store register again within two seconds of its recovery.
@@ -152,6 +181,9 @@
 	// sortedHosts caches the hosts, ordered by id. It is nil after a change.
 	sortedHosts []Host
 	leadership  map[types.Service]Leadership
+	// lostLeadership holds the services of which the store has an earlier record than the
+	// known one, or none.
+	lostLeadership map[types.Service]bool
 }
 
 // New returns an empty catalog.
@@ -164,6 +196,7 @@
 		endpointsByService: map[types.Service][]Endpoint{},
 		hosts:              map[types.Host]Host{},
 		leadership:         map[types.Service]Leadership{},
+		lostLeadership:     map[types.Service]bool{},
 	}
 }
 
@@ -326,16 +359,42 @@
 	return "", false
 }
 
-// SetLeadership stores the leadership record of a service. It returns false, and
-// changes nothing, if the revision is not higher than the current one.
+// SetLeadership stores the leadership record of a service. It returns false, and changes
+// nothing, if the revision is not higher than the current one. If the store was restored and
+// the record is earlier than the known one, the known one stays, with the new revision.
 func (c *Catalog) SetLeadership(record Leadership) bool {
-	if old, ok := c.leadership[record.Service]; ok && record.Revision <= old.Revision {
+	old, known := c.leadership[record.Service]
+	switch {
+	case known && record.Revision <= old.Revision:
+		return false
+	case known && record.isEarlierThan(&old):
+		old.Revision = record.Revision
+		c.leadership[record.Service] = old
+		c.lostLeadership[record.Service] = true
+		return false
+	}
+	delete(c.lostLeadership, record.Service)
+	c.leadership[record.Service] = record
+	return true
+}
+
+// AmendLeadership replaces what is known of a service's leadership by a record that the store
+// does not have. It returns false, and changes nothing, if the known record is a later one.
+func (c *Catalog) AmendLeadership(record Leadership) bool {
+	old := c.leadership[record.Service]
+	if record.isEarlierThan(&old) {
 		return false
 	}
+	record.Revision = old.Revision
 	c.leadership[record.Service] = record
+	c.lostLeadership[record.Service] = true
 	return true
 }
 
+// IsLeadershipLost reports whether the store has an earlier leadership record of a service
+// than the known one, or none.
+func (c *Catalog) IsLeadershipLost(s types.Service) bool { return c.lostLeadership[s] }
+
 // Leadership returns the leadership record of a service. Without one, it returns a
 // record that holds only the service's name.
 func (c *Catalog) Leadership(service types.Service) Leadership {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -70,3 +70,21 @@
 	h, _ := c.Host("h")
 	is.True(!h.Leaving)
 }
+
+func TestLeadershipOfRestoredStoreDoesNotReplaceLaterOne(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	known := catalog.Leadership{Service: "s", FencingToken: 5, Primary: "e2", Revision: types.EraStart(1) + 40}
+	is.True(c.SetLeadership(known))
+	restored := catalog.Leadership{Service: "s", FencingToken: 4, Primary: "e1", Revision: types.EraStart(2) + 30}
+	is.True(!c.SetLeadership(restored))
+	is.True(c.IsLeadershipLost("s"))
+	is.Equal(c.Leadership("s").Primary, types.Endpoint("e2"))
+	is.Equal(c.Leadership("s").Revision, restored.Revision) // the condition of the next claim
+	is.True(!c.SetLeadership(catalog.Leadership{Service: "s", Revision: types.EraStart(3)}))
+	is.Equal(c.Leadership("s").FencingToken, uint64(5))
+	next := catalog.Leadership{Service: "s", FencingToken: catalog.NextToken(5, 3), CampaignOpen: true, Revision: types.EraStart(3) + 31}
+	is.True(c.SetLeadership(next))
+	is.True(!c.IsLeadershipLost("s"))
+	is.Equal(catalog.TokenEra(next.FencingToken), uint64(3))
+}
--- a/core/proxy/effect.go
+++ b/core/proxy/effect.go
@@ -71,8 +71,9 @@
 // EndpointClose closes a connection to an endpoint.
 type EndpointClose struct{ Conn pool.ConnID }
 
-// Claim stores a service's leadership record if the stored record still has Record.Revision;
-// revision 0 means that no record exists.
+// Claim stores a service's leadership record if the stored record still has Record.Revision; a
+// revision without a number means that no record exists. A record that was stored in another era
+// is not reported as stored.
 type Claim struct{ Record catalog.Leadership }
 
 // Promote requests that the platform make an endpoint the primary of its service.
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -39,6 +39,7 @@
 	startedAt        int64
 	conns            map[*connSim]bool
 	token            uint64
+	tokenHolder      types.Host
 }
 
 const testSlots = 3
@@ -377,10 +378,13 @@
 			if other.token > p.FencingToken {
 				sim.recordViolation("promotion with token %d after token %d", p.FencingToken, other.token)
 			}
+			if other.token == p.FencingToken && other.tokenHolder != h.id {
+				sim.recordViolation("promotions with token %d by %s and %s", p.FencingToken, other.tokenHolder, h.id)
+			}
 		}
 		if e != nil && e.alive {
 			result.Outcome = lead.PromotionAccepted
-			e.token = p.FencingToken
+			e.token, e.tokenHolder = p.FencingToken, h.id
 			if !e.primary {
 				sim.schedule(sim.promoteTime, func() { e.becomePrimary() })
 			}
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -99,6 +99,7 @@
 	for _, name := range m.catalog.Services() {
 		s := m.serviceFor(name)
 		m.sendResumeCommands(s)
+		m.rewriteLeadership(s)
 		if c := s.failover.campaign; c != nil {
 			if primary, _ := m.catalog.PrimaryOf(name); !c.IsNeeded(primary) {
 				m.applyActions(s, c.Abandon())
@@ -137,6 +138,11 @@
 		// It does not reach the replicas of the other data centres.
 		return
 	}
+	if record.Revision != 0 && record.Revision.Era() < m.restore.era {
+		// The store was restored, and its record is not known yet.
+		m.requestUrgentRead(KindLeadership)
+		return
+	}
 	if heldByOther && fs.recordChangedAt != 0 && m.now.Sub(fs.recordChangedAt) < rivalClaimTimeout && !m.holderHasRestarted(record) {
 		return
 	}
@@ -168,7 +174,7 @@
 	if spec, ok := m.catalog.Service(s.name); ok && spec.SyncReplicas > 0 {
 		fs.campaign.RequireAllReplicas()
 	}
-	m.log(Warn, "campaign started", field("service", s.name), field("reason", string(reason)), field("old", oldPrimary), field("token", record.FencingToken+1))
+	m.log(Warn, "campaign started", field("service", s.name), field("reason", string(reason)), field("old", oldPrimary), field("token", catalog.NextToken(record.FencingToken, m.restore.era)))
 	m.incrementCounter("baobab_campaigns_total")
 	m.applyActions(s, fs.campaign.Start())
 }
@@ -211,7 +217,8 @@
 	record := fs.claimRecord
 	if fs.campaign.FencingToken == 0 {
 		record = m.catalog.Leadership(s.name)
-		record.FencingToken++
+		record.FencingToken = catalog.NextToken(record.FencingToken, m.restore.era)
+		record.Revision = max(record.Revision, types.EraStart(m.restore.era))
 	}
 	record.Service, record.Holder, record.CampaignOpen, record.Candidate = s.name, m.settings.Host, true, candidate
 	record.HolderStartedUnixMs = m.settings.StartedUnixMs
@@ -230,10 +237,11 @@
 		return
 	}
 	// A conflict with this host's own record counts as stored too: an earlier write may have
-	// been applied without a response.
-	stored := ev.Stored || (ev.CurrentKnown && ev.Current.Holder == m.settings.Host && (c.FencingToken == 0 || ev.Current.FencingToken == c.FencingToken))
+	// been applied without a response. It must have been applied in the era of its token.
+	ownRecord := ev.CurrentKnown && ev.Current.Holder == m.settings.Host && catalog.TokenEra(ev.Current.FencingToken) == ev.Current.Revision.Era()
+	stored := ev.Stored || (ownRecord && (c.FencingToken == 0 || ev.Current.FencingToken == c.FencingToken))
 	m.log(Info, "claim answered", field("service", s.name), field("won", stored), field("known", ev.CurrentKnown),
-		field("token", ev.Current.FencingToken), field("holder", ev.Current.Holder), field("revision", ev.Current.Revision))
+		field("token", ev.Current.FencingToken), field("holder", ev.Current.Holder), field("revision", ev.Current.Revision.Number()), field("era", ev.Current.Revision.Era()))
 	if !stored {
 		if ev.CurrentKnown || c.FencingToken == 0 {
 			m.endCampaign(s, "")
@@ -328,13 +336,19 @@
 	if newPrimary != "" {
 		record.Primary = newPrimary
 	}
-	m.emit(Claim{Record: record})
-	if newPrimary == "" {
-		return
-	}
-	// The store assigns this record a revision that is at least one higher.
-	record.Revision++
-	if m.catalog.SetLeadership(record) {
+	isCurrentEra := record.Revision.Era() == m.restore.era
+	if isCurrentEra {
+		m.emit(Claim{Record: record})
+	}
+	switch {
+	case newPrimary == "":
+	case isCurrentEra:
+		// The store assigns this record a revision that is at least one higher.
+		record.Revision++
+		if m.catalog.SetLeadership(record) {
+			m.handlePrimaryChange(s.name)
+		}
+	case m.catalog.AmendLeadership(record):
 		m.handlePrimaryChange(s.name)
 	}
 }
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -142,6 +143,8 @@
 	case KindHosts:
 		m.catalog.RemoveHost(types.Host(o.Name))
 		m.clearOwnerCache()
+	case KindLeadership:
+		m.applyLeadership(catalog.Leadership{Service: types.Service(o.Name), Revision: types.EraStart(o.Revision.Era())})
 	}
 }
 
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -134,6 +134,7 @@
 		peers:   map[types.Host]*peer{},
 		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}, newestRevisions: map[feed.Kind]types.Revision{}},
 		refresh: newRefreshState(),
+		restore: restoreState{rewrittenAt: map[types.Service]types.Time{}},
 
 		dataCentres: map[types.DataCentre]*dataCentreState{},
 	}
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -1,12 +1,21 @@
 package proxy
 
-import "baobabfield.example/core/types"
+import (
+	"baobabfield.example/core/feed"
+	"baobabfield.example/core/types"
+)
+
+// After the store was restored from an older copy, leadership records may be older than what
+// the hosts know. Hosts write these records again. The operator and the endpoints do the same
+// with theirs.
 
 // restoreState is what this host knows about restores of the store.
 type restoreState struct {
 	// era is the latest known era of the store.
 	era   uint64
 	known bool
+	// rewrittenAt holds, by service, when this host has last written a leadership record again.
+	rewrittenAt map[types.Service]types.Time
 }
 
 // noteEra records the era of a revision of the store.
@@ -20,3 +29,28 @@
 		s.era = r.Era()
 	}
 }
+
+// rewriteLeadership writes the known leadership record of a service again if the store holds
+// an earlier one. Only the owner of the primary does so.
+func (m *Machine) rewriteLeadership(s *serviceState) {
+	if !m.catalog.IsLeadershipLost(s.name) || s.failover.campaign != nil {
+		return
+	}
+	record := m.catalog.Leadership(s.name)
+	if primary, _ := m.catalog.PrimaryOf(s.name); m.owned[primary] == nil || record.Revision.Era() != m.restore.era {
+		return
+	}
+	if at, ok := m.restore.rewrittenAt[s.name]; ok && m.now.Sub(at) < claimRetryInterval {
+		return
+	}
+	m.restore.rewrittenAt[s.name] = m.now
+	m.log(Info, "leadership record written again", field("service", s.name), field("token", record.FencingToken), field("era", record.Revision.Era()))
+	m.emit(Claim{Record: record})
+}
+
+// requestUrgentRead reads a kind that a decision waits for, unless a read is pending.
+func (m *Machine) requestUrgentRead(k feed.Kind) {
+	if m.now.Sub(m.refresh.readAt[k]) >= urgentRefreshInterval && !m.refresh.isReading(k, m.refresh.readAt[k]) {
+		m.requestRead(k)
+	}
+}
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
 
@@ -78,3 +80,73 @@
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
+
+// The restored record names the old primary and an old token.
+func TestLeadershipLostInRestoreIsKeptAndWrittenAgain(t *testing.T) {
+	for _, empty := range []bool{false, true} {
+		is := is.New(t)
+		sim := newSimulation(t, 54, 3)
+		openAll(sim)
+		if !empty {
+			sim.replacePrimary()
+		}
+		backup := sim.store.backup()
+		sim.replacePrimary()
+		before := sim.storedLeadership(t)
+		sim.store.restore(backup)
+		sim.startHost("h-a9", "a") // knows only what the store holds
+		sim.runFor(3 * time.Second)
+		sim.expectRecentWrite(time.Second)
+		after := sim.storedLeadership(t)
+		is.Equal(after.FencingToken, before.FencingToken)
+		is.Equal(after.Primary, before.Primary)
+		sim.replacePrimary() // with a token that is greater than all before
+		is.True(sim.storedLeadership(t).FencingToken > before.FencingToken)
+		sim.reportViolations()
+	}
+}
+
+// replacePrimary ends the primary and waits for another one, and for the old one to return.
+func (sim *simulation) replacePrimary() {
+	var old *endpointSim
+	for _, e := range sim.sortedEndpoints() {
+		if e.primary {
+			old = e
+		}
+	}
+	old.crash()
+	sim.runFor(4 * time.Second)
+	old.restart()
+	sim.runFor(4 * time.Second)
+}
+
+func (sim *simulation) storedLeadership(t *testing.T) catalog.Leadership {
+	t.Helper()
+	o, ok := sim.store.current[string(proxy.KindLeadership)+"/"+string(testService)]
+	if !ok {
+		t.Fatal("the store has no leadership record")
+	}
+	return *sim.store.values[string(o.Data)].Leadership
+}
+
+// No host remembers the token that the restored store has lost.
+func TestTokenAfterRestoreIsGreaterThanLostOnes(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 56, 2)
+	openAll(sim)
+	backup := sim.store.backup()
+	sim.replacePrimary()
+	before := sim.storedLeadership(t).FencingToken
+	for _, h := range sim.sortedHosts() {
+		sim.killHost(h.id)
+	}
+	sim.store.restore(backup)
+	for _, h := range sim.sortedHosts() {
+		sim.startHost(h.id, h.dc)
+	}
+	sim.runFor(2 * time.Second)
+	openAll(sim)
+	sim.replacePrimary()
+	is.True(sim.storedLeadership(t).FencingToken > before)
+	sim.reportViolations()
+}
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -513,11 +513,12 @@
 				current = *s.values[string(o.Data)].Leadership
 				current.Revision = o.Revision
 			}
-			if current.Revision == c.Record.Revision {
+			if current.Revision.Number() == c.Record.Revision.Number() {
 				current = c.Record
 				current.Revision = s.put(proxy.KindLeadership, string(c.Record.Service), proxy.Change{Leadership: &c.Record})
-				result.Stored = true
+				result.Stored = current.Revision.Era() == c.Record.Revision.Era()
 			}
+			current.Revision = max(current.Revision, types.EraStart(s.revision.Era()))
 			result.CurrentKnown, result.Current = true, current
 		}
 		s.sim.schedule(s.delay, func() {
--- a/node/gateway/ports.go
+++ b/node/gateway/ports.go
@@ -64,7 +64,7 @@
 	// PutHost creates or replaces a host's record.
 	PutHost(ctx context.Context, h catalog.Host) error
 	// Claim stores a leadership record if the stored record still has the revision that
-	// l names. The record selects the host that may promote endpoints of a service. It is
+	// l names, and reports whether it was stored in the era of that revision. The record selects the host that may promote endpoints of a service. It is
 	// not the authority under which the owner uses the primary.
 	Claim(ctx context.Context, l catalog.Leadership) (proxy.ClaimResult, error)
 	// IsHistoryExpired reports whether a Watch failed because its start revision is no
