core/proxy, node/gateway: write the host's record again after a restore of the store

Hosts that start later did not know a host whose record the store had lost, and took one that had started again for its earlier process.

A host whose record is missing or outdated in a later era than the one it started in writes it again, once an era. A record that is still being stored is replaced by the next one; before, the retries of an earlier one could store it last, so that a leaving host's record said that it stays.

Test: TestHostRecordLostInRestoreIsWrittenAgain, which fails without the change.

--- a/core/proxy/effect.go
+++ b/core/proxy/effect.go
@@ -84,8 +84,8 @@
 	FencingToken uint64
 }
 
-// AnnounceLeaving marks this host as leaving in its record in the store.
-type AnnounceLeaving struct{}
+// StoreHostRecord writes this host's record to the store, as leaving or not.
+type StoreHostRecord struct{ Leaving bool }
 
 // Exit ends the process.
 type Exit struct{}
@@ -133,7 +133,7 @@
 func (EndpointClose) isEffect()          {}
 func (Claim) isEffect()                  {}
 func (Promote) isEffect()                {}
-func (AnnounceLeaving) isEffect()        {}
+func (StoreHostRecord) isEffect()        {}
 func (Exit) isEffect()                   {}
 func (Log) isEffect()                    {}
 func (Metric) isEffect()                 {}
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -124,6 +124,9 @@
 	case change.Endpoint != nil:
 		m.applyEndpoint(*change.Endpoint, o.Revision)
 	case change.Host != nil:
+		if change.Host.ID == m.settings.Host {
+			m.checkOwnRecord(o.Revision, change.Host)
+		}
 		m.catalog.SetHost(*change.Host)
 		m.clearOwnerCache()
 		m.retryDeferred(true)
@@ -141,6 +144,10 @@
 	case KindEndpoints:
 		m.catalog.ScheduleEndpointRemoval(m.now, types.Endpoint(o.Name))
 	case KindHosts:
+		if types.Host(o.Name) == m.settings.Host {
+			m.checkOwnRecord(o.Revision, nil)
+			return
+		}
 		m.catalog.RemoveHost(types.Host(o.Name))
 		m.clearOwnerCache()
 	case KindLeadership:
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -1,19 +1,22 @@
 package proxy
 
 import (
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/types"
 )
 
-// After the store was restored from an older copy, leadership records may be older than what
-// the hosts know. Hosts write these records again. The operator and the endpoints do the same
-// with theirs.
+// After the store was restored from an older copy, this host's record may be missing or
+// outdated, and leadership records may be older than what the hosts know. Hosts write these
+// records again. The operator and the endpoints do the same with theirs.
 
 // restoreState is what this host knows about restores of the store.
 type restoreState struct {
-	// era is the latest known era of the store.
-	era   uint64
-	known bool
+	// era is the latest known era of the store; firstEra is the first known one.
+	era, firstEra uint64
+	known         bool
+	// recordStoredIn is the era in which this host has last written its record again.
+	recordStoredIn uint64
 	// rewrittenAt holds, by service, when this host has last written a leadership record again.
 	rewrittenAt map[types.Service]types.Time
 }
@@ -23,13 +26,27 @@
 	s := &m.restore
 	switch {
 	case !s.known:
-		s.known, s.era = true, r.Era()
+		s.known, s.era, s.firstEra = true, r.Era(), r.Era()
 	case r.Era() > s.era:
 		m.log(Warn, "store restored", field("era", r.Era()), field("revision", r.Number()), field("previous_era", s.era))
 		s.era = r.Era()
 	}
 }
 
+// checkOwnRecord writes this host's record again if a restored store does not have it, or has
+// an earlier one. A nil record is one that does not exist.
+func (m *Machine) checkOwnRecord(r types.Revision, record *catalog.Host) {
+	s := &m.restore
+	if r.Era() == s.firstEra || s.recordStoredIn == r.Era() {
+		return
+	}
+	if record == nil || record.StartedUnixMs < m.settings.StartedUnixMs || record.Leaving != m.stop.begun {
+		s.recordStoredIn = r.Era()
+		m.log(Info, "host record written again", field("era", r.Era()), field("leaving", m.stop.begun))
+		m.emit(StoreHostRecord{Leaving: m.stop.begun})
+	}
+}
+
 // rewriteLeadership writes the known leadership record of a service again if the store holds
 // an earlier one. Only the owner of the primary does so.
 func (m *Machine) rewriteLeadership(s *serviceState) {
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -81,6 +81,24 @@
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
 
+// A host without a record is not known to hosts that start later.
+func TestHostRecordLostInRestoreIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 53, 3)
+	backup := sim.store.backup()
+	sim.startHost("h-b9", "b")
+	sim.killHost("h-c0")
+	sim.startHost("h-c0", "c")
+	sim.runFor(2 * time.Second)
+	sim.store.restore(backup)
+	sim.runFor(3 * time.Second)
+	for _, h := range sim.sortedHosts() {
+		o, ok := sim.store.current[string(proxy.KindHosts)+"/"+string(h.id)]
+		is.True(ok)
+		is.Equal(sim.store.values[string(o.Data)].Host.StartedUnixMs, int64(h.incarnation))
+	}
+}
+
 // The restored record names the old primary and an old token.
 func TestLeadershipLostInRestoreIsKeptAndWrittenAgain(t *testing.T) {
 	for _, empty := range []bool{false, true} {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -347,8 +347,8 @@
 		sim.store.read(h, e.Kind)
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
-	case proxy.AnnounceLeaving:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: true}
+	case proxy.StoreHostRecord:
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
--- a/core/proxy/stop.go
+++ b/core/proxy/stop.go
@@ -47,7 +47,7 @@
 	m.stop = stopState{begun: true, begunAt: m.now, grace: grace}
 	m.log(Info, "stop begun", field("grace", grace), field("sessions", len(m.sessions)), field("jobs", len(m.executions)))
 	m.clearOwnerCache()
-	m.emit(AnnounceLeaving{})
+	m.emit(StoreHostRecord{Leaving: true})
 	for h := range ordered(m.peers) {
 		m.sendToHost(h, Leaving{})
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -81,6 +81,8 @@
 	// cancelWatches ends the store watches. It is valid while watching is set.
 	cancelWatches context.CancelFunc
 	watching      bool
+	// cancelHostRecord ends the storing of the host's record.
+	cancelHostRecord context.CancelFunc
 	// activeWriters is the number of caller writers that have not ended.
 	activeWriters int
 	// queuedEvents holds events that the task has queued for the machine itself.
@@ -121,8 +123,9 @@
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
 		peerLinks: map[types.Host]*link{}, addresses: map[types.Host]string{}, encoder: peerwire.NewEncoder(),
-		hostRecord: catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores},
-		counters:   map[string]*metrics.Counter{}, histograms: map[string]*metrics.Histogram{},
+		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores},
+		cancelHostRecord: func() {},
+		counters:         map[string]*metrics.Counter{}, histograms: map[string]*metrics.Histogram{},
 	}
 	g.diagnosticsHandler, err = g.newDiagnosticsHandler()
 	return g, listeners, err
@@ -185,7 +188,7 @@
 	go g.mesh.Run(ctx)
 	go g.acceptPeerStreams(ctx)
 	go g.readInitialLists(ctx, g.settings.Store)
-	go g.storeHostRecord(ctx, g.settings.Store, g.hostRecord)
+	g.startStoringHostRecord(ctx, false)
 	go g.acceptCallers(ctx, listeners[0])
 	go serveHTTP(ctx, listeners[1], http.HandlerFunc(g.serveReadiness))
 	go serveHTTP(ctx, listeners[2], g.diagnosticsHandler)
@@ -270,10 +273,8 @@
 		go g.refreshKind(ctx, g.settings.Store, e.Kind)
 	case proxy.WatchStore:
 		g.setWatching(ctx, e.On)
-	case proxy.AnnounceLeaving:
-		leaving := g.hostRecord
-		leaving.Leaving = true
-		go g.storeHostRecord(ctx, g.settings.Store, leaving)
+	case proxy.StoreHostRecord:
+		g.startStoringHostRecord(ctx, e.Leaving)
 	case proxy.Exit:
 		g.exited = true
 	case proxy.Log:
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -168,6 +168,16 @@
 	g.logs.Enqueue(proxy.Log{Level: level, Event: event, Fields: fields})
 }
 
+// startStoringHostRecord stores the host's record in the background, in place of one that is
+// still being stored.
+func (g *Gateway) startStoringHostRecord(ctx context.Context, leaving bool) {
+	g.cancelHostRecord()
+	ctx, g.cancelHostRecord = context.WithCancel(ctx)
+	record := g.hostRecord
+	record.Leaving = leaving
+	go g.storeHostRecord(ctx, g.settings.Store, record)
+}
+
 // storeHostRecord stores the host's own record and retries until that succeeds or
 // the context ends.
 func (g *Gateway) storeHostRecord(ctx context.Context, store Store, h catalog.Host) {
