core/proxy: an endpoint that leaves stays so when the store is restored

The copy may be from before the endpoint announced its end, so that it got new work until it wrote its record again.

An endpoint that has announced its end stays leaving as long as its record has the same start time.

Test: TestLeavingEndpointStaysLeavingAfterRestore, which fails without the change.

--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -8,6 +8,9 @@
 // applyEndpoint applies an endpoint's record from the store.
 func (m *Machine) applyEndpoint(e catalog.Endpoint, revision types.Revision) {
 	old, known := m.catalog.Endpoint(e.ID)
+	// An endpoint that has announced its end does not come back under the same start time. A
+	// record without the announcement is from before it, for instance from a restored store.
+	e.Leaving = e.Leaving || (known && old.Leaving && old.StartedUnixMs == e.StartedUnixMs)
 	before, _ := m.catalog.PrimaryOf(e.Service)
 	m.catalog.SetEndpoint(e)
 	moved := known && (old.Address != e.Address || old.Service != e.Service || old.DataCentre != e.DataCentre)
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -147,6 +147,23 @@
 	return *sim.store.values[string(o.Data)].Leadership
 }
 
+// The copy is from before the endpoint announced its end.
+func TestLeavingEndpointStaysLeavingAfterRestore(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 55, 3)
+	backup := sim.store.backup()
+	sim.endpoints["e-b"].leaving = true
+	sim.endpoints["e-b"].register()
+	sim.runFor(time.Second)
+	sim.store.restoreObjects(backup)
+	sim.runFor(time.Second)
+	for _, h := range sim.sortedHosts() {
+		for _, e := range h.machine.DebugState(sim.now).Services[0].Endpoints {
+			is.Equal(e.Leaving, e.ID == "e-b")
+		}
+	}
+}
+
 // No host remembers the token that the restored store has lost.
 func TestTokenAfterRestoreIsGreaterThanLostOnes(t *testing.T) {
 	is := is.New(t)
