core/proxy: notice a restore of the store also in replies to claims and missing records

Each leadership record now tells the era, and a full list marks all known records of an earlier era that it does not contain.

Test: TestRestoreIsNoticedInRepliesToClaims, which failed before.

--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -355,6 +355,7 @@
 
 // applyLeadership applies a service's leadership record from the store.
 func (m *Machine) applyLeadership(record catalog.Leadership) {
+	m.noteEra(record.Revision)
 	before, _ := m.catalog.PrimaryOf(record.Service)
 	if !m.catalog.SetLeadership(record) {
 		return
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -93,6 +92,9 @@
 		m.applyObject(o)
 		m.gossip.newestRevisions[o.Kind] = max(m.gossip.newestRevisions[o.Kind], o.Revision)
 	}
+	if c.Full && c.Kind == KindLeadership {
+		m.noteMissingLeadership(c.AsOf)
+	}
 	if len(changed) > 0 && m.gossip.advertiseAt == 0 {
 		m.gossip.advertiseAt = m.now.Add(digestDelay)
 	}
@@ -150,8 +152,6 @@
 		}
 		m.catalog.RemoveHost(types.Host(o.Name))
 		m.clearOwnerCache()
-	case KindLeadership:
-		m.applyLeadership(catalog.Leadership{Service: types.Service(o.Name), Revision: types.EraStart(o.Revision.Era())})
 	}
 }
 
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// noteMissingLeadership records that the store has no record of the services whose records are
+// of an earlier era than a full list. Claims have to create them.
+func (m *Machine) noteMissingLeadership(listed types.Revision) {
+	for _, name := range m.catalog.Services() {
+		if known := m.catalog.Leadership(name).Revision; known != 0 && known.Era() < listed.Era() {
+			m.applyLeadership(catalog.Leadership{Service: name, Revision: types.EraStart(listed.Era())})
+		}
+	}
+}
+
 // rewriteLeadership writes the known leadership record of a service again if the store holds
 // an earlier one. Only the owner of the primary does so.
 func (m *Machine) rewriteLeadership(s *serviceState) {
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -185,3 +185,29 @@
 	is.True(sim.storedLeadership(t).FencingToken > before)
 	sim.reportViolations()
 }
+
+// A host can know a leadership record, or the new era, from the store's reply to a claim alone.
+func TestRestoreIsNoticedInRepliesToClaims(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 57, 1)
+	h := sim.hosts["h-a0"]
+	sim.deliver(h, proxy.StoreChanges{Changes: feed.Changes{Kind: proxy.KindLeadership, AsOf: types.EraStart(1) + 30, Full: true}})
+	reply := func(record catalog.Leadership) {
+		record.Service = testService
+		sim.deliver(h, proxy.ClaimResult{Service: testService, CurrentKnown: true, Current: record})
+	}
+	reply(catalog.Leadership{FencingToken: 7, Primary: "e-b", Revision: types.EraStart(1) + 40})
+	sim.deliver(h, proxy.StoreChanges{Changes: feed.Changes{Kind: proxy.KindLeadership, AsOf: types.EraStart(2) + 35, Full: true}})
+	known := h.machine.DebugState(sim.now).Services[0].Leadership
+	is.Equal(known.Revision, types.EraStart(2)) // a claim has to create the record
+	is.Equal(known.FencingToken, uint64(7))
+
+	reply(catalog.Leadership{FencingToken: 7, Primary: "e-b", Revision: types.EraStart(3) + 20})
+	last := h.logs[len(h.logs)-1]
+	for _, l := range h.logs {
+		if l.Event == "store restored" {
+			last = l
+		}
+	}
+	is.Equal(last.Fields[0], proxy.Field{Key: "era", Value: uint64(3)})
+}
