--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -101,6 +101,18 @@
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
 
+// Guards against further reads of a large configuration while the first is being transferred,
+// which would share a narrow link with it.
+func TestReadIsNotRepeatedWhilePending(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 19, 2)
+	sim.runFor(5 * time.Second)
+	sim.store.delay = 4 * time.Second
+	before := sim.store.reads
+	sim.runFor(sim.store.delay)
+	is.True(sim.store.reads-before <= len(sim.hosts)*len(proxy.Kinds))
+}
+
 // Guards against taking another host's read for one's own without what it has read.
 func TestConfigurationThatCannotBeFetchedIsRead(t *testing.T) {
 	is := is.New(t)
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -175,7 +175,7 @@
 	stagger := m.stagger(order.rank)
 	for _, k := range Kinds {
 		due := m.now.Sub(r.currentAt[k]) >= m.refreshInterval(k)+stagger
-		if due && m.now.Sub(r.readAt[k]) >= refreshRetryInterval+stagger {
+		if due && len(r.pendingReads[k]) == 0 && m.now.Sub(r.readAt[k]) >= refreshRetryInterval+stagger {
 			m.requestRead(k)
 		}
 	}
