core/feed, core/proxy: a deletion known at another revision is not requested for ever

Hosts asked each other for a kind every 0.7 s without end, and, since a notice of a read counts only while nothing is missing, each of them read it from the store.

Cause: a host that learns of a deletion from a full list gives it the list's revision. Another host has another list. The greater revision was advertised, requested and received, but did not count as known, since it changed no object.

The mirror now tells the greatest revision that it holds, deletions included.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -45,6 +45,8 @@
 type kindMirror struct {
 	asOf    types.Revision
 	objects map[string]Object
+	// newest is the greatest revision of an object, deleted ones included.
+	newest types.Revision
 	// tombstonesSince is the revision after which every deletion has a tombstone.
 	tombstonesSince types.Revision
 	// tombstoneCount is the number of deleted objects in the map.
@@ -107,10 +109,15 @@
 	if o.Deleted {
 		km.tombstoneCount++
 	}
-	km.objects[o.Name] = o
+	km.store(o)
 	return !o.Deleted || (known && !old.Deleted)
 }
 
+func (km *kindMirror) store(o Object) {
+	km.objects[o.Name] = o
+	km.newest = max(km.newest, o.Revision)
+}
+
 // deleteUnlisted deletes the objects that a full list does not contain.
 func (km *kindMirror) deleteUnlisted(c Changes, listed map[string]bool) []Object {
 	var out []Object
@@ -119,7 +126,7 @@
 			continue
 		}
 		tombstone := Object{Kind: c.Kind, Name: name, Revision: c.AsOf, Deleted: true}
-		km.objects[name] = tombstone
+		km.store(tombstone)
 		km.tombstoneCount++
 		out = append(out, tombstone)
 	}
@@ -143,6 +150,10 @@
 // AsOf returns the revision up to which a kind is known; 0 for none.
 func (m *Mirror) AsOf(kind Kind) types.Revision { return m.ensureKind(kind).asOf }
 
+// Newest returns the greatest revision of an object of a kind, deleted ones included. Two hosts
+// that know the same deletion from different lists have different revisions for it.
+func (m *Mirror) Newest(kind Kind) types.Revision { return m.ensureKind(kind).newest }
+
 // Since returns the changes after a revision, for another host's mirror. They are a full list
 // if the revision is of an earlier era.
 func (m *Mirror) Since(kind Kind, revision types.Revision) Changes {
--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -157,3 +157,35 @@
 	sort.Slice(out, func(i, j int) bool { return random.Hash(0, string(out[i].id)) > random.Hash(0, string(out[j].id)) })
 	return out
 }
+
+// Hosts that have learned of a deletion from lists of different revisions must not request it
+// from each other again and again.
+func TestDeletionIsNotRequestedAgain(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 20, 4)
+	e := sim.addEndpoint("e-x", "b", false)
+	sim.runFor(time.Second)
+	sim.watchesSilent = true
+	e.alive = false
+	sim.cutDataCentre("b", true)
+	for _, h := range sim.hostsInReadOrder("b") {
+		sim.storeCut[h.id] = true
+	}
+	sim.store.remove(proxy.KindEndpoints, "e-x")
+	for version := uint64(2); version < 30; version++ {
+		sim.configure(version, 3*time.Second)
+		sim.runFor(200 * time.Millisecond)
+		clear(sim.storeCut)
+	}
+	sim.cutDataCentre("b", false)
+	sim.runFor(10 * time.Second)
+	requests := 0
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		if r, ok := msg.(proxy.ChangesRequest); ok && r.Since[0].Kind == proxy.KindEndpoints {
+			requests++
+		}
+		return false
+	}
+	sim.runFor(10 * time.Second)
+	is.Equal(requests, 0)
+}
--- a/core/proxy/debugstate.go
+++ b/core/proxy/debugstate.go
@@ -70,7 +70,7 @@
 		Version: m.catalog.ConfigVersion(), Routes: m.catalog.Routes(),
 	}
 	for _, k := range Kinds {
-		o := ObjectsDebug{Kind: k, Revision: m.gossip.newestRevisions[k], Age: -1}
+		o := ObjectsDebug{Kind: k, Revision: m.mirror.Newest(k), Age: -1}
 		if at, ok := m.refresh.currentAt[k]; ok {
 			o.Age = m.now.Sub(at)
 		}
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -34,9 +34,8 @@
 // gossipState is the state of the gossip between hosts about the revisions of the platform's
 // objects. It lets a host without access to the store receive changes from other hosts.
 type gossipState struct {
-	newestRevisions map[feed.Kind]types.Revision
-	advertiseAt     types.Time
-	gaps            map[feed.Kind]*revisionGap
+	advertiseAt types.Time
+	gaps        map[feed.Kind]*revisionGap
 	// exchangedAt is the time of the last anti-entropy exchange.
 	exchangedAt types.Time
 }
@@ -90,7 +89,6 @@
 	changed := m.mirror.Apply(c)
 	for _, o := range changed {
 		m.applyObject(o)
-		m.gossip.newestRevisions[o.Kind] = max(m.gossip.newestRevisions[o.Kind], o.Revision)
 	}
 	if c.Full && c.Kind == KindLeadership {
 		m.noteMissingLeadership(c.AsOf)
@@ -98,7 +96,7 @@
 	if len(changed) > 0 && m.gossip.advertiseAt == 0 {
 		m.gossip.advertiseAt = m.now.Add(digestDelay)
 	}
-	if gap, ok := m.gossip.gaps[c.Kind]; ok && m.gossip.newestRevisions[c.Kind] >= gap.revision {
+	if gap, ok := m.gossip.gaps[c.Kind]; ok && m.mirror.Newest(c.Kind) >= gap.revision {
 		m.refresh.currentAt[c.Kind] = max(m.refresh.currentAt[c.Kind], gap.readByPeerAt)
 		delete(m.gossip.gaps, c.Kind)
 	}
@@ -195,7 +193,7 @@
 		}
 		gap.requestedFrom, gap.requestedAt = source, m.now
 		m.log(Debug, "objects asked of another host", field("peer", source), field("kind", string(k)), field("revision", gap.revision.Number()))
-		requests[source] = append(requests[source], Revision{Kind: k, Revision: m.gossip.newestRevisions[k]})
+		requests[source] = append(requests[source], Revision{Kind: k, Revision: m.mirror.Newest(k)})
 	}
 	for host, since := range ordered(requests) {
 		m.sendToHost(host, ChangesRequest{Since: since})
@@ -281,7 +279,7 @@
 func (m *Machine) revisions() []Revision {
 	out := make([]Revision, 0, len(Kinds))
 	for _, k := range Kinds {
-		out = append(out, Revision{Kind: k, Revision: m.gossip.newestRevisions[k]})
+		out = append(out, Revision{Kind: k, Revision: m.mirror.Newest(k)})
 	}
 	return out
 }
@@ -296,7 +294,7 @@
 			continue
 		}
 		theirs[r.Kind] = r.Revision
-		if r.Revision <= m.gossip.newestRevisions[r.Kind] {
+		if r.Revision <= m.mirror.Newest(r.Kind) {
 			continue
 		}
 		gap := m.gossip.gaps[r.Kind]
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -132,7 +132,7 @@
 		reachabilityRequesters: map[types.Endpoint][]types.Host{},
 
 		peers:   map[types.Host]*peer{},
-		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}, newestRevisions: map[feed.Kind]types.Revision{}},
+		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}},
 		refresh: newRefreshState(),
 		restore: restoreState{rewrittenAt: map[types.Service]types.Time{}},
 
