--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -133,17 +133,7 @@
 func (m *Machine) startCampaign(s *serviceState, reason lead.Reason, oldPrimary types.Endpoint) {
 	fs := &s.failover
 	record := m.catalog.Leadership(s.name)
-	heldByOther := record.CampaignOpen && record.Holder != m.settings.Host
-	if m.isolatedSince != 0 {
-		// It does not reach the replicas of the other data centres.
-		return
-	}
-	if record.Revision != 0 && record.Revision.Era() < m.restore.era {
-		// The store was restored, and its record is not known yet.
-		m.requestUrgentRead(KindLeadership)
-		return
-	}
-	if heldByOther && fs.recordChangedAt != 0 && m.now.Sub(fs.recordChangedAt) < rivalClaimTimeout && !m.holderHasRestarted(record) {
+	if !m.mayClaim(fs, record) {
 		return
 	}
 	var replicas []types.Endpoint
@@ -179,6 +169,21 @@
 	m.applyActions(s, fs.campaign.Start())
 }
 
+// mayClaim reports whether this host may claim the leadership that a record describes.
+func (m *Machine) mayClaim(fs *failoverState, record catalog.Leadership) bool {
+	if m.isolatedSince != 0 {
+		// It does not reach the replicas of the other data centres.
+		return false
+	}
+	if record.Revision != 0 && record.Revision.Era() < m.restore.era {
+		// The store was restored, and its record is not known yet.
+		m.requestUrgentRead(KindLeadership)
+		return false
+	}
+	heldByOther := record.CampaignOpen && record.Holder != m.settings.Host
+	return !heldByOther || fs.recordChangedAt == 0 || m.now.Sub(fs.recordChangedAt) >= rivalClaimTimeout || m.holderHasRestarted(record)
+}
+
 // holderHasRestarted reports whether the process that holds a claim has ended.
 func (m *Machine) holderHasRestarted(record catalog.Leadership) bool {
 	holder, ok := m.catalog.Host(record.Holder)
