--- a/core/proxy/config_test.go
+++ b/core/proxy/config_test.go
@@ -32,7 +32,7 @@
 	openAll(sim)
 	sim.storeCut["h-b1"], sim.storeCut["h-c0"], sim.storeCut["h-c2"] = true, true, true
 	sim.runFor(time.Second)
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 200*time.Millisecond)
 }
@@ -64,7 +64,7 @@
 	openAll(sim)
 	sim.runFor(time.Second)
 	sim.watchesSilent = true
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 200*time.Millisecond)
 }
@@ -80,7 +80,7 @@
 			sim.cuts[[2]string{string(h.id), string(other.id)}] = h != other
 		}
 	}
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
@@ -96,7 +96,7 @@
 		sim.storeCut[h.id] = h.id != "h-a0"
 	}
 	sim.transferTime = map[types.Host]time.Duration{"h-a0": 250 * time.Millisecond}
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
@@ -123,7 +123,7 @@
 		_, ok := msg.(proxy.ChangesRequest)
 		return ok
 	}
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
@@ -141,7 +141,7 @@
 		}
 	}
 	sim.runFor(2 * time.Second)
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 }
@@ -173,7 +173,7 @@
 	}
 	sim.store.remove(proxy.KindEndpoints, "e-x")
 	for version := uint64(2); version < 30; version++ {
-		sim.configure(version, 3*time.Second)
+		sim.configure(version)
 		sim.runFor(200 * time.Millisecond)
 		clear(sim.storeCut)
 	}
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -58,13 +58,13 @@
 	backup := sim.store.backup()
 	const lost = 20 // versions, so that the numbers of the restored store stay behind
 	for version := range uint64(lost) {
-		sim.configure(2+version, 3*time.Second)
+		sim.configure(2 + version)
 		sim.runFor(100 * time.Millisecond)
 	}
 	sim.store.restore(backup)
-	sim.configure(1+lost, 3*time.Second) // the operator's last version again
+	sim.configure(1 + lost) // the operator's last version again
 	sim.runFor(time.Second)
-	sim.configureRoutes(2+lost, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2+lost, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(maxConfigDelay)
 	sim.checkServesNewDatabase(is, 10*time.Millisecond)
 	sim.reportViolations()
@@ -75,7 +75,7 @@
 	is := is.New(t)
 	sim := newSimulation(t, 52, 4)
 	backup := sim.store.backup()
-	sim.configureRoutes(2, 3*time.Second, "primary-db", "bounded-db", "own-db", "new-db")
+	sim.configureRoutes(2, "primary-db", "bounded-db", "own-db", "new-db")
 	sim.runFor(time.Second)
 	sim.store.restore(backup)
 	sim.runFor(maxConfigDelay)
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -129,7 +129,7 @@
 	for i, dc := range dataCentres {
 		sim.addEndpoint(types.Endpoint("e-"+string(dc)), dc, i == 0)
 	}
-	sim.configure(1, 3*time.Second)
+	sim.configure(1)
 	for _, dc := range dataCentres {
 		for i := range hostsPerDataCentre {
 			sim.startHost(types.Host(fmt.Sprintf("h-%s%d", dc, i)), dc)
@@ -176,13 +176,16 @@
 	}
 }
 
+// testTxIdleTimeout is the idle timeout of transactions in every configuration.
+const testTxIdleTimeout = 3 * time.Second
+
 // configure stores a version of the configuration.
-func (sim *simulation) configure(version uint64, txIdle time.Duration) {
-	sim.configureRoutes(version, txIdle, "primary-db", "bounded-db", "own-db")
+func (sim *simulation) configure(version uint64) {
+	sim.configureRoutes(version, "primary-db", "bounded-db", "own-db")
 }
 
-func (sim *simulation) configureRoutes(version uint64, txIdle time.Duration, databases ...types.Database) {
-	cfg := catalog.Config{Version: version, TxIdleTimeout: txIdle, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
+func (sim *simulation) configureRoutes(version uint64, databases ...types.Database) {
+	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
