--- a/core/types/revision.go
+++ b/core/types/revision.go
@@ -21,7 +21,7 @@
 	return r, nil
 }
 
-// Era returns the number of times that the store had been restored.
+// Era returns the era, which rises with each restore of the store.
 func (r Revision) Era() uint64 { return uint64(r >> revisionNumberBits) }
 
 // Number returns the store's number of the change, for calls to the store.
--- a/soak/restore_test.go
+++ b/soak/restore_test.go
@@ -1,9 +1,6 @@
 package soak
 
 import (
-	"fmt"
-	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,14 +10,7 @@
 // TestConfigurationIsInForceAfterStoreWasRestored guards against hosts that ignore what the
 // store holds after it was restored from an older copy, since its revisions are lower.
 func TestConfigurationIsInForceAfterStoreWasRestored(t *testing.T) {
-	binary := buildHost(t)
-	t.Cleanup(func() { _ = os.Remove(binary) })
-	c := newCluster(t, 2, binary, 6)
-	for _, p := range c.hosts {
-		if reply := p.awaitStartup("primary", time.Now().Add(10*time.Second)); !strings.HasPrefix(reply, "READY") {
-			t.Fatalf("%s does not serve: %q", p.name, reply)
-		}
-	}
+	c := newServingCluster(t, 2, 6)
 	store := c.fleet.Store()
 	backup := store.Backup()
 	for range 5 {
@@ -36,10 +26,5 @@
 	c.addedDatabase = "added"
 	c.storeConfiguration()
 	time.Sleep(configBound)
-	report := reporter(t)
-	for _, p := range c.hosts {
-		if reply := p.startup("added"); !strings.HasPrefix(reply, "READY") {
-			report(fmt.Sprintf("%s replies %q %v after the change", p.name, reply, configBound))
-		}
-	}
+	c.checkServesAddedDatabase()
 }
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -20,14 +20,7 @@
 // TestConfigurationIsInForceAfterConnectionsFellSilent guards against reads that wait on
 // connections which deliver nothing any more while new ones work.
 func TestConfigurationIsInForceAfterConnectionsFellSilent(t *testing.T) {
-	binary := buildHost(t)
-	t.Cleanup(func() { _ = os.Remove(binary) })
-	c := newCluster(t, 1, binary, 9)
-	for _, p := range c.hosts {
-		if reply := p.awaitStartup("primary", time.Now().Add(10*time.Second)); !strings.HasPrefix(reply, "READY") {
-			t.Fatalf("%s does not serve: %q", p.name, reply)
-		}
-	}
+	c := newServingCluster(t, 1, 9)
 	time.Sleep(3 * time.Second) // all kinds of objects have been read again
 	for _, r := range c.relays {
 		r.silenceRequests <- struct{}{}
@@ -37,9 +30,29 @@
 	c.addedDatabase = "added"
 	c.storeConfiguration()
 	time.Sleep(time.Until(silencedAt.Add(undisturbedPeriod)))
-	report := reporter(t)
+	c.checkServesAddedDatabase()
+}
+
+// newServingCluster starts a cluster and waits until all its hosts serve.
+func newServingCluster(t *testing.T, seed uint64, hosts int) *cluster {
+	t.Helper()
+	binary := buildHost(t)
+	t.Cleanup(func() { _ = os.Remove(binary) })
+	c := newCluster(t, seed, binary, hosts)
+	for _, p := range c.hosts {
+		if reply := p.awaitStartup("primary", time.Now().Add(10*time.Second)); !strings.HasPrefix(reply, "READY") {
+			t.Fatalf("%s does not serve: %q", p.name, reply)
+		}
+	}
+	return c
+}
+
+// checkServesAddedDatabase reports the hosts that refuse the added database.
+func (c *cluster) checkServesAddedDatabase() {
+	c.t.Helper()
+	report := reporter(c.t)
 	for _, p := range c.hosts {
-		if reply := p.startup("added"); !strings.HasPrefix(reply, "READY") {
+		if reply := p.startup(c.addedDatabase); !strings.HasPrefix(reply, "READY") {
 			report(fmt.Sprintf("%s replies %q %v after the change", p.name, reply, configBound))
 		}
 	}
