core/proxy, core/feed: log a missing revision by its number; say plainly what a list includes

Found in a last reading: the field missing_revision had the era in it, unlike the other fields of revisions. What Since returns is the same as before.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -161,7 +161,11 @@
 	out := Changes{Kind: kind, AsOf: km.asOf}
 	out.Full = revision == 0 || revision < km.tombstonesSince || revision.Era() < km.asOf.Era()
 	for _, o := range km.objects {
-		if (out.Full || o.Revision > revision) && (!out.Full || !o.Deleted) {
+		included := o.Revision > revision
+		if out.Full {
+			included = !o.Deleted
+		}
+		if included {
 			out.Objects = append(out.Objects, o)
 		}
 	}
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -237,7 +237,7 @@
 		fields = append(fields, field("age", m.now.Sub(at)))
 	}
 	if gap := m.gossip.gaps[k]; gap != nil {
-		fields = append(fields, field("missing_revision", gap.revision), field("missing_for", m.now.Sub(gap.since)))
+		fields = append(fields, field("missing_revision", gap.revision.Number()), field("missing_for", m.now.Sub(gap.since)))
 	}
 	return fields
 }
