--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 // cases holds the scripted cases by name. Each returns the violations that it has seen.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"reused-request-ids": playReusedRequestIDs,
+	"prepared-names":     playPreparedNames,
 }
 
 func main() {
