--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -54,7 +54,8 @@
 type run struct {
 	id, text string
 	// shape is that of an EXECUTE's prepared statement.
-	shape string
+	shape     string
+	arrivedAt time.Time
 	// committed is set if the run has committed a write.
 	committed bool
 }
@@ -190,6 +191,7 @@
 		after, text, _ = strings.Cut(rest, " ")
 	}
 	verb, _, _ := strings.Cut(text, " ")
+	arrivedAt := time.Now()
 	switch verb {
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
 		// A statement takes its time in a slot and takes effect at the end of it.
@@ -197,7 +199,12 @@
 	}
 	i.w.mu.Lock()
 	defer i.w.mu.Unlock()
-	return i.execute(c, id, verb, text, after)
+	before := len(i.runs)
+	out := i.execute(c, id, verb, text, after)
+	if len(i.runs) > before {
+		i.runs[before].arrivedAt = arrivedAt
+	}
+	return out
 }
 
 func (i *instance) execute(c *instanceConn, id, verb, text, after string) string {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"reused-request-ids": playReusedRequestIDs,
 	"prepared-names":     playPreparedNames,
+	"leaving-primary":    playLeavingPrimary,
 }
 
 func main() {
--- a/review/harness/reused_request_ids.go
+++ b/review/harness/reused_request_ids.go
@@ -76,7 +76,7 @@
 			if k%6 == 0 {
 				database, verb = databasePrimary, "WRITE"
 			}
-			wg.Go(func() { w.runOperations(out, name, h, database, verb, end) })
+			wg.Go(func() { w.runOperations(out, name, h, database, verb, 0, end) })
 		}
 	}
 	if trouble {
@@ -96,9 +96,9 @@
 	return out.broken, nil
 }
 
-// runOperations sends one statement after the other, each with a new id. It connects again after
-// the end of a connection.
-func (w *world) runOperations(out *outcome, name string, h *host, database, verb string, end time.Time) {
+// runOperations sends one statement after the other, each with a new id and after a pause. It
+// connects again after the end of a connection.
+func (w *world) runOperations(out *outcome, name string, h *host, database, verb string, pause time.Duration, end time.Time) {
 	var c *client
 	for time.Now().Before(end) {
 		if c == nil {
@@ -108,6 +108,7 @@
 				continue
 			}
 		}
+		time.Sleep(pause)
 		id, text := newID(), fmt.Sprintf("%s %x", verb, rand.IntN(2000))
 		if verb == "WRITE" {
 			text += " greased"
