--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -40,7 +40,6 @@
 	paused     bool
 	log        []commit
 	conns      map[*instanceConn]bool
-	busy       int
 	born       int64
 	seq        int
 	slots      chan struct{}
--- a/review/harness/leaving_primary.go
+++ b/review/harness/leaving_primary.go
@@ -40,7 +40,7 @@
 			i.beat()
 		}
 		for n := range 2 {
-			if _, err := w.addHost(fmt.Sprintf("edge-%s-%d", zone, n+1), zone); err != nil {
+			if err := w.addHost(fmt.Sprintf("edge-%s-%d", zone, n+1), zone); err != nil {
 				return nil, err
 			}
 		}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -46,7 +48,7 @@
 		return exitCannotRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	ctx, cancel := context.WithTimeout(context.Background(), playLimit)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w, err := newWorld(ctx, dir, rec)
 	if err != nil {
@@ -54,13 +56,17 @@
 		return exitCannotRun
 	}
 	defer w.close()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-ctx.Done()
-		if ctx.Err() == context.DeadlineExceeded {
+		select {
+		case <-interrupts:
+			rec.add("judge: the case was interrupted")
+		case <-time.After(playLimit):
 			rec.add("judge: the case took too long")
-			w.close()
-			os.Exit(exitCannotRun)
 		}
+		w.close()
+		os.Exit(exitCannotRun)
 	}()
 	broken, err := fn(w, trouble)
 	if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
--- a/review/harness/prepared_names.go
+++ b/review/harness/prepared_names.go
@@ -17,7 +17,7 @@
 		if _, err := w.addInstance("i-"+zone, zone, k == 0); err != nil {
 			return nil, err
 		}
-		if _, err := w.addHost("edge-"+zone+"-1", zone); err != nil {
+		if err := w.addHost("edge-"+zone+"-1", zone); err != nil {
 			return nil, err
 		}
 	}
--- a/review/harness/reused_request_ids.go
+++ b/review/harness/reused_request_ids.go
@@ -52,7 +52,7 @@
 			}
 			return 6 * time.Millisecond
 		}
-		if _, err := w.addHost("edge-"+zone+"-1", zone); err != nil {
+		if err := w.addHost("edge-"+zone+"-1", zone); err != nil {
 			return nil, err
 		}
 	}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -131,16 +131,13 @@
 
 // host is one host process.
 type host struct {
-	w              *world
-	name, zone     string
-	frontend       string
-	ready          string
-	settingsPath   string
-	cmd            *exec.Cmd
-	ended          chan struct{}
-	logPath        string
-	internalPort   int
-	expectedToStop bool
+	w *world
+	// frontend and ready are the addresses for callers and for readiness probes.
+	name, frontend, ready string
+	settingsPath, logPath string
+	cmd                   *exec.Cmd
+	// ended is closed at the end of the process.
+	ended chan struct{}
 }
 
 // freePorts returns n consecutive ports that are free on loopback.
@@ -168,14 +165,14 @@
 }
 
 // addHost writes the settings of a host, with the limits and bounds of rampas-sul.
-func (w *world) addHost(name, zone string) (*host, error) {
+func (w *world) addHost(name, zone string) error {
 	port, err := freePorts(5)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	at := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", port+k) }
 	h := &host{
-		w: w, name: name, zone: zone, frontend: at(0), ready: at(1), internalPort: port + 3,
+		w: w, name: name, frontend: at(0), ready: at(1),
 		settingsPath: filepath.Join(w.dir, name+".yaml"), logPath: filepath.Join(w.dir, name+".log"),
 	}
 	settings := fmt.Sprintf(`nodeName: %q
@@ -199,10 +196,10 @@
 cloud: {address: %q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
 `, name, zone, h.frontend, h.ready, at(2), port+3, port+4, w.store.address(), w.store.address())
 	if err := os.WriteFile(h.settingsPath, []byte(settings), 0o600); err != nil {
-		return nil, err
+		return err
 	}
 	w.hosts = append(w.hosts, h)
-	return h, nil
+	return nil
 }
 
 // start starts the process as the deploy file says.
