--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -18,6 +18,8 @@
 	demotionDelay = time.Second
 	// connectDelay is the time that a new connection occupies a slot.
 	connectDelay = 12 * time.Millisecond
+	// statusWork is the time that STATUS occupies a slot.
+	statusWork = time.Millisecond
 )
 
 // commit is one entry of an instance's log.
@@ -42,7 +44,9 @@
 	conns      map[*instanceConn]bool
 	born       int64
 	seq        int
-	slots      chan struct{}
+	// said is what the entry in the store says, but for seq.
+	said  string
+	slots chan struct{}
 	// work returns how long a statement takes.
 	work func(verb, text string) time.Duration
 	// runs are the statements that have run, in order.
@@ -100,7 +104,7 @@
 	return i, nil
 }
 
-// beat writes the instance's entry to the store.
+// beat is a heartbeat. The entry in the store changes when more than seq changes.
 func (i *instance) beat() {
 	i.w.mu.Lock()
 	if !i.running {
@@ -115,6 +119,12 @@
 	if i.draining {
 		state = "draining"
 	}
+	said := role + state + i.address
+	if said == i.said {
+		i.w.mu.Unlock()
+		return
+	}
+	i.said = said
 	entry := map[string]any{
 		"service": serviceName, "address": i.address, "zone": i.zone, "version": "v1", "capacity": cap(i.slots), "state": state,
 		"warmupLeftMs": 0, "dbRole": role, "seq": i.seq, "born": i.born,
@@ -195,6 +205,8 @@
 	case "READ", "WRITE", "EXECUTE", "COMMIT":
 		// A statement takes its time in a slot and takes effect at the end of it.
 		i.inSlot(i.work(verb, text))
+	case "STATUS":
+		i.inSlot(statusWork)
 	}
 	i.w.mu.Lock()
 	defer i.w.mu.Unlock()
