core/proxy: a result for an earlier process of a host reaches no other caller

Cause: requests, transactions and position requests were numbered from 1 in each process, and an owner's reply names the host and the number only. The owner that was suspended over the restart answered the old statements to the new process. The same numbers let a transaction of the new process continue an old one, and a retry had the number of its first attempt.

Change: the numbers start at a random point in each process, and each attempt has its own. No message changes, so that hosts of both builds work side by side.

--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -28,6 +28,7 @@
 
 // request is a caller's statement from its arrival until its reply.
 type request struct {
+	// id identifies the latest attempt.
 	id      RequestID
 	session *session
 	query   pool.Query
@@ -67,8 +68,7 @@
 
 // forwardStatement creates a request for a statement and sends it to an endpoint.
 func (m *Machine) forwardStatement(s *session, q pool.Query) {
-	m.nextRequestID++
-	r := &request{id: m.nextRequestID, session: s, query: q, arrivedAt: m.now}
+	r := &request{session: s, query: q, arrivedAt: m.now}
 	switch {
 	case s.tx != nil:
 		r.route, r.needsPrimary = s.tx.route, s.tx.needsPrimary
@@ -92,12 +92,21 @@
 	r.deadline = m.now.Add(timeout)
 	r.due = m.now.Add(r.route.TargetLatency)
 	s.currentRequest = r
-	m.requests[r.id] = r
 	m.attemptRequest(r)
 }
 
+// assignID gives an attempt of a request its own ID. The owner may still answer an earlier
+// attempt that counts as lost.
+func (m *Machine) assignID(r *request) {
+	delete(m.requests, r.id)
+	m.nextRequestID++
+	r.id = m.nextRequestID
+	m.requests[r.id] = r
+}
+
 // attemptRequest selects an endpoint and its owner and sends the request there.
 func (m *Machine) attemptRequest(r *request) {
+	m.assignID(r)
 	r.deferredAt = 0
 	if !r.continuesTx {
 		if reason := m.selectEndpoint(r); reason != types.ReasonNone {
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -39,7 +39,8 @@
 	// ConfigBound is the time within which an accepted configuration has to be in force, and
 	// LeavingBound that after which an endpoint that leaves gets no new work; 0 for 3 s and 7 s.
 	ConfigBound, LeavingBound time.Duration
-	// Seed initialises the pseudo-random number generator.
+	// Seed initialises the pseudo-random number generator. It must differ between the processes
+	// that a host runs one after the other, see Machine.firstNumber.
 	Seed uint64
 	// Decoder decodes the objects read from the platform's store.
 	Decoder Decoder
@@ -89,6 +90,11 @@
 	dataCentres   map[types.DataCentre]*dataCentreState
 	isolatedSince types.Time
 
+	// firstNumber is where the numbers start that other processes return: of requests,
+	// transactions and position requests. It is random, so that a reply to an earlier process
+	// of this host matches nothing.
+	firstNumber uint64
+
 	nextRequestID   RequestID
 	nextTxID        TxID
 	nextConnID      pool.ConnID
@@ -112,9 +118,11 @@
 
 // New returns a Machine with an empty catalog.
 func New(settings Settings) *Machine {
+	first := random.Mix(settings.Seed) >> 1 // far from the end of the range
 	return &Machine{
 		settings:     settings,
 		rng:          random.New(settings.Seed),
+		firstNumber:  first,
 		catalog:      catalog.New(),
 		mirror:       feed.New(),
 		sessions:     map[SessionID]*session{},
@@ -137,6 +145,9 @@
 		restore: restoreState{rewrittenAt: map[types.Service]types.Time{}},
 
 		dataCentres: map[types.DataCentre]*dataCentreState{},
+
+		nextRequestID: RequestID(first),
+		nextTxID:      TxID(first),
 	}
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -9,10 +9,11 @@
 	"baobabfield.example/core/types"
 )
 
-// RequestID identifies a request at its frontend, the host that the caller is connected to.
+// RequestID identifies an attempt of a request at its frontend, the host that the caller is
+// connected to. No two processes of a host use the same one.
 type RequestID uint64
 
-// TxID identifies a transaction at its frontend.
+// TxID identifies a transaction at its frontend, as RequestID does a request.
 type TxID uint64
 
 // Message is a message between hosts: Hello, ExecRequest, ExecResult, EndTx, PositionRequest,
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -54,7 +54,7 @@
 func (m *Machine) serviceFor(name types.Service) *serviceState {
 	s := m.services[name]
 	if s == nil {
-		s = &serviceState{name: name}
+		s = &serviceState{name: name, positionRequestSeq: m.firstNumber}
 		s.failover.observed = map[types.Endpoint]observedPosition{}
 		m.services[name] = s
 	}
--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
 
@@ -87,3 +88,87 @@
 		t.Error("the primary was replaced")
 	}
 }
+
+// The owner of the primary is suspended, and a host with statements there is killed and started
+// again. The results of those statements must not reach the callers of the new process, and its
+// transactions must not continue the old ones.
+func TestResultsForKilledHostReachNoOtherCaller(t *testing.T) {
+	const killed = types.Host("h-b0")
+	for _, kind := range []string{"read", "write", "tx"} {
+		for wait := 50 * time.Millisecond; wait <= 150*time.Millisecond; wait += 50 * time.Millisecond {
+			t.Run(fmt.Sprintf("%s/%v", kind, wait), func(t *testing.T) {
+				sim := newSimulation(t, 34, 1)
+				// The killed process has sent nothing before, as the new one has not.
+				for range 10 {
+					sim.callers.openSession(killed, "primary-db", kind)
+				}
+				sim.setSuspended("h-a0", true)
+				sim.runFor(wait)
+				sim.killHost(killed)
+				sim.startHost(killed, "b")
+				sim.runFor(100 * time.Millisecond)
+				sim.setSuspended("h-a0", false)
+				sim.runFor(3 * time.Second)
+				sim.reportViolations()
+				sim.expectRecentWriteOrRead(time.Second)
+			})
+		}
+	}
+}
+
+// expectRecentWriteOrRead fails the test if no operation succeeded within the given time.
+func (sim *simulation) expectRecentWriteOrRead(limit time.Duration) {
+	sim.t.Helper()
+	if age := sim.now.Sub(sim.callers.lastOK); age > limit {
+		sim.t.Errorf("no operation succeeded for %v", age)
+	}
+}
+
+// A reply to an earlier attempt, or to an earlier process of the host, must not match a later
+// request. So no number may be sent for two of them.
+func TestNumbersOfRequestsAreNotReused(t *testing.T) {
+	type sender struct {
+		host types.Host
+		kind string
+	}
+	seen := map[sender]map[uint64]string{}
+	for seed := uint64(35); seed < 40; seed++ {
+		sim := newSimulation(t, seed, 2)
+		clear(seen)
+		use := func(from types.Host, kind string, number uint64, what string) {
+			key := sender{from, kind}
+			if seen[key] == nil {
+				seen[key] = map[uint64]string{}
+			}
+			if earlier, ok := seen[key][number]; ok && (earlier != what || kind != "transaction") {
+				sim.recordViolation("%s of %s: number %d is used for %s and for %s", kind, from, number, earlier, what)
+			}
+			seen[key][number] = what
+		}
+		sim.isLost = func(from types.Host, msg proxy.Message) bool {
+			process := fmt.Sprintf("process %d", sim.hosts[from].incarnation)
+			switch msg := msg.(type) {
+			case proxy.ExecRequest:
+				use(from, "request", uint64(msg.ID), process+", statement "+msg.Query.ID)
+				if msg.Tx != 0 {
+					use(from, "transaction", uint64(msg.Tx), process+", caller "+callerOf(msg.Query.ID))
+				}
+			case proxy.PositionRequest:
+				use(from, "position request", msg.Seq, process)
+			}
+			return false
+		}
+		openAll(sim)
+		for range 8 {
+			injectFault(sim)
+			h := sim.sortedHosts()[sim.rng.IntN(len(sim.hosts))]
+			if h.alive {
+				sim.killHost(h.id)
+			}
+			sim.startHost(h.id, h.dc)
+		}
+		sim.heal()
+		sim.runFor(3 * time.Second)
+		sim.reportViolations()
+	}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"net"
 	"net/http"
 	"time"
@@ -118,7 +120,7 @@
 		machine: proxy.New(proxy.Settings{
 			Host: settings.Host, DataCentre: settings.DataCentre, Decoder: settings.Decoder,
 			MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores,
-			ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, Seed: random.Hash(uint64(now.UnixNano()), string(settings.Host)),
+			ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, Seed: newSeed(now, settings.Host),
 		}),
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
@@ -131,6 +133,14 @@
 	return g, listeners, err
 }
 
+// newSeed returns a seed that no other process of the host has. The system's random numbers
+// alone would do; the time stands in for them where the system repeats them.
+func newSeed(now time.Time, h types.Host) uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return random.Hash(binary.LittleEndian.Uint64(b[:])^uint64(now.UnixNano()), string(h))
+}
+
 // post sends a message to the gateway's task unless the task has ended.
 func (g *Gateway) post(msg any) { mailbox.Post(g.inbox, g.stopped, msg) }
 
