core/proxy: a claim is matched by its write, not by its host

A host that was killed after its claim was stored, and whose next process read an older list of the leadership records, took the earlier process's claim for its own: the store refused its claim with a record of the same holder. It then promoted another endpoint with the token that the earlier process had used.

A refused claim counted as stored if the record's holder had the host's name, and results of claims and promotions named the service only, so that those of an ended campaign reached the next one.

Change: each write of a leadership record has an ID of its own, which the record and the result carry. A record counts as the campaign's claim if it holds an ID of the campaign's writes, or of writes of earlier campaigns that never knew of a token. Results of promotions name the endpoint and the token. The revision that the store gives to the last write of a campaign is no longer guessed: the claim of another host that got that number would have been ignored.

TestAnswerAboutEarlierCandidateDoesNotExcludeNext guards the results of promotions.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -125,6 +125,9 @@
 	// Revision is the revision of the record in the store, for conditional
 	// updates. Without a number, the store has no record.
 	Revision types.Revision
+	// WriteID identifies the write that stored the record; 0 if its host is of a build that
+	// assigns none.
+	WriteID uint64
 }
 
 // progress returns how far the campaign of the record's token has come.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -228,10 +228,25 @@
 	c.HandleStatus(startTime, lead.Command{Endpoint: "b", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
 	c.HandleStatus(startTime, lead.Command{Endpoint: "c", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
 	first := reportOldPrimaryAbsent(c, startTime).Promote
-	second := c.HandlePromotionResult(startTime, lead.PromotionNotRunning).Promote
+	second := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning).Promote
 	is.True(second != "" && second != first)
 }
 
+// Requests are repeated, so that the platform can still answer one for a candidate that has been
+// replaced. The answer says nothing about the next candidate.
+func TestAnswerAboutEarlierCandidateDoesNotExcludeNext(t *testing.T) {
+	is := is.New(t)
+	c, first := requestPromotion(t)
+	c.RecordPromotionRequest()
+	second := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning).Promote
+	c.RecordPromotionRequest()
+	a := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning)
+	is.True(!a.Ended && a.Promote == "")
+	is.True(c.IsPromotionUnsettled())
+	a = c.HandleStatus(startTime, lead.Command{Endpoint: second}, lead.Status{Primary: true, Term: 4})
+	is.Equal(a.NewPrimary, second)
+}
+
 // requestPromotion advances a new campaign against "a" until it requests a promotion, and
 // returns the campaign and the candidate.
 func requestPromotion(t *testing.T) (*lead.Campaign, types.Endpoint) {
@@ -251,7 +266,7 @@
 func TestUnansweredPromotionIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
 	c, candidate := requestPromotion(t)
-	c.HandlePromotionResult(startTime, lead.PromotionUnknown)
+	c.HandlePromotionResult(startTime, candidate, lead.PromotionUnknown)
 	requests := 0
 	for at := startTime; at.Before(startTime.Add(20 * time.Second)); at = at.Add(40 * time.Millisecond) {
 		a := c.Tick(at)
@@ -270,8 +285,8 @@
 // and resume the replicas.
 func TestRefusedPromotionIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	c, _ := requestPromotion(t)
-	c.HandlePromotionResult(startTime, lead.PromotionRefused)
+	c, candidate := requestPromotion(t)
+	c.HandlePromotionResult(startTime, candidate, lead.PromotionRefused)
 	a := c.Tick(startTime.Add(3100 * time.Millisecond))
 	is.True(a.Ended && a.NewPrimary == "")
 	is.Equal(len(a.Commands), 2)
@@ -423,8 +438,8 @@
 	for _, cmd := range c.HandleClaimResult(startTime, 1).Commands {
 		c.HandleStatus(startTime, cmd, lead.Status{Term: 3, FencedTerm: 4})
 	}
-	reportOldPrimaryAbsent(c, startTime)
-	c.HandlePromotionResult(startTime.Add(2900*time.Millisecond), lead.PromotionAccepted)
+	candidate := reportOldPrimaryAbsent(c, startTime).Promote
+	c.HandlePromotionResult(startTime.Add(2900*time.Millisecond), candidate, lead.PromotionAccepted)
 	is.True(!c.Tick(startTime.Add(3500 * time.Millisecond)).Ended)
 }
 
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -61,12 +61,13 @@
 // candidate.
 func (c *Campaign) RecordPromotionRequest() { c.unsettledRequests++ }
 
-// HandlePromotionResult processes the outcome of a request.
-func (c *Campaign) HandlePromotionResult(now types.Time, outcome PromotionOutcome) Actions {
+// HandlePromotionResult processes the outcome of a request to promote an endpoint, which may no
+// longer be the candidate.
+func (c *Campaign) HandlePromotionResult(now types.Time, endpoint types.Endpoint, outcome PromotionOutcome) Actions {
 	if outcome == PromotionRefused || outcome == PromotionNotRunning {
 		c.unsettledRequests = max(0, c.unsettledRequests-1)
 	}
-	if c.phase != PhasePromoting {
+	if c.phase != PhasePromoting || endpoint != c.candidate {
 		return Actions{}
 	}
 	switch outcome {
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -39,7 +39,10 @@
 	startedAt        int64
 	conns            map[*connSim]bool
 	token            uint64
-	tokenHolder      types.Host
+	// tokenHolder is the host that has requested the promotion with token, and tokenProcess its
+	// incarnation.
+	tokenHolder  types.Host
+	tokenProcess int
 }
 
 const testSlots = 3
@@ -373,18 +376,18 @@
 	late := sim.promoteCallDelay
 	sim.schedule(storeDelay+late, func() {
 		e := sim.endpoints[p.Endpoint]
-		result := proxy.PromoteResult{Service: p.Service, Outcome: lead.PromotionNotRunning}
+		result := proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Outcome: lead.PromotionNotRunning}
 		for _, other := range sim.sortedEndpoints() {
 			if other.token > p.FencingToken {
 				sim.recordViolation("promotion with token %d after token %d", p.FencingToken, other.token)
 			}
-			if other.token == p.FencingToken && other.tokenHolder != h.id {
-				sim.recordViolation("promotions with token %d by %s and %s", p.FencingToken, other.tokenHolder, h.id)
+			if other.token == p.FencingToken && (other.tokenHolder != h.id || other.tokenProcess != incarnation) {
+				sim.recordViolation("promotions with token %d by process %d of %s and process %d of %s", p.FencingToken, other.tokenProcess, other.tokenHolder, incarnation, h.id)
 			}
 		}
 		if e != nil && e.alive {
 			result.Outcome = lead.PromotionAccepted
-			e.token, e.tokenHolder = p.FencingToken, h.id
+			e.token, e.tokenHolder, e.tokenProcess = p.FencingToken, h.id, incarnation
 			if !e.primary {
 				sim.schedule(sim.promoteTime, func() { e.becomePrimary() })
 			}
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -96,7 +96,9 @@
 // record. Stored is set if the update was applied; otherwise Current is the record in the
 // store if CurrentKnown is set.
 type ClaimResult struct {
-	Service      types.Service
+	Service types.Service
+	// WriteID is that of the update.
+	WriteID      uint64
 	Stored       bool
 	CurrentKnown bool
 	Current      catalog.Leadership
@@ -105,7 +107,10 @@
 // PromoteResult carries the platform's reply to a promotion request.
 type PromoteResult struct {
 	Service types.Service
-	Outcome lead.PromotionOutcome
+	// Endpoint and FencingToken are those of the request.
+	Endpoint     types.Endpoint
+	FencingToken uint64
+	Outcome      lead.PromotionOutcome
 }
 
 // Stop begins a planned stop of the host, which must end within Grace.
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/catalog"
@@ -27,6 +28,10 @@
 	campaign *lead.Campaign
 	// claimRecord is the last record that the store has confirmed as this host's claim.
 	claimRecord catalog.Leadership
+	// claimIDs holds the writes of the campaign, the latest last. It also holds those of earlier
+	// campaigns that have ended without a token: nothing was done with the tokens that these
+	// writes name.
+	claimIDs []uint64
 	// promoteCandidate is set while the record that names the candidate is being stored. The
 	// platform is called once the store has confirmed the record.
 	promoteCandidate types.Endpoint
@@ -227,10 +232,19 @@
 	}
 	record.Service, record.Holder, record.CampaignOpen, record.Candidate = s.name, m.settings.Host, true, candidate
 	record.HolderStartedUnixMs = m.settings.StartedUnixMs
+	fs.claimIDs = append(fs.claimIDs, m.writeLeadership(record))
+}
+
+// writeLeadership emits the write of a leadership record and returns the write's ID.
+func (m *Machine) writeLeadership(record catalog.Leadership) uint64 {
+	m.nextWriteID++
+	record.WriteID = m.nextWriteID
 	m.emit(Claim{Record: record})
+	return record.WriteID
 }
 
-// handleClaimResult handles the store's reply to a claim.
+// handleClaimResult handles the store's reply to a claim. The reply to another write of a record
+// only reports the record.
 func (m *Machine) handleClaimResult(ev ClaimResult) {
 	s := m.serviceFor(ev.Service)
 	fs := &s.failover
@@ -238,16 +252,19 @@
 	if ev.CurrentKnown || ev.Stored {
 		m.applyLeadership(ev.Current)
 	}
-	if c == nil {
+	if c == nil || !slices.Contains(fs.claimIDs, ev.WriteID) {
 		return
 	}
-	// A conflict with this host's own record counts as stored too: an earlier write may have
+	// A conflict with this host's own claim counts as stored too: an earlier write may have
 	// been applied without a response. It must have been applied in the era of its token.
-	ownRecord := ev.CurrentKnown && ev.Current.Holder == m.settings.Host && catalog.TokenEra(ev.Current.FencingToken) == ev.Current.Revision.Era()
+	ownRecord := ev.CurrentKnown && slices.Contains(fs.claimIDs, ev.Current.WriteID) && catalog.TokenEra(ev.Current.FencingToken) == ev.Current.Revision.Era()
 	stored := ev.Stored || (ownRecord && (c.FencingToken == 0 || ev.Current.FencingToken == c.FencingToken))
 	m.log(Info, "claim answered", field("service", s.name), field("won", stored), field("known", ev.CurrentKnown),
 		field("token", ev.Current.FencingToken), field("holder", ev.Current.Holder), field("revision", ev.Current.Revision.Number()), field("era", ev.Current.Revision.Era()))
 	if !stored {
+		if isLatest := ev.WriteID == fs.claimIDs[len(fs.claimIDs)-1]; !isLatest {
+			return
+		}
 		if ev.CurrentKnown || c.FencingToken == 0 {
 			m.endCampaign(s, "")
 		}
@@ -275,8 +292,8 @@
 	s := m.serviceFor(ev.Service)
 	m.log(Info, "promotion answered", field("service", s.name), field("accepted", ev.Outcome == lead.PromotionAccepted),
 		field("not_running", ev.Outcome == lead.PromotionNotRunning), field("outcome", ev.Outcome.String()))
-	if s.failover.campaign != nil {
-		m.applyActions(s, s.failover.campaign.HandlePromotionResult(m.now, ev.Outcome))
+	if c := s.failover.campaign; c != nil && c.FencingToken == ev.FencingToken {
+		m.applyActions(s, c.HandlePromotionResult(m.now, ev.Endpoint, ev.Outcome))
 	}
 }
 
@@ -341,19 +358,13 @@
 	if newPrimary != "" {
 		record.Primary = newPrimary
 	}
-	isCurrentEra := record.Revision.Era() == m.restore.era
-	if isCurrentEra {
-		m.emit(Claim{Record: record})
-	}
-	switch {
-	case newPrimary == "":
-	case isCurrentEra:
-		// The store assigns this record a revision that is at least one higher.
-		record.Revision++
-		if m.catalog.SetLeadership(record) {
-			m.handlePrimaryChange(s.name)
-		}
-	case m.catalog.AmendLeadership(record):
+	fs.claimIDs = nil
+	if record.Revision.Era() == m.restore.era {
+		m.writeLeadership(record)
+		m.restore.rewrittenAt[s.name] = m.now
+	}
+	// The record's next revision is not known: another host may store its claim first.
+	if newPrimary != "" && m.catalog.AmendLeadership(record) {
 		m.handlePrimaryChange(s.name)
 	}
 }
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -91,12 +91,13 @@
 	isolatedSince types.Time
 
 	// firstNumber is where the numbers start that other processes return: of requests,
-	// transactions and position requests. It is random, so that a reply to an earlier process
-	// of this host matches nothing.
+	// transactions, position requests and writes of leadership records. It is random, so that a
+	// reply to an earlier process of this host matches nothing.
 	firstNumber uint64
 
 	nextRequestID   RequestID
 	nextTxID        TxID
+	nextWriteID     uint64
 	nextConnID      pool.ConnID
 	nextExecutionID pool.RequestID
 	nextPoolTxID    pool.TxID
@@ -148,6 +149,7 @@
 
 		nextRequestID: RequestID(first),
 		nextTxID:      TxID(first),
+		nextWriteID:   first,
 	}
 }
 
--- a/core/proxy/promotion_test.go
+++ b/core/proxy/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -136,3 +137,43 @@
 		sim.expectRecentWrite(time.Second)
 	}
 }
+
+// A host is killed after its claim was stored and the promotion requested. Its next process,
+// whose list of records is older, must not take the claim for its own and use the token again.
+func TestClaimOfKilledProcessIsNotTakenOver(t *testing.T) {
+	for after := time.Duration(0); after <= 60*time.Millisecond; after += 20 * time.Millisecond {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			sim := newSimulation(t, 44, 1)
+			sim.callers.pauseFactor = 4
+			openAll(sim)
+			sim.runFor(time.Second)
+			older := maps.Clone(sim.store.current)
+			asOf := sim.store.revision
+			sim.watchesSilent = true
+			sim.promoteCallDelay = 30 * time.Millisecond
+			sim.endpoints["e-a"].crash()
+			for limit := sim.now.Add(5 * time.Second); sim.leadershipCandidate() == "" && sim.now.Before(limit); {
+				sim.runFor(time.Millisecond)
+			}
+			sim.runFor(after)
+			holder := sim.leadershipHolder()
+			sim.killHost(holder)
+			sim.store.staleObjects, sim.store.staleAsOf = older, asOf
+			sim.startHost(holder, sim.hosts[holder].dc)
+			sim.runFor(2 * time.Second)
+			sim.store.staleObjects = nil
+			sim.runFor(6 * time.Second)
+			sim.reportViolations()
+			sim.expectRecentWrite(time.Second)
+		})
+	}
+}
+
+// leadershipCandidate returns the endpoint that the stored record names as being promoted.
+func (sim *simulation) leadershipCandidate() types.Endpoint {
+	o, ok := sim.store.current[string(proxy.KindLeadership)+"/"+string(testService)]
+	if !ok {
+		return ""
+	}
+	return sim.store.values[string(o.Data)].Leadership.Candidate
+}
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -17,7 +17,8 @@
 	known         bool
 	// recordStoredIn is the era in which this host has last written its record again.
 	recordStoredIn uint64
-	// rewrittenAt holds, by service, when this host has last written a leadership record again.
+	// rewrittenAt holds, by service, when this host has last written a known leadership record
+	// that the store may lack.
 	rewrittenAt map[types.Service]types.Time
 }
 
@@ -72,7 +73,7 @@
 	}
 	m.restore.rewrittenAt[s.name] = m.now
 	m.log(Info, "leadership record written again", field("service", s.name), field("token", record.FencingToken), field("era", record.Revision.Era()))
-	m.emit(Claim{Record: record})
+	m.writeLeadership(record)
 }
 
 // requestUrgentRead reads a kind that a decision waits for, unless a read is pending.
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -395,6 +395,10 @@
 	current  map[string]feed.Object
 	values   map[string]proxy.Change
 	watchers []*hostSim
+	// staleObjects, as of staleAsOf, replaces the objects that lists return, as a replica of the
+	// store does that lags behind; nil for none.
+	staleObjects map[string]feed.Object
+	staleAsOf    types.Revision
 	// reads is the number of hosts' reads.
 	reads int
 	down  bool
@@ -495,7 +499,11 @@
 			return
 		}
 		changes := feed.Changes{Kind: k, AsOf: s.revision, Full: true}
-		for _, o := range s.current {
+		listed := s.current
+		if s.staleObjects != nil {
+			listed, changes.AsOf = s.staleObjects, s.staleAsOf
+		}
+		for _, o := range listed {
 			if o.Kind == k {
 				changes.Objects = append(changes.Objects, o)
 			}
@@ -509,7 +517,7 @@
 func (s *storeSim) claim(h *hostSim, c proxy.Claim) {
 	incarnation := h.incarnation
 	s.sim.schedule(s.delay, func() {
-		result := proxy.ClaimResult{Service: c.Record.Service}
+		result := proxy.ClaimResult{Service: c.Record.Service, WriteID: c.Record.WriteID}
 		if s.serves(h) {
 			current := catalog.Leadership{Service: c.Record.Service}
 			if o, ok := s.current[string(proxy.KindLeadership)+"/"+string(c.Record.Service)]; ok {
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		storeFailures.Inc()
 		g.logStoreEvent(proxy.Warn, "leadership claim failed", proxy.KindLeadership, err)
-		result = proxy.ClaimResult{Service: c.Record.Service}
+		result = proxy.ClaimResult{Service: c.Record.Service, WriteID: c.Record.WriteID}
 	}
 	g.post(result)
 }
@@ -217,5 +217,5 @@
 			{Key: "endpoint", Value: p.Endpoint}, {Key: "outcome", Value: outcome.String()}, {Key: "error", Value: err.Error()},
 		}})
 	}
-	g.post(proxy.PromoteResult{Service: p.Service, Outcome: outcome})
+	g.post(proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Outcome: outcome})
 }
