core/membership: an Ack for an earlier process matches no probe

Probes were numbered from 1 in each process, and an Ack is matched by the number alone. An Ack that was under way while a host restarted could answer its probe of another host, which then did not become suspect for one more round.

The numbers start at a point that depends on the incarnation. TestAckForEarlierProcessMatchesNoProbe fails without the change.

--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -65,6 +65,8 @@
 	m := &Machine{self: cfg.Self, random: random.New(cfg.Seed)}
 	m.self.Incarnation = max(m.self.Incarnation, 1)
 	m.self.State = Alive
+	// An Ack to an earlier process of this host must not match a probe of this one.
+	m.prober.seq = random.Hash(cfg.Seed^uint64(m.self.Incarnation), string(m.self.Host)) >> 1
 	m.table.put(m.self)
 	m.gossip.enqueue(m.self.Host, 1)
 	return m
--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -156,3 +156,32 @@
 	}
 	n.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
 }
+
+// The Ack that a host sent to an earlier process of another one must not answer a probe of a dead
+// host by the next process, whose settings and seed are the same.
+func TestAckForEarlierProcessMatchesNoProbe(t *testing.T) {
+	is := is.New(t)
+	probesOf := func(incarnation Incarnation) map[uint64]bool {
+		m := New(Config{Self: Member{Host: "h1", DataCentre: "a", GossipAddress: "10.0.0.1:7946", Incarnation: incarnation}, Seed: 7})
+		peer := Member{Host: "h2", DataCentre: "a", GossipAddress: "10.0.0.2:7946", Incarnation: 1, State: Alive}
+		seqs := map[uint64]bool{}
+		for now := types.Time(time.Second); now.Before(types.Time(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+			// The peer answers nothing, but its state reaches the host by other messages.
+			peer.Incarnation++
+			effects := append(m.Step(now, Message{From: peer, Body: Digest{}}), m.Step(now, Tick{})...)
+			for _, e := range effects {
+				if s, ok := e.(Send); ok {
+					if ping, ok := s.Message.Body.(Ping); ok {
+						seqs[ping.Seq] = true
+					}
+				}
+			}
+		}
+		return seqs
+	}
+	first, second := probesOf(1000), probesOf(1001)
+	is.True(len(first) > 5 && len(second) > 5)
+	for seq := range second {
+		is.True(!first[seq])
+	}
+}
