core/proxy: an answer to an earlier query about a primary does not keep it

A host that suspects a primary asks others whether they reach it, and leaves it to them for two seconds if one does. Answers named the endpoint only, so that one to an earlier query, also by an earlier process of the host, counted for the present one: a primary that others had reached some seconds before, and that had failed since, was handed over once more instead of replaced.

The queries are numbered, as position requests are, from a random start in each process. Answers without a number come from earlier builds and count as before.

--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -50,8 +50,10 @@
 	replicaResumedAt types.Time
 	// suspect is the endpoint whose reachability other hosts have been queried for; empty for
 	// none.
-	suspect               types.Endpoint
-	suspectedAt           types.Time
+	suspect     types.Endpoint
+	suspectedAt types.Time
+	// suspicionSeq numbers the queries about a suspect.
+	suspicionSeq          uint64
 	reachabilityResponses int
 	reachableFrom         []types.Host
 	// observed holds the positions of the replicas when the primary became silent.
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -77,8 +77,8 @@
 	// restarts holds the endpoints that have restarted or may have restarted.
 	restarts map[types.Endpoint]restartRecord
 	// reachabilityRequesters holds, by endpoint, the hosts that wait for a
-	// ReachabilityResponse.
-	reachabilityRequesters map[types.Endpoint][]types.Host
+	// ReachabilityResponse, and the number of their requests.
+	reachabilityRequesters map[types.Endpoint]map[types.Host]uint64
 
 	peers   map[types.Host]*peer
 	gossip  gossipState
@@ -91,8 +91,8 @@
 	isolatedSince types.Time
 
 	// firstNumber is where the numbers start that other processes return: of requests,
-	// transactions, position requests and writes of leadership records. It is random, so that a
-	// reply to an earlier process of this host matches nothing.
+	// transactions, position and reachability requests, and writes of leadership records. It is
+	// random, so that a reply to an earlier process of this host matches nothing.
 	firstNumber uint64
 
 	nextRequestID   RequestID
@@ -138,7 +138,7 @@
 		services:     map[types.Service]*serviceState{},
 
 		restarts:               map[types.Endpoint]restartRecord{},
-		reachabilityRequesters: map[types.Endpoint][]types.Host{},
+		reachabilityRequesters: map[types.Endpoint]map[types.Host]uint64{},
 
 		peers:   map[types.Host]*peer{},
 		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}},
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -132,12 +132,16 @@
 
 // ReachabilityRequest asks whether the receiver can reach an endpoint as the primary.
 type ReachabilityRequest struct {
+	// Seq is repeated in the response and identifies the request.
+	Seq      uint64
 	Service  types.Service
 	Endpoint types.Endpoint
 }
 
 // ReachabilityResponse is the reply to a ReachabilityRequest.
 type ReachabilityResponse struct {
+	// Seq is that of the request; 0 if the sender is of a build that does not repeat it.
+	Seq      uint64
 	Service  types.Service
 	Endpoint types.Endpoint
 	// IsPrimary is set if the endpoint reported to the sender that it is a primary.
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -55,7 +55,7 @@
 	s := m.services[name]
 	if s == nil {
 		s = &serviceState{name: name, positionRequestSeq: m.firstNumber}
-		s.failover.observed = map[types.Endpoint]observedPosition{}
+		s.failover.observed, s.failover.suspicionSeq = map[types.Endpoint]observedPosition{}, m.firstNumber
 		m.services[name] = s
 	}
 	return s
--- a/core/proxy/suspicion.go
+++ b/core/proxy/suspicion.go
@@ -149,6 +149,7 @@
 func (m *Machine) queryReachability(s *serviceState, primary types.Endpoint) {
 	fs := &s.failover
 	fs.suspect, fs.suspectedAt, fs.reachabilityResponses, fs.reachableFrom = primary, m.now, 0, nil
+	fs.suspicionSeq++
 	m.log(Info, "primary suspected", field("service", s.name), field("endpoint", primary))
 	m.observeReplicas(s.name, primary)
 	var others []types.Host
@@ -158,7 +159,7 @@
 		}
 	}
 	for _, h := range random.Sample(&m.rng, others, reachabilityFanout) {
-		m.sendToHost(h, ReachabilityRequest{Service: s.name, Endpoint: primary})
+		m.sendToHost(h, ReachabilityRequest{Seq: fs.suspicionSeq, Service: s.name, Endpoint: primary})
 	}
 }
 
@@ -196,24 +197,28 @@
 
 // answerReachability answers the pending reachability requests about an endpoint.
 func (m *Machine) answerReachability(e catalog.Endpoint, primary bool) {
-	for _, h := range m.reachabilityRequesters[e.ID] {
-		m.sendToHost(h, ReachabilityResponse{Service: e.Service, Endpoint: e.ID, IsPrimary: primary})
+	for host, seq := range ordered(m.reachabilityRequesters[e.ID]) {
+		m.sendToHost(host, ReachabilityResponse{Seq: seq, Service: e.Service, Endpoint: e.ID, IsPrimary: primary})
 	}
 	delete(m.reachabilityRequesters, e.ID)
 }
 
 func (m *Machine) handleReachabilityRequest(from types.Host, req ReachabilityRequest) {
 	if _, ok := m.catalog.Endpoint(req.Endpoint); !ok {
-		m.sendToHost(from, ReachabilityResponse{Service: req.Service, Endpoint: req.Endpoint})
+		m.sendToHost(from, ReachabilityResponse{Seq: req.Seq, Service: req.Service, Endpoint: req.Endpoint})
 		return
 	}
-	m.reachabilityRequesters[req.Endpoint] = append(removeHost(m.reachabilityRequesters[req.Endpoint], from), from)
+	if m.reachabilityRequesters[req.Endpoint] == nil {
+		m.reachabilityRequesters[req.Endpoint] = map[types.Host]uint64{}
+	}
+	m.reachabilityRequesters[req.Endpoint][from] = req.Seq
 	m.enqueueCommand(lead.Command{Endpoint: req.Endpoint, Op: lead.OpQueryStatus}, purposeReachability)
 }
 
 func (m *Machine) handleReachabilityResponse(from types.Host, resp ReachabilityResponse) {
 	fs := &m.serviceFor(resp.Service).failover
-	if fs.suspect != resp.Endpoint {
+	isEarlier := resp.Seq != 0 && resp.Seq != fs.suspicionSeq
+	if fs.suspect != resp.Endpoint || isEarlier {
 		return
 	}
 	fs.reachabilityResponses++
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -52,10 +52,11 @@
 		kinds, err := decodeChanges(b.Changes)
 		return proxy.ChangesResponse{Kinds: kinds}, err
 	case *meshpb.ProxyMessage_AskReach:
-		return proxy.ReachabilityRequest{Service: types.Service(b.AskReach.GetService()), Endpoint: types.Endpoint(b.AskReach.GetEndpoint())}, nil
+		q := b.AskReach
+		return proxy.ReachabilityRequest{Seq: q.GetNumber(), Service: types.Service(q.GetService()), Endpoint: types.Endpoint(q.GetEndpoint())}, nil
 	case *meshpb.ProxyMessage_Reach:
 		r := b.Reach
-		return proxy.ReachabilityResponse{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}, nil
+		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}, nil
 	}
 	return nil, fmt.Errorf("frame holds %T, not a proxy message", f.GetBody())
 }
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -58,11 +58,11 @@
 		p.Body = &meshpb.ProxyMessage_Changes{Changes: enc.encodeChanges(m.Kinds)}
 	case proxy.ReachabilityRequest:
 		p.Body = &meshpb.ProxyMessage_AskReach{AskReach: &meshpb.EndpointName{
-			Service: string(m.Service), Endpoint: string(m.Endpoint),
+			Number: m.Seq, Service: string(m.Service), Endpoint: string(m.Endpoint),
 		}}
 	case proxy.ReachabilityResponse:
 		p.Body = &meshpb.ProxyMessage_Reach{Reach: &meshpb.ReachAnswer{
-			Service: string(m.Service), Endpoint: string(m.Endpoint), Primary: m.IsPrimary,
+			Number: m.Seq, Service: string(m.Service), Endpoint: string(m.Endpoint), Primary: m.IsPrimary,
 		}}
 	default:
 		panic(fmt.Sprintf("peerwire: message has unknown type %T", msg))
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -48,8 +48,8 @@
 		proxy.ChangesResponse{Kinds: []feed.Changes{{Kind: "k", AsOf: 7, Full: true, Objects: []feed.Object{
 			{Kind: "k", Name: "o", Revision: 7, Deleted: true, Data: []byte("d")},
 		}}}},
-		proxy.ReachabilityRequest{Service: "s", Endpoint: "e"},
-		proxy.ReachabilityResponse{Service: "s", Endpoint: "e", IsPrimary: true},
+		proxy.ReachabilityRequest{Seq: 3, Service: "s", Endpoint: "e"},
+		proxy.ReachabilityResponse{Seq: 3, Service: "s", Endpoint: "e", IsPrimary: true},
 	} {
 		buf, err := proto.Marshal(peerwire.NewEncoder().Encode(msg))
 		if err != nil {
@@ -111,3 +111,24 @@
 		{Kind: "k", Objects: []*meshpb.StoredObject{{Name: "o", Deflated: deflated}}},
 	}}}}
 }
+
+// Frames of the build before reachability requests were numbered, and what that build reads of
+// the present ones: the unknown number is skipped.
+func TestReachabilityMessagesOfEarlierBuild(t *testing.T) {
+	for want, earlier := range map[proxy.Message][]byte{
+		proxy.ReachabilityRequest{Service: "s", Endpoint: "e"}:                   {0x62, 0x08, 0x62, 0x06, 0x0a, 0x01, 's', 0x12, 0x01, 'e'},
+		proxy.ReachabilityResponse{Service: "s", Endpoint: "e", IsPrimary: true}: {0x62, 0x0a, 0x6a, 0x08, 0x0a, 0x01, 's', 0x12, 0x01, 'e', 0x18, 0x01},
+	} {
+		var f meshpb.Frame
+		if err := proto.Unmarshal(earlier, &f); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := peerwire.Decode(&f); err != nil || got != want {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+		buf, err := proto.Marshal(peerwire.NewEncoder().Encode(want))
+		if err != nil || !bytes.Equal(buf, earlier) {
+			t.Errorf("%+v without a number is encoded as % x, %v, want % x", want, buf, err, earlier)
+		}
+	}
+}
