core/pool: two prepared statements never share a name at an endpoint

Cause: the name was derived from the shape, with blanks replaced. The pool does not prepare a name twice. Ruled out: confusion of the clients' own names, and names that a reset leaves behind; shapes that differ in another character are not mixed up.

Change: the names are numbers that each connection counts, and the pool finds them by the template itself.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"baobabfield.example/core/statement"
 	"baobabfield.example/core/types"
@@ -77,7 +78,7 @@
 	if reset {
 		count += 1 + len(c.prepared)
 	}
-	if req.Query.Stmt.Kind == statement.KindExecute && !c.prepared[req.Query.Stmt.Template.PreparedName()] {
+	if req.Query.Stmt.Kind == statement.KindExecute && c.prepared[req.Query.Stmt.Template] == "" {
 		count++
 	}
 	return count
@@ -88,7 +89,7 @@
 	if p.dialsInFlight >= maxConcurrentDials || len(p.connList) >= p.cfg.MaxConnections || now.Before(p.retryDialAt) {
 		return
 	}
-	c := &conn{id: p.nextID(), state: stateDialing, stateSince: now, prepared: map[string]bool{}}
+	c := &conn{id: p.nextID(), state: stateDialing, stateSince: now, prepared: map[statement.Template]string{}}
 	p.connByID[c.id] = c
 	p.connList = append(p.connList, c)
 	p.dialsInFlight++
@@ -149,8 +150,9 @@
 	}
 	stmt := req.Query.Stmt
 	if stmt.Kind == statement.KindExecute {
-		stmt.Name = stmt.Template.PreparedName()
-		if reset || !c.prepared[stmt.Name] {
+		stmt.Name = c.prepared[stmt.Template]
+		if reset || stmt.Name == "" {
+			stmt.Name = c.newPreparedName()
 			out = append(out, Command{ID: internalQueryID, Stmt: statement.Statement{
 				Kind: statement.KindPrepare, Name: stmt.Name, Template: stmt.Template,
 			}})
@@ -171,6 +173,13 @@
 	return append(out, Command{ID: req.Query.ID, Stmt: stmt, MinPosition: minPosition})
 }
 
+// newPreparedName returns a name that no template had on the connection. Sessions share the
+// connection, and the names that they choose collide.
+func (c *conn) newPreparedName() string {
+	c.preparedCount++
+	return "bf." + strconv.Itoa(c.preparedCount)
+}
+
 // sendNextCommand sends the next pending command.
 func (p *Pool) sendNextCommand(now types.Time, c *conn) {
 	c.inFlight = c.pendingCommands[0]
@@ -213,7 +222,7 @@
 	case cmd.Stmt.Kind == statement.KindSet:
 		c.variables = c.variables.With(cmd.Stmt.Name, cmd.Stmt.Value)
 	case cmd.Stmt.Kind == statement.KindPrepare:
-		c.prepared[cmd.Stmt.Name] = true
+		c.prepared[cmd.Stmt.Template] = cmd.Stmt.Name
 	}
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -52,7 +52,10 @@
 	stateSince types.Time
 	openedAt   types.Time
 	variables  statement.SessionVariables
-	prepared   map[string]bool
+	// prepared holds the name under which each template is prepared on the connection.
+	prepared map[statement.Template]string
+	// preparedCount is the number of names that the connection has used.
+	preparedCount int
 	// tx is the open transaction; zero for none.
 	tx TxID
 	// pendingCommands are the commands that remain to be sent for the current request.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -84,8 +84,8 @@
 // Command is one statement or reset to send on a connection.
 type Command struct {
 	ID string
-	// Stmt is the statement. A KindExecute has the shared name of its template, see
-	// statement.Template.PreparedName.
+	// Stmt is the statement. A KindPrepare or KindExecute has the name that the pool gave to
+	// its template on this connection.
 	Stmt statement.Statement
 	// MinPosition is the log position that the endpoint must have reached; zero for
 	// none.
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -4,10 +4,7 @@
 // result code of a reply states whether the statement ran.
 package statement
 
-import (
-	"sort"
-	"strings"
-)
+import "sort"
 
 // Kind is the type of a statement. The zero value stands for a statement that could not be
 // decoded.
@@ -134,14 +131,3 @@
 	}
 	return set, false
 }
-
-// PreparedName returns the name under which the template is prepared at an
-// endpoint. All sessions share it, so that a connection prepares each template
-// once.
-func (t Template) PreparedName() string {
-	access := "r."
-	if t.Writes {
-		access = "w."
-	}
-	return "bf." + access + strings.ReplaceAll(t.Text, " ", "_")
-}
