wire, core/proxy: one caller's bytes do not end a link between hosts

A statement with a byte that is not UTF-8, or an answer above the 2 MiB of a frame, could not be encoded between hosts.

Cause: the text of callers, which may hold any bytes, was declared as string in the messages, and a frame that cannot be encoded counted as a broken link.

Change: these fields are bytes, an answer above the limit is refused alone, and the link skips a frame that cannot be encoded.

Side by side: string and bytes are the same on the wire. TestStatementsOfEarlierBuild compares with frames that encoded, in both directions. That build still cannot read other bytes than UTF-8.

--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 
 	"baobabfield.example/core/catalog"
@@ -34,11 +35,13 @@
 	lag        time.Duration
 	// replyLossPercent is the percentage of replies that are lost.
 	replyLossPercent int
-	leaving          bool
-	slowdown         int
-	startedAt        int64
-	conns            map[*connSim]bool
-	token            uint64
+	// rowBytes is the size of the row that a read returns; 0 for no row.
+	rowBytes  int
+	leaving   bool
+	slowdown  int
+	startedAt int64
+	conns     map[*connSim]bool
+	token     uint64
 	// tokenHolder is the host that has requested the promotion with token, and tokenProcess its
 	// incarnation.
 	tokenHolder  types.Host
@@ -294,6 +297,8 @@
 	}
 	if r.Code != statement.CodeOK {
 		r.Signature = ""
+	} else if stmt.Kind == statement.KindRead && e.rowBytes > 0 {
+		r.Rows = []string{strings.Repeat("x", e.rowBytes)}
 	}
 	r.Position = e.position()
 	r.State = c.state()
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -24,6 +25,11 @@
 	// idleTxGrace is added to the time limit of idle transactions at the owner, since the
 	// frontend is expected to end them first.
 	idleTxGrace = 2 * time.Second
+	// maxReplyBytes is the largest reply that is sent to another host: a larger message would end
+	// the link, which carries the statements of other callers. replyRowOverhead is the size of a
+	// row's tag and length.
+	maxReplyBytes    = 2<<20 - 64<<10
+	replyRowOverhead = 6
 )
 
 // ownedEndpoint is an endpoint at which this host runs statements.
@@ -230,6 +236,13 @@
 
 func (m *Machine) sendResult(ex *execution, res ExecResult) {
 	res.ID = ex.request.ID
+	if size := replyBytes(&res.Reply); size > maxReplyBytes && ex.from != m.settings.Host {
+		m.log(Warn, "answer too large", field("id", ex.request.Query.ID), field("endpoint", ex.endpoint), field("bytes", size), field("limit", maxReplyBytes))
+		res.Reply = statement.Reply{
+			Code: statement.CodeFailed, Text: fmt.Sprintf("the answer of %d bytes exceeds the limit of %d bytes", size, maxReplyBytes),
+			State: res.Reply.State, Position: res.Reply.Position,
+		}
+	}
 	if res.Reason != types.ReasonNone {
 		m.log(Info, "statement ended without an answer", field("id", ex.request.Query.ID), field("endpoint", ex.endpoint),
 			field("from", ex.from), field("primary", ex.request.RequirePrimary), field("ran", res.MayHaveRun), field("reason", res.Reason.String()), field("waited", res.QueueTime))
@@ -237,6 +250,15 @@
 	m.sendToHost(ex.from, res)
 }
 
+// replyBytes returns the approximate size of a reply in a message.
+func replyBytes(r *statement.Reply) int {
+	size := len(r.Text) + len(r.Signature)
+	for _, row := range r.Rows {
+		size += len(row) + replyRowOverhead
+	}
+	return size
+}
+
 // tickOwned maintains authorities, retries waiting executions, and ends idle transactions and
 // unused endpoints.
 func (m *Machine) tickOwned() {
--- a/node/gateway/link.go
+++ b/node/gateway/link.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/mesh"
+	"baobabfield.example/wire/frame"
 	"baobabfield.example/wire/meshpb"
 	"baobabfield.example/wire/peerwire"
 )
@@ -83,7 +85,15 @@
 		case <-s.Ended():
 			return
 		case f := <-out:
-			if s.Send(f) != nil {
+			err := s.Send(f)
+			if errors.Is(err, frame.ErrNotEncodable) {
+				// The link still serves the other messages.
+				g.logs.Enqueue(proxy.Log{Level: proxy.Warn, Event: "peer message cannot be encoded", Fields: []proxy.Field{
+					{Key: "peer", Value: h}, {Key: "error", Value: err.Error()},
+				}})
+				continue
+			}
+			if err != nil {
 				return
 			}
 		}
--- a/wire/frame/frame.go
+++ b/wire/frame/frame.go
@@ -16,21 +16,24 @@
 // MaxBytes is the largest encoded frame, without its length prefix.
 const MaxBytes = 2 << 20
 
+// ErrNotEncodable is returned for a frame of which nothing was written, since it cannot be
+// encoded or exceeds MaxBytes.
+var ErrNotEncodable = errors.New("frame cannot be encoded")
+
 // headerBytes is the size of the length prefix.
 const headerBytes = 4
 
-// Append appends the length prefix and the encoded frame to buf. It fails if the frame
-// exceeds MaxBytes.
+// Append appends the length prefix and the encoded frame to buf. Its errors are ErrNotEncodable.
 func Append(buf []byte, f *meshpb.Frame) ([]byte, error) {
 	start := len(buf)
 	buf = append(buf, 0, 0, 0, 0)
 	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, f)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode frame")
+		return nil, fmt.Errorf("%w: %w", ErrNotEncodable, err)
 	}
 	size := len(buf) - start - headerBytes
 	if size > MaxBytes {
-		return nil, fmt.Errorf("frame of %d bytes exceeds the limit of %d bytes", size, MaxBytes)
+		return nil, fmt.Errorf("%w: %d bytes exceed the limit of %d bytes", ErrNotEncodable, size, MaxBytes)
 	}
 	binary.BigEndian.PutUint32(buf[start:], uint32(size))
 	return buf, nil
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -69,9 +69,9 @@
 	if s == nil || !isStatementKind(s.GetKind()) {
 		return pool.Query{}, fmt.Errorf("statement is missing or has invalid kind %d", s.GetKind())
 	}
-	return pool.Query{ID: s.GetId(), Stmt: statement.Statement{
-		Kind: statement.Kind(s.GetKind()), Text: s.GetText(), Name: s.GetName(), Value: s.GetValue(),
-		Template: statement.Template{Text: s.GetShape(), Writes: s.GetShapeWrites()},
+	return pool.Query{ID: string(s.GetId()), Stmt: statement.Statement{
+		Kind: statement.Kind(s.GetKind()), Text: string(s.GetText()), Name: string(s.GetName()), Value: string(s.GetValue()),
+		Template: statement.Template{Text: string(s.GetShape()), Writes: s.GetShapeWrites()},
 	}}, nil
 }
 
@@ -93,7 +93,7 @@
 		out.Begin = &begin
 	}
 	for _, v := range e.GetValues() {
-		out.Variables = append(out.Variables, statement.SessionVariable{Name: v.GetName(), Value: v.GetValue()})
+		out.Variables = append(out.Variables, statement.SessionVariable{Name: string(v.GetName()), Value: string(v.GetValue())})
 	}
 	return out, nil
 }
@@ -103,10 +103,14 @@
 	if !reason.Valid() || !code.Valid() || state > statement.StateFailed {
 		return nil, fmt.Errorf("result of request %d has invalid reason %d, code %d or state %d", d.GetId(), d.GetReason(), d.GetCode(), d.GetState())
 	}
+	var rows []string
+	for _, row := range d.GetRows() {
+		rows = append(rows, string(row))
+	}
 	return proxy.ExecResult{
 		ID: proxy.RequestID(d.GetId()), MayHaveRun: d.GetRan(), Reason: reason,
 		Reply: statement.Reply{
-			Code: code, Text: d.GetText(), Rows: d.GetRows(), Signature: d.GetSignature(), State: state, Position: decodePoint(d.GetPosition()),
+			Code: code, Text: string(d.GetText()), Rows: rows, Signature: string(d.GetSignature()), State: state, Position: decodePoint(d.GetPosition()),
 		},
 		TxOpen: d.GetTxOpen(), Load: int(d.GetLoad()), QueueTime: microseconds(d.GetWaitedUs()), ServiceTime: microseconds(d.GetServedUs()),
 	}, nil
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -81,15 +81,15 @@
 	if q == nil {
 		return nil
 	}
-	text := q.Stmt.Text
+	text := []byte(q.Stmt.Text)
 	if q.Stmt.Kind == statement.KindExecute {
 		// The owner builds the text from the name and the value, which together hold
 		// all of it.
-		text = ""
+		text = nil
 	}
 	return &meshpb.Statement{
-		Id: q.ID, Kind: uint32(q.Stmt.Kind), Text: text, Name: q.Stmt.Name, Value: q.Stmt.Value,
-		Shape: q.Stmt.Template.Text, ShapeWrites: q.Stmt.Template.Writes,
+		Id: []byte(q.ID), Kind: uint32(q.Stmt.Kind), Text: text, Name: []byte(q.Stmt.Name), Value: []byte(q.Stmt.Value),
+		Shape: []byte(q.Stmt.Template.Text), ShapeWrites: q.Stmt.Template.Writes,
 	}
 }
 
@@ -101,17 +101,21 @@
 		After: encodePoint(e.After),
 	}
 	for _, v := range e.Variables {
-		out.Values = append(out.Values, &meshpb.SessionValue{Name: v.Name, Value: v.Value})
+		out.Values = append(out.Values, &meshpb.SessionValue{Name: []byte(v.Name), Value: []byte(v.Value)})
 	}
 	return out
 }
 
 func encodeExecResult(d *proxy.ExecResult) *meshpb.Done {
-	return &meshpb.Done{
-		Id: uint64(d.ID), Ran: d.MayHaveRun, Reason: uint32(d.Reason), Code: uint32(d.Reply.Code), Text: d.Reply.Text,
-		Rows: d.Reply.Rows, Signature: d.Reply.Signature, State: uint32(d.Reply.State), Position: encodePoint(d.Reply.Position),
+	out := &meshpb.Done{
+		Id: uint64(d.ID), Ran: d.MayHaveRun, Reason: uint32(d.Reason), Code: uint32(d.Reply.Code), Text: []byte(d.Reply.Text),
+		Signature: []byte(d.Reply.Signature), State: uint32(d.Reply.State), Position: encodePoint(d.Reply.Position),
 		TxOpen: d.TxOpen, Load: uint32(d.Load), WaitedUs: uint64(d.QueueTime.Microseconds()), ServedUs: uint64(d.ServiceTime.Microseconds()),
 	}
+	for _, row := range d.Reply.Rows {
+		out.Rows = append(out.Rows, []byte(row))
+	}
+	return out
 }
 
 func encodeDigest(d *proxy.Digest) *meshpb.Revisions {
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"reflect"
 	"testing"
 	"time"
@@ -132,3 +133,71 @@
 		}
 	}
 }
+
+// The bytes that callers send need not be UTF-8. One such statement must not end the link to the
+// owner, which fails the statements of other callers.
+func TestCallerBytesNeedNotBeUTF8(t *testing.T) {
+	const raw = "a\xff\x80 \xc3("
+	query := pool.Query{ID: raw, Stmt: statement.Statement{
+		Kind: statement.KindPrepare, Text: raw, Name: raw, Value: raw, Template: statement.Template{Text: raw},
+	}}
+	for _, msg := range []proxy.Message{
+		proxy.ExecRequest{ID: 1, Service: "s", Endpoint: "e", Query: query, Variables: statement.SessionVariables{{Name: raw, Value: raw}}},
+		proxy.ExecResult{ID: 1, Reply: statement.Reply{Text: raw, Rows: []string{raw, "b\xfe"}, Signature: raw}},
+	} {
+		buf, err := proto.Marshal(peerwire.NewEncoder().Encode(msg))
+		if err != nil {
+			t.Fatalf("%T: %v", msg, err)
+		}
+		var f meshpb.Frame
+		if err := proto.Unmarshal(buf, &f); err != nil {
+			t.Fatalf("%T: %v", msg, err)
+		}
+		if got, err := peerwire.Decode(&f); err != nil || !reflect.DeepEqual(got, msg) {
+			t.Errorf("%T: got %+v, %v, want %+v", msg, got, err, msg)
+		}
+	}
+}
+
+// Hosts of the build before, which declares the text of callers as string, exchange the same
+// bytes. The frames were encoded by that build.
+func TestStatementsOfEarlierBuild(t *testing.T) {
+	begin := newQuery(statement.KindBegin)
+	point := types.LogPoint{Term: 3, Position: 9}
+	for _, c := range []struct {
+		earlier string
+		msg     proxy.Message
+	}{
+		{
+			"62550a5308011201731a01652001280432140a02356310011a017422016e2a017632017138013a140a02356310061a017422016e2a0176320171380142060a0161120162480250cf0f5880897a60c0843d6a0408031009",
+			proxy.ExecRequest{
+				ID: 1, Service: "s", Endpoint: "e", RequirePrimary: true, Tx: 4, Begin: &begin, Query: newQuery(statement.KindWrite),
+				Variables: statement.SessionVariables{{Name: "a", Value: "b"}}, Rank: 2, DueIn: -time.Millisecond, DeadlineIn: time.Second,
+				MaxStaleness: time.Second, After: point,
+			},
+		},
+		{
+			"622a122808011001180720012a01783201613202c3a93a017340014a04080310095001580360e80768c0843d",
+			proxy.ExecResult{
+				ID: 1, MayHaveRun: true, Reason: types.ReasonLate, Load: 3, TxOpen: true, QueueTime: time.Millisecond, ServiceTime: time.Second,
+				Reply: statement.Reply{Code: statement.CodeBusy, Text: "x", Rows: []string{"a", "é"}, Signature: "s", State: statement.StateInTransaction, Position: point},
+			},
+		},
+	} {
+		earlier, err := hex.DecodeString(c.earlier)
+		if err != nil {
+			t.Fatal(err)
+		}
+		buf, err := proto.MarshalOptions{Deterministic: true}.Marshal(peerwire.NewEncoder().Encode(c.msg))
+		if err != nil || !bytes.Equal(buf, earlier) {
+			t.Errorf("%T: encoded as %x, %v, want %x", c.msg, buf, err, earlier)
+		}
+		var f meshpb.Frame
+		if err := proto.Unmarshal(earlier, &f); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := peerwire.Decode(&f); err != nil || !reflect.DeepEqual(got, c.msg) {
+			t.Errorf("%T: got %+v, %v, want %+v", c.msg, got, err, c.msg)
+		}
+	}
+}
