--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -101,6 +101,9 @@
 	// CPUMillicores is the CPU capacity of the host in thousandths of a core, or 0
 	// if it is unknown.
 	CPUMillicores int
+	// AuthorityRules is the version of the rules of package lead by which the host uses a
+	// primary; 0 for builds that state none.
+	AuthorityRules int
 }
 
 // Leadership records which host can promote an endpoint of a service and which
--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -8,6 +8,13 @@
 // pauses the replicas, and then waits for LeaseDuration to pass. The lease also expires
 // while the owner's process is suspended.
 //
+// A majority is enough only on connections that are older than the owner's last read of a
+// leadership record without a campaign. On a newer one the instance may have restarted
+// during a campaign, and no longer hold the campaign's term. Then every replica has to
+// confirm the primary. So a campaign whose primary does not run at its address needs no
+// response of a replica that is silent: it has paused at least one, and whoever connects
+// to the restarted primary gets neither the confirmations of all nor such a read.
+//
 // An Authority returns the status queries that renew the lease, and takes their
 // responses. A Campaign takes the responses of the endpoints, the store and the platform
 // and returns Actions, which the caller carries out. The store grants each campaign a
@@ -22,6 +29,10 @@
 	"baobabfield.example/core/types"
 )
 
+// AuthorityRules is the version of the rules by which an Authority lets its owner use a primary.
+// Version 1 needs more than a majority on new connections.
+const AuthorityRules = 1
+
 const (
 	// LeaseDuration is the greatest age at which a replica's confirmation still
 	// permits the use of the primary. It counts from the time at which the query was
@@ -48,9 +59,8 @@
 	term types.Term
 	// replicas are the service's other listed endpoints.
 	replicas []types.Endpoint
-	// confirmedAt holds, by replica, the send time of the newest query to which the
-	// replica has replied with a confirmation of the primary.
-	confirmedAt map[types.Endpoint]types.Time
+	// confirmations holds, by replica, the newest confirmation of the primary.
+	confirmations map[types.Endpoint]confirmation
 	// queriedAt holds, by endpoint, the time at which the query in flight was sent.
 	queriedAt map[types.Endpoint]types.Time
 	// failedAt holds, by endpoint, the time at which the last query failed.
@@ -62,21 +72,32 @@
 	minConfirmedAt types.Time
 	// nextReplica is the index of the replica to query next, modulo their number.
 	nextReplica int
+	// claimFreeAt is when the owner requested its last read of the service's leadership
+	// record that showed no campaign in progress.
+	claimFreeAt types.Time
 	// fenced is set once the authority has ended for good. fencedBy names the replica
 	// that holds a later term, if one does.
 	fenced   bool
 	fencedBy types.Endpoint
-	// requiredReplica is a replica that held a later term before. The lease needs its
-	// confirmation, since another replica that was paused for the same term may have
-	// restarted and holds the term no longer.
+	// requiredReplica is a replica that held a later term before requiredSince. The lease
+	// needs its confirmation while the campaign that has paused it may be in progress, since
+	// another replica that was paused for the same term may have restarted and holds the
+	// term no longer.
 	requiredReplica types.Endpoint
+	requiredSince   types.Time
+}
+
+// confirmation is a replica's reply that it holds no later term than the primary.
+type confirmation struct {
+	// sentAt is when the query was sent, and openedAt when its connection was opened.
+	sentAt, openedAt types.Time
 }
 
 // NewAuthority returns an authority without any confirmation.
 func NewAuthority(primary types.Endpoint, replicas []types.Endpoint) *Authority {
 	return &Authority{
 		Primary: primary, replicas: replicas,
-		confirmedAt: map[types.Endpoint]types.Time{}, queriedAt: map[types.Endpoint]types.Time{},
+		confirmations: map[types.Endpoint]confirmation{}, queriedAt: map[types.Endpoint]types.Time{},
 		failedAt: map[types.Endpoint]types.Time{},
 	}
 }
@@ -101,35 +122,85 @@
 	if a.requiredReplica != "" && !a.isConfirmationFresh(now, a.requiredReplica) {
 		return false
 	}
-	fresh := 0
+	fresh, covered := 0, 0
 	for _, r := range a.replicas {
 		if a.isConfirmationFresh(now, r) {
 			fresh++
+			if a.isCovered(r) {
+				covered++
+			}
 		}
 	}
-	return fresh >= a.requiredConfirmations()
+	return fresh == len(a.replicas) || covered >= a.requiredConfirmations()
 }
 
-// ConfirmedSince returns the earliest send time of the newest queries with which a
-// majority has confirmed the primary. The lease covers only connections to the primary
-// that were open by then: one opened later may lead to an instance that has restarted
-// since.
+// ConfirmedSince returns the latest time by which a connection to the primary must have been
+// opened for the lease to cover it: one opened later may lead to an instance that has
+// restarted since. It is the earliest send time of the newest queries with which all replicas
+// have confirmed the primary, or those of a majority, but then at most that of the last read
+// without a campaign.
 func (a *Authority) ConfirmedSince(now types.Time) types.Time {
-	if a.requiredConfirmations() == 0 {
+	if len(a.replicas) == 0 {
 		return now
 	}
-	times := make([]types.Time, 0, len(a.replicas))
+	var all, covered []types.Time
 	for _, r := range a.replicas {
-		times = append(times, a.confirmedAt[r])
+		all = append(all, a.confirmations[r].sentAt)
+		if a.isCovered(r) {
+			covered = append(covered, a.confirmations[r].sentAt)
+		}
+	}
+	since := slices.Min(all)
+	if n := len(covered) - a.requiredConfirmations(); n >= 0 {
+		slices.Sort(covered)
+		since = max(since, min(covered[n], a.claimFreeAt))
 	}
-	slices.Sort(times)
-	since := times[len(times)-a.requiredConfirmations()]
 	if a.requiredReplica != "" {
-		since = min(since, a.confirmedAt[a.requiredReplica])
+		since = min(since, a.confirmations[a.requiredReplica].sentAt)
 	}
 	return since
 }
 
+// isCovered reports whether a replica has confirmed the primary on a connection that is older
+// than the last read without a campaign.
+func (a *Authority) isCovered(r types.Endpoint) bool {
+	c, ok := a.confirmations[r]
+	return ok && !a.claimFreeAt.Before(c.openedAt)
+}
+
+// RecordClaimFree records that a read of the leadership record, requested at a time, showed no
+// campaign in progress.
+func (a *Authority) RecordClaimFree(requestedAt types.Time) {
+	a.claimFreeAt = max(a.claimFreeAt, requestedAt)
+	if !a.claimFreeAt.Before(a.requiredSince) {
+		a.requiredReplica = ""
+	}
+}
+
+// UncoveredSince returns when the newest connection was opened that the last read without a
+// campaign does not cover. It returns false if a majority is enough.
+func (a *Authority) UncoveredSince(now types.Time) (types.Time, bool) {
+	if !a.isActive(now) || !a.needsAllReplicas() {
+		return 0, false
+	}
+	since := a.minConfirmedAt
+	for _, r := range a.replicas {
+		since = max(since, a.confirmations[r].openedAt)
+	}
+	return since, true
+}
+
+// needsAllReplicas reports whether the confirmations of a majority are not enough.
+func (a *Authority) needsAllReplicas() bool {
+	covered := 0
+	for _, r := range a.replicas {
+		if a.isCovered(r) {
+			covered++
+		}
+	}
+	return covered < a.requiredConfirmations() || a.claimFreeAt.Before(a.minConfirmedAt)
+}
+
 // RequireConfirmedAfter makes DueQueries return the queries for confirmations that cover
 // the connections to the primary that are open now.
 func (a *Authority) RequireConfirmedAfter(now types.Time) { a.minConfirmedAt = now }
@@ -137,16 +208,16 @@
 // isConfirmationFresh reports whether a replica's confirmation is younger than
 // LeaseDuration.
 func (a *Authority) isConfirmationFresh(now types.Time, r types.Endpoint) bool {
-	at, ok := a.confirmedAt[r]
-	return ok && now.Sub(at) < LeaseDuration
+	c, ok := a.confirmations[r]
+	return ok && now.Sub(c.sentAt) < LeaseDuration
 }
 
 // RequireReplica marks a replica that has held a later term. The lease needs this
-// replica's confirmation for as long as it is listed. A name that is not a listed
-// replica, such as the empty one, has no effect.
-func (a *Authority) RequireReplica(replica types.Endpoint) {
+// replica's confirmation while it is listed, until a read requested from now on shows no
+// campaign. A name that is not a listed replica, such as the empty one, has no effect.
+func (a *Authority) RequireReplica(now types.Time, replica types.Endpoint) {
 	if slices.Contains(a.replicas, replica) {
-		a.requiredReplica = replica
+		a.requiredReplica, a.requiredSince = replica, now
 	}
 }
 
@@ -162,7 +233,7 @@
 // been replaced.
 func (a *Authority) DiscardConfirmations() {
 	a.term = 0
-	clear(a.confirmedAt)
+	clear(a.confirmations)
 	clear(a.queriedAt)
 }
 
@@ -189,15 +260,19 @@
 		return a.appendQuery(now, a.Primary, queries)
 	}
 	if a.requiredReplica != "" {
-		if at, ok := a.confirmedAt[a.requiredReplica]; !ok || now.Sub(at) >= renewInterval {
+		if c, ok := a.confirmations[a.requiredReplica]; !ok || now.Sub(c.sentAt) >= renewInterval {
 			queries = a.appendQuery(now, a.requiredReplica, queries)
 		}
 	}
 	missing := a.requiredConfirmations()
 	for _, r := range a.replicas {
-		if at, ok := a.confirmedAt[r]; ok && now.Sub(at) < renewInterval && !at.Before(a.minConfirmedAt) {
+		isRenewed := a.isRenewed(now, r)
+		if isRenewed {
 			missing--
 		}
+		if at, failed := a.failedAt[r]; !isRenewed && a.needsAllReplicas() && (!failed || now.Sub(at) >= renewInterval) {
+			queries = a.appendQuery(now, r, queries)
+		}
 		if at, ok := a.queriedAt[r]; ok && now.Sub(at) < queryTimeout {
 			missing--
 		}
@@ -214,6 +289,13 @@
 	return queries
 }
 
+// isRenewed reports whether a replica's confirmation is recent and covers the connections to
+// the primary that have to be covered.
+func (a *Authority) isRenewed(now types.Time, r types.Endpoint) bool {
+	c, ok := a.confirmations[r]
+	return ok && now.Sub(c.sentAt) < renewInterval && !c.sentAt.Before(a.minConfirmedAt)
+}
+
 // isActive reports whether the authority is in use and not fenced.
 func (a *Authority) isActive(now types.Time) bool {
 	return !a.fenced && a.used && now.Sub(a.lastUsedAt) < renewIdleLimit
@@ -233,8 +315,8 @@
 }
 
 // HandleStatus processes an endpoint's status. sentAt is the time at which its query
-// was sent.
-func (a *Authority) HandleStatus(endpoint types.Endpoint, sentAt types.Time, status Status) {
+// was sent, and openedAt that at which the query's connection was opened.
+func (a *Authority) HandleStatus(endpoint types.Endpoint, sentAt, openedAt types.Time, status Status) {
 	delete(a.queriedAt, endpoint)
 	if endpoint == a.Primary {
 		a.handlePrimaryStatus(status)
@@ -247,8 +329,8 @@
 		a.fenced, a.fencedBy = true, endpoint
 		return
 	}
-	if at, ok := a.confirmedAt[endpoint]; !ok || at.Before(sentAt) {
-		a.confirmedAt[endpoint] = sentAt
+	if c, ok := a.confirmations[endpoint]; !ok || c.sentAt.Before(sentAt) {
+		a.confirmations[endpoint] = confirmation{sentAt: sentAt, openedAt: openedAt}
 	}
 }
 
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -15,11 +15,16 @@
 	claimTimeout = 1500 * time.Millisecond
 	// promotionTimeout bounds the wait for the candidate to become the primary.
 	promotionTimeout = 3 * time.Second
+	// silentTimeout is the time after which a campaign that may do so goes on without the
+	// replicas that have not responded.
+	silentTimeout = 300 * time.Millisecond
 	// catchUpTimeout bounds the wait of a planned change for the candidate to hold
 	// everything that the old primary has committed. After it, the most advanced
-	// replica is promoted. A campaign that requires all replicas waits for a response of
-	// each one as well.
+	// replica is promoted, if every replica has responded. returnTimeout is the time after
+	// which the old primary is promoted again if one has not: that one may be the only one
+	// that holds the last commits.
 	catchUpTimeout = 2 * time.Second
+	returnTimeout  = 2 * catchUpTimeout
 	// drainWritesTimeout bounds the wait of a planned change for running writes. After
 	// it, the old primary steps down even if writes still run.
 	drainWritesTimeout = 1500 * time.Millisecond
@@ -52,6 +57,13 @@
 	excluded   map[types.Endpoint]bool
 	// requiresAllReplicas is set if no acknowledged commit may be lost.
 	requiresAllReplicas bool
+	// leavesOutSilent is set if all owners follow the rule of package lead on new
+	// connections, so that silent replicas may be left out.
+	leavesOutSilent bool
+	// oldReceived is the old primary's log position at the beginning of a planned change, and
+	// oldResponded is set once it is known.
+	oldReceived  types.LogPoint
+	oldResponded bool
 	// leaving holds the replicas that are about to stop. One of them is chosen only if
 	// no other candidate holds as much of the log.
 	leaving map[types.Endpoint]bool
@@ -103,11 +115,16 @@
 // candidate holds as much of the log.
 func (c *Campaign) AvoidCandidate(endpoint types.Endpoint) { c.leaving[endpoint] = true }
 
-// RequireAllReplicas makes the campaign wait for every listed replica. It is used if a
-// commit is acknowledged once some replica holds it: any one of the replicas may be the
-// only one with the newest commits.
+// RequireAllReplicas makes the campaign wait for every listed replica, unless the old primary
+// shows which replica holds its whole log. It is used if a commit is acknowledged once some
+// replica holds it: any one of the replicas may be the only one with the newest commits.
 func (c *Campaign) RequireAllReplicas() { c.requiresAllReplicas = true }
 
+// LeaveOutSilentReplicas lets the campaign replace an absent primary although a replica does not
+// respond. All hosts that may own the primary must follow the rule of package lead on new
+// connections.
+func (c *Campaign) LeaveOutSilentReplicas() { c.leavesOutSilent = true }
+
 // FinishPromotion makes the campaign choose the candidate of an earlier campaign whose
 // result is not known. The platform may still promote that endpoint, so that any other
 // candidate, or the old primary, would be used alongside it.
@@ -136,36 +153,73 @@
 // queryOldPrimary returns the status query for the old primary, which may have
 // recovered.
 func (c *Campaign) queryOldPrimary() []Command {
-	if c.OldPrimary == "" || c.Reason == ReasonLeaving {
+	if c.OldPrimary == "" {
 		return nil
 	}
 	return []Command{{Endpoint: c.OldPrimary, Op: OpQueryStatus}}
 }
 
-// claimIfReplicasResponded claims the token once every replica that is not excluded has
-// responded. For ReasonReplicasPaused the old primary must have responded too. If all
-// replicas are excluded, the campaign ends.
+// claimIfReplicasResponded claims the token once the replicas have responded that the campaign
+// needs. For ReasonReplicasPaused the old primary must have responded too. If all replicas are
+// excluded, the campaign ends.
 func (c *Campaign) claimIfReplicasResponded(now types.Time) Actions {
-	responded := 0
+	responded, silent := 0, 0
 	for _, r := range c.replicas {
-		if c.excluded[r] {
-			continue
-		}
-		if _, ok := c.statuses[r]; !ok {
-			return Actions{}
+		_, ok := c.statuses[r]
+		switch {
+		case c.excluded[r]:
+		case ok:
+			responded++
+		default:
+			silent++
 		}
-		responded++
 	}
-	if responded == 0 {
+	switch {
+	case responded+silent == 0:
 		return c.endCampaign("")
-	}
-	if c.Reason == ReasonReplicasPaused && !c.oldIsPrimary {
+	case responded == 0, silent > 0 && !c.mayLeaveOutSilent(now),
+		c.Reason == ReasonReplicasPaused && !c.oldIsPrimary,
+		c.Reason == ReasonLeaving && !c.hasCandidateInReach(now):
 		return Actions{}
 	}
 	c.enterPhase(now, PhaseClaiming)
 	return Actions{ClaimToken: true}
 }
 
+// mayLeaveOutSilent reports whether the campaign goes on without the replicas that have not
+// responded in the current phase. A planned change needs only the candidate, since the old
+// primary steps down by itself. The primary of ReasonReplicasPaused stays. An absent primary that
+// restarts is not used without the paused replicas. One that is silent may still be confirmed by
+// any replica that is not paused, and one replica may be the only one with the newest commits if
+// requiresAllReplicas is set.
+func (c *Campaign) mayLeaveOutSilent(now types.Time) bool {
+	if now.Sub(c.phaseStartedAt) < silentTimeout {
+		return false
+	}
+	switch c.Reason {
+	case ReasonLeaving, ReasonReplicasPaused:
+		return true
+	case ReasonAbsent:
+		return c.leavesOutSilent && !c.requiresAllReplicas
+	}
+	return false
+}
+
+// hasCandidateInReach reports whether a replica holds what the old primary held when the change
+// began. Without this the change could hold up all writes for as long as no replica receives any.
+// An old primary that does not respond is not waited for.
+func (c *Campaign) hasCandidateInReach(now types.Time) bool {
+	if !c.oldResponded {
+		return now.Sub(c.phaseStartedAt) >= silentTimeout
+	}
+	for _, r := range c.replicas {
+		if st, ok := c.statuses[r]; ok && !c.excluded[r] && !st.Received.Less(c.oldReceived) {
+			return true
+		}
+	}
+	return false
+}
+
 // HandleClaimResult processes the store's response to a claim. token is 0 if another
 // host holds the claim or the result is unknown.
 func (c *Campaign) HandleClaimResult(now types.Time, token uint64) Actions {
@@ -253,7 +307,9 @@
 }
 
 // HandleFailure processes a command, requested at requestedAt, that got no response.
-// absent is set if nothing listens at the endpoint's address, or another instance does.
+// absent is set if nothing listens at the endpoint's address, or another instance does. An
+// absent replica is left out of the fence only if that was found after the claim: one that
+// restarts before it could be connected to without a campaign in sight.
 func (c *Campaign) HandleFailure(now types.Time, cmd Command, requestedAt types.Time, absent bool) Actions {
 	if c.phase == PhaseSteppingDown && cmd.Endpoint == c.OldPrimary {
 		// The old primary cannot be reached any more, so that it is fenced instead.
@@ -271,9 +327,14 @@
 	case PhaseQueryingReplicas:
 		c.excluded[cmd.Endpoint] = true
 		return c.claimIfReplicasResponded(now)
-	case PhaseFencing:
+	case PhaseFencing, PhaseCatchingUp:
+		if requestedAt.Before(c.phaseStartedAt) {
+			return Actions{}
+		}
 		c.excluded[cmd.Endpoint] = true
-		return c.promoteIfFenced(now)
+		if c.phase == PhaseFencing {
+			return c.promoteIfFenced(now)
+		}
 	}
 	return Actions{}
 }
@@ -289,8 +350,11 @@
 		c.enterPhase(now, PhaseClaiming)
 		return Actions{ClaimToken: true}
 	}
-	if cmd.Endpoint != c.OldPrimary {
+	switch {
+	case cmd.Endpoint != c.OldPrimary:
 		c.statuses[cmd.Endpoint] = st
+	case !c.oldResponded:
+		c.oldResponded, c.oldReceived = true, st.Received
 	}
 	return c.claimIfReplicasResponded(now)
 }
@@ -328,6 +392,7 @@
 	c.oldSteppedDown = true
 	c.catchUpTarget = st.Received
 	clear(c.statuses)
+	clear(c.excluded)
 	c.enterPhase(now, PhaseCatchingUp)
 	c.lastPollAt = now
 	return Actions{Commands: c.queryReplicas()}
@@ -356,9 +421,7 @@
 func (c *Campaign) Tick(now types.Time) Actions {
 	switch c.phase {
 	case PhaseQueryingReplicas:
-		if now.Sub(c.phaseStartedAt) > stepTimeout {
-			return c.endCampaign("")
-		}
+		return c.tickQueryingReplicas(now)
 	case PhaseClaiming:
 		if now.Sub(c.phaseStartedAt) > claimTimeout {
 			return c.endCampaign("")
@@ -371,19 +434,58 @@
 		if now.Sub(c.phaseStartedAt) > stepTimeout {
 			return c.HandleFailure(now, Command{Endpoint: c.OldPrimary}, c.phaseStartedAt, false)
 		}
+		return c.pollIfDue(now, c.queryOldPrimary())
 	case PhaseFencing:
 		return c.tickFencing(now)
 	case PhaseCatchingUp:
-		if now.Sub(c.phaseStartedAt) > catchUpTimeout && (!c.requiresAllReplicas || len(c.statuses) == len(c.replicas)) {
-			return c.promoteMostAdvanced(now)
-		}
-		return c.pollIfDue(now, c.queryReplicas())
+		return c.tickCatchingUp(now)
 	case PhasePromoting:
 		return c.tickPromoting(now)
 	}
 	return Actions{}
 }
 
+// tickQueryingReplicas repeats the queries: a response may have been lost, and a replica of a
+// planned change may have received more meanwhile.
+func (c *Campaign) tickQueryingReplicas(now types.Time) Actions {
+	if now.Sub(c.phaseStartedAt) > stepTimeout {
+		return c.endCampaign("")
+	}
+	if a := c.claimIfReplicasResponded(now); c.phase != PhaseQueryingReplicas {
+		return a
+	}
+	var due []Command
+	for _, r := range c.replicas {
+		st, ok := c.statuses[r]
+		if !ok || (c.Reason == ReasonLeaving && c.oldResponded && st.Received.Less(c.oldReceived)) {
+			due = append(due, Command{Endpoint: r, Op: OpQueryStatus})
+		}
+	}
+	if !c.oldResponded {
+		due = append(due, c.queryOldPrimary()...)
+	}
+	return c.pollIfDue(now, due)
+}
+
+// tickCatchingUp ends the wait for a replica that holds the old primary's whole log.
+func (c *Campaign) tickCatchingUp(now types.Time) Actions {
+	waited := now.Sub(c.phaseStartedAt)
+	allResponded := true
+	for _, r := range c.replicas {
+		_, ok := c.statuses[r]
+		allResponded = allResponded && (ok || c.excluded[r])
+	}
+	switch {
+	case waited > catchUpTimeout && allResponded:
+		return c.promoteMostAdvanced(now)
+	case waited > returnTimeout && !c.excluded[c.OldPrimary]:
+		return c.requestPromotion(now, c.OldPrimary)
+	case waited > returnTimeout && !c.requiresAllReplicas:
+		return c.promoteMostAdvanced(now)
+	}
+	return c.pollIfDue(now, c.queryReplicas())
+}
+
 // pollIfDue returns the commands if pollInterval has passed since the last ones.
 func (c *Campaign) pollIfDue(now types.Time, commands []Command) Actions {
 	if now.Sub(c.lastPollAt) < pollInterval {
--- a/core/lead/fence.go
+++ b/core/lead/fence.go
@@ -7,6 +7,7 @@
 func (c *Campaign) startFencing(now types.Time) Actions {
 	c.enterPhase(now, PhaseFencing)
 	c.lastPollAt = now
+	clear(c.excluded)
 	return Actions{Commands: c.pauseCommands()}
 }
 
@@ -38,6 +39,10 @@
 	case cmd.Op == OpQueryStatus && c.stillPaused != nil:
 		return c.handleVerification(now, cmd.Endpoint, st)
 	case cmd.Op == OpPause && st.FencedTerm >= cmd.Term:
+		if !c.paused[cmd.Endpoint] {
+			// The lease may have been renewed up to now, if the replica had been left out.
+			c.fencedAt, c.stillPaused = 0, nil
+		}
 		c.paused[cmd.Endpoint], c.pauseTerms[cmd.Endpoint] = true, cmd.Term
 		return c.promoteIfFenced(now)
 	case cmd.Op == OpPause:
@@ -59,26 +64,44 @@
 // closed, and new ones need new confirmations.
 func (c *Campaign) mustAwaitLeaseExpiry() bool { return !c.oldSteppedDown && !c.oldAbsentAfterFence }
 
-// isFenceComplete reports whether every replica that is not excluded has responded, and
-// is paused if the old primary may still run.
-func (c *Campaign) isFenceComplete() bool {
+// isFenceComplete reports whether every replica that is neither excluded nor left out has
+// responded, and is paused if the old primary may still run.
+func (c *Campaign) isFenceComplete(now types.Time) bool {
 	responded := 0
 	for _, r := range c.replicas {
-		if c.excluded[r] {
-			continue
-		}
-		if _, ok := c.statuses[r]; !ok || (c.mustPauseReplicas() && !c.paused[r]) {
+		switch {
+		case c.excluded[r]:
+		case c.isFenced(r):
+			responded++
+		case !c.mayLeaveOutSilent(now):
 			return false
 		}
-		responded++
 	}
 	return responded > 0
 }
 
+// isFenced reports whether a replica has responded, and is paused if the old primary may still
+// run.
+func (c *Campaign) isFenced(r types.Endpoint) bool {
+	_, responded := c.statuses[r]
+	return responded && (!c.mustPauseReplicas() || c.paused[r])
+}
+
+// isSilentLeftOut reports whether the fence lacks a replica that may still confirm the old
+// primary. The expiry of the lease is then no proof.
+func (c *Campaign) isSilentLeftOut() bool {
+	for _, r := range c.replicas {
+		if !c.excluded[r] && !c.isFenced(r) {
+			return true
+		}
+	}
+	return false
+}
+
 // promoteIfFenced promotes a replica once the fence is complete and the old primary's
 // lease has expired.
 func (c *Campaign) promoteIfFenced(now types.Time) Actions {
-	if !c.isFenceComplete() {
+	if !c.isFenceComplete(now) {
 		return Actions{}
 	}
 	var a Actions
@@ -92,7 +115,7 @@
 		return c.promoteMostAdvanced(now)
 	}
 	switch {
-	case now.Sub(c.fencedAt) < LeaseDuration:
+	case now.Sub(c.fencedAt) < LeaseDuration, c.isSilentLeftOut():
 		return a
 	case c.stillPaused == nil:
 		c.stillPaused = map[types.Endpoint]bool{}
@@ -132,8 +155,9 @@
 // tickFencing promotes a replica if the fence is complete and the lease has expired. Until
 // then it queries the old primary, which may have recovered, and repeats the pauses.
 func (c *Campaign) tickFencing(now types.Time) Actions {
-	if c.isFenceComplete() {
-		if a := c.promoteIfFenced(now); c.phase != PhaseFencing {
+	if c.isFenceComplete(now) {
+		a := c.promoteIfFenced(now)
+		if c.phase != PhaseFencing || len(a.Commands) > 0 {
 			return a
 		}
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -17,25 +17,68 @@
 func TestAuthorityRequiresMajorityWithinLease(t *testing.T) {
 	is := is.New(t)
 	a := lead.NewAuthority("a", replicas)
+	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	is.Equal(a.DueQueries(startTime), []types.Endpoint{"a"})
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
 	is.True(!a.Valid(startTime))
 	queried := a.DueQueries(startTime)
-	is.Equal(len(queried), 1)
-	a.HandleStatus(queried[0], startTime, lead.Status{Term: 3})
+	is.Equal(len(queried), 2) // the connections to the replicas are not known yet
+	a.HandleStatus(queried[0], startTime, startTime, lead.Status{Term: 3})
 	is.True(a.Valid(startTime.Add(lead.LeaseDuration - 1)))
 	is.True(!a.Valid(startTime.Add(lead.LeaseDuration)))
 }
 
+// Without a read of the leadership record the lease needs all replicas: an instance that was
+// connected to during a campaign may have restarted and lost the campaign's term.
+func TestMajorityIsNotEnoughOnNewConnections(t *testing.T) {
+	is := is.New(t)
+	newAuthority := func() *lead.Authority {
+		a := lead.NewAuthority("a", replicas)
+		a.RecordUse(startTime)
+		a.RequireConfirmedAfter(startTime)
+		a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+		a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
+		return a
+	}
+	a := newAuthority()
+	is.True(!a.Valid(startTime))
+	since, uncovered := a.UncoveredSince(startTime)
+	is.True(uncovered && since == startTime)
+	is.Equal(a.DueQueries(startTime), []types.Endpoint{"c"})
+	a.RecordClaimFree(startTime.Add(-1))
+	is.True(!a.Valid(startTime))
+
+	a.HandleStatus("c", startTime, startTime, lead.Status{Term: 3})
+	is.True(a.Valid(startTime))
+	is.Equal(a.ConfirmedSince(startTime), startTime)
+
+	a = newAuthority()
+	a.RecordClaimFree(startTime)
+	is.True(a.Valid(startTime))
+	is.Equal(a.ConfirmedSince(startTime), startTime)
+	_, uncovered = a.UncoveredSince(startTime)
+	is.True(!uncovered)
+
+	// A later connection to the primary is not covered by a majority before the next read.
+	later := startTime.Add(10 * time.Millisecond)
+	a.RequireConfirmedAfter(later)
+	a.HandleStatus("b", later, startTime, lead.Status{Term: 3})
+	is.True(a.Valid(later))
+	is.Equal(a.ConfirmedSince(later), startTime)
+	a.RecordClaimFree(later)
+	is.Equal(a.ConfirmedSince(later), later)
+}
+
 func TestPausedReplicaEndsAuthority(t *testing.T) {
 	is := is.New(t)
 	a := lead.NewAuthority("a", replicas)
+	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
-	a.HandleStatus("b", startTime, lead.Status{Term: 3})
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
 	is.True(a.Valid(startTime))
-	a.HandleStatus("c", startTime, lead.Status{Term: 3, FencedTerm: 4})
+	a.HandleStatus("c", startTime, startTime, lead.Status{Term: 3, FencedTerm: 4})
 	is.True(a.Fenced())
 	is.True(!a.Valid(startTime))
 }
@@ -43,9 +86,11 @@
 func TestAuthorityQueriesPrimaryAfterDiscard(t *testing.T) {
 	is := is.New(t)
 	a := lead.NewAuthority("a", replicas)
+	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
-	a.HandleStatus("b", startTime, lead.Status{Term: 3})
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
+	is.True(a.Valid(startTime))
 	a.DiscardConfirmations()
 	is.True(!a.Valid(startTime))
 	is.Equal(a.DueQueries(startTime), []types.Endpoint{"a"})
@@ -159,7 +204,7 @@
 	is := is.New(t)
 	a := lead.NewAuthority("a", []types.Endpoint{"b"})
 	a.RecordUse(startTime)
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
 	is.Equal(len(a.DueQueries(startTime)), 1)
 	a.HandleQueryFailure(startTime, "b")
 	is.Equal(len(a.DueQueries(startTime.Add(time.Millisecond))), 0)
@@ -171,16 +216,19 @@
 func TestConfirmationCoversOnlyEarlierConnections(t *testing.T) {
 	is := is.New(t)
 	a := lead.NewAuthority("a", replicas)
+	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
-	a.HandleStatus("b", startTime, lead.Status{Term: 3})
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
 	is.Equal(a.ConfirmedSince(startTime), startTime)
 	is.Equal(len(a.DueQueries(startTime)), 0)
 	later := startTime.Add(10 * time.Millisecond)
 	a.RequireConfirmedAfter(later)
+	a.RecordClaimFree(later)
 	is.True(a.Valid(later))
 	is.Equal(len(a.DueQueries(later)), 1)
-	a.HandleStatus("c", later, lead.Status{Term: 3})
+	is.Equal(a.ConfirmedSince(later), startTime)
+	a.HandleStatus("c", later, startTime, lead.Status{Term: 3})
 	is.Equal(a.ConfirmedSince(later), later)
 	is.Equal(lead.NewAuthority("a", nil).ConfirmedSince(later), later)
 }
@@ -208,6 +256,7 @@
 	is := is.New(t)
 	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
 	advanceToClaim(c)
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	is.True(c.HandleClaimResult(startTime, 1).HoldNewWork)
 	is.Equal(opsByEndpoint(c.HandleWritesDrained(startTime)), map[types.Endpoint]lead.Op{"a": lead.OpQueryStatus})
 	a := c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
@@ -332,6 +381,7 @@
 	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
 	c.RequireAllReplicas()
 	advanceToClaim(c)
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	c.HandleClaimResult(startTime, 1)
 	c.HandleWritesDrained(startTime)
 	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 20}})
@@ -377,19 +427,35 @@
 func TestRequiredReplicaMustConfirm(t *testing.T) {
 	is := is.New(t)
 	a := lead.NewAuthority("a", replicas)
-	a.RequireReplica("c")
+	a.RecordClaimFree(startTime.Add(-1))
+	a.RequireReplica(startTime, "c")
 	a.RecordUse(startTime)
-	a.HandleStatus("a", startTime, lead.Status{Primary: true, Term: 3})
-	a.HandleStatus("b", startTime, lead.Status{Term: 3})
+	a.HandleStatus("a", startTime, startTime.Add(-1), lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime.Add(-1), lead.Status{Term: 3})
 	is.True(!a.Valid(startTime))
 	is.Equal(a.DueQueries(startTime)[0], types.Endpoint("c"))
-	a.HandleStatus("c", startTime, lead.Status{Term: 3})
+	a.HandleStatus("c", startTime, startTime.Add(-1), lead.Status{Term: 3})
 	is.True(a.Valid(startTime))
 	// A later confirmation of b does not cover connections that c has not confirmed.
-	a.HandleStatus("b", startTime.Add(time.Millisecond), lead.Status{Term: 3})
+	a.HandleStatus("b", startTime.Add(time.Millisecond), startTime.Add(-1), lead.Status{Term: 3})
 	is.Equal(a.ConfirmedSince(startTime.Add(time.Millisecond)), startTime)
 }
 
+// The replica that held a later term may be silent for long. Its confirmation is not needed once
+// a read shows that the campaign is over.
+func TestReplicaIsNotRequiredAfterCampaign(t *testing.T) {
+	is := is.New(t)
+	a := lead.NewAuthority("a", replicas)
+	a.RequireReplica(startTime, "c")
+	a.RecordUse(startTime)
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
+	a.RecordClaimFree(startTime.Add(-1))
+	is.True(!a.Valid(startTime))
+	a.RecordClaimFree(startTime)
+	is.True(a.Valid(startTime))
+}
+
 // A primary that responds before its successor is chosen stays the primary.
 func TestPrimaryThatRespondsAgainIsKept(t *testing.T) {
 	is := is.New(t)
@@ -455,3 +521,156 @@
 	is.True(!a.ClaimToken && !a.Ended)
 	is.True(c.Tick(startTime.Add(time.Second)).Ended)
 }
+
+// plannedChange returns a planned change from "a", which holds entry 20, to replicas of which "c"
+// does not respond, when it is about to step down the old primary.
+func plannedChange(t *testing.T) *lead.Campaign {
+	t.Helper()
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+	c.Start()
+	held := types.LogPoint{Term: 3, Position: 20}
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3, Received: held})
+	a := c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held})
+	is.True(!a.ClaimToken) // the other replica may still respond
+	is.True(c.Tick(startTime.Add(400 * time.Millisecond)).ClaimToken)
+	is.True(c.HandleClaimResult(startTime, 1).HoldNewWork)
+	c.HandleWritesDrained(startTime)
+	return c
+}
+
+// A replica that is cut off must not keep a leaving primary in use. The one that holds its whole
+// log is enough.
+func TestLeavingPrimaryIsReplacedWithoutSilentReplica(t *testing.T) {
+	is := is.New(t)
+	c := plannedChange(t)
+	last := types.LogPoint{Term: 3, Position: 25}
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: last})
+	is.Equal(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 24}}).Promote, types.Endpoint(""))
+	is.Equal(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: last}).Promote, types.Endpoint("b"))
+}
+
+// If the only replica that responds stops receiving after the old primary has stepped down, the
+// silent one may hold commits that it lacks. The old primary holds all.
+func TestPlannedChangeReturnsToOldPrimaryRatherThanLoseCommits(t *testing.T) {
+	is := is.New(t)
+	c := plannedChange(t)
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 25}})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 24}})
+	is.Equal(c.Tick(startTime.Add(3*time.Second)).Promote, types.Endpoint(""))
+	late := startTime.Add(4100 * time.Millisecond)
+	is.Equal(c.Tick(late).Promote, types.Endpoint("a"))
+	a := c.HandleStatus(late, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 4})
+	is.Equal(a.NewPrimary, types.Endpoint("a"))
+}
+
+// The old primary would be held up, and step down, for nothing while no replica receives.
+func TestPlannedChangeWaitsForReplicaThatReceives(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+	c.Start()
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3, Received: types.LogPoint{Term: 3, Position: 20}})
+	for _, r := range replicas {
+		is.True(!c.HandleStatus(startTime, lead.Command{Endpoint: r}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 7}}).ClaimToken)
+	}
+	later := startTime.Add(200 * time.Millisecond)
+	is.Equal(len(c.Tick(later).Commands), 2) // asks again
+	is.True(c.HandleStatus(later, lead.Command{Endpoint: "c"}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 20}}).ClaimToken)
+}
+
+// absentPrimary returns a campaign against an absent primary, some time after it has sent the
+// pauses; "c" does not respond.
+func absentPrimary(t *testing.T, prepare func(*lead.Campaign)) (*lead.Campaign, types.Time) {
+	t.Helper()
+	c := lead.NewCampaign(startTime, "s", lead.ReasonAbsent, "a", replicas, 3)
+	prepare(c)
+	c.Start()
+	c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3})
+	claimed := startTime.Add(400 * time.Millisecond)
+	if !c.Tick(claimed).ClaimToken {
+		return c, claimed
+	}
+	for _, cmd := range c.HandleClaimResult(claimed, 1).Commands {
+		if cmd.Endpoint == "b" {
+			c.HandleStatus(claimed, cmd, lead.Status{Term: 3, FencedTerm: 4})
+		}
+	}
+	return c, claimed
+}
+
+// A silent replica must not keep a crashed primary from being replaced. Whoever connects to the
+// primary after its restart needs the paused replica, or a read that shows the claim.
+func TestCrashedPrimaryIsReplacedWithoutSilentReplica(t *testing.T) {
+	is := is.New(t)
+	c, claimed := absentPrimary(t, (*lead.Campaign).LeaveOutSilentReplicas)
+	fenced := claimed.Add(400 * time.Millisecond)
+	is.Equal(reportOldPrimaryAbsent(c, claimed).Promote, types.Endpoint("")) // the silent one may still respond
+	a := c.Tick(fenced)
+	is.Equal(opsByEndpoint(a)["a"], lead.OpQueryStatus)
+	is.Equal(reportOldPrimaryAbsent(c, claimed).Promote, types.Endpoint("")) // absent before the fence proves nothing
+	is.Equal(reportOldPrimaryAbsent(c, fenced).Promote, types.Endpoint("b"))
+}
+
+// If the primary answers after all, the silent replica may confirm it for as long as it likes.
+func TestLeaseExpiryIsNoProofWithoutSilentReplica(t *testing.T) {
+	is := is.New(t)
+	c, claimed := absentPrimary(t, (*lead.Campaign).LeaveOutSilentReplicas)
+	for at := claimed; at.Before(claimed.Add(1900 * time.Millisecond)); at = at.Add(50 * time.Millisecond) {
+		is.Equal(c.Tick(at).Promote, types.Endpoint(""))
+		is.Equal(c.HandleStatus(at, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, FencedTerm: 4}).Promote, types.Endpoint(""))
+		is.Equal(c.HandleStatus(at, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3}).Promote, types.Endpoint(""))
+	}
+	is.True(c.Tick(claimed.Add(3 * time.Second)).Ended)
+}
+
+// Hosts of an earlier build use a primary with a majority on any connection. A commit that one
+// replica has acknowledged may be held by the silent one alone.
+func TestSilentReplicaIsNotLeftOut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*lead.Campaign)
+	}{
+		{"hosts of an earlier build", func(*lead.Campaign) {}},
+		{"synchronous replicas", func(c *lead.Campaign) { c.LeaveOutSilentReplicas(); c.RequireAllReplicas() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			campaign, at := absentPrimary(t, c.prepare)
+			is.Equal(campaign.Phase(), lead.PhaseQueryingReplicas)
+			is.True(campaign.Tick(at.Add(time.Second)).Ended)
+		})
+	}
+}
+
+// A replica that was absent before the claim may have restarted and confirm the primary on a
+// connection that is older than the claim.
+func TestReplicaAbsentBeforeClaimIsPausedAgain(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonUnresponsive, "a", replicas, 3)
+	c.Start()
+	c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3})
+	is.True(c.HandleFailure(startTime, lead.Command{Endpoint: "c"}, startTime, true).ClaimToken)
+	claimed := startTime.Add(time.Millisecond)
+	a := c.HandleClaimResult(claimed, 1)
+	is.Equal(opsByEndpoint(a), map[types.Endpoint]lead.Op{"b": lead.OpPause, "c": lead.OpPause})
+	c.HandleStatus(claimed, a.Commands[0], lead.Status{Term: 3, FencedTerm: 4})
+	is.Equal(c.Tick(claimed.Add(lead.LeaseDuration)).Promote, types.Endpoint(""))
+	c.HandleFailure(claimed, a.Commands[1], claimed, true)
+	c.Tick(claimed.Add(2 * lead.LeaseDuration))
+	is.Equal(c.HandleStatus(claimed.Add(2*lead.LeaseDuration), lead.Command{Endpoint: "b"}, lead.Status{Term: 3, FencedTerm: 4}).Promote, types.Endpoint("b"))
+}
+
+// The replica that was left out may have renewed the lease until it was paused.
+func TestLeaseExpiresAfterLastReplicaIsPaused(t *testing.T) {
+	is := is.New(t)
+	c, claimed := absentPrimary(t, (*lead.Campaign).LeaveOutSilentReplicas)
+	c.Tick(claimed.Add(400 * time.Millisecond))
+	paused := claimed.Add(700 * time.Millisecond)
+	c.HandleStatus(paused, lead.Command{Endpoint: "c", Op: lead.OpPause, Term: 4}, lead.Status{Term: 3, FencedTerm: 4})
+	early := claimed.Add(400*time.Millisecond + lead.LeaseDuration)
+	is.Equal(c.Tick(early).Promote, types.Endpoint(""))
+	for _, r := range replicas {
+		is.Equal(c.HandleStatus(early, lead.Command{Endpoint: r}, lead.Status{Term: 3, FencedTerm: 4}).Promote, types.Endpoint(""))
+	}
+	is.True(promoteAfterLease(t, c, paused.Add(lead.LeaseDuration), nil) != "")
+}
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -33,7 +33,7 @@
 	var best types.Endpoint
 	for _, r := range c.replicas {
 		st, ok := c.statuses[r]
-		if !ok || c.excluded[r] {
+		if !ok || c.excluded[r] || (c.fencedAt != 0 && !c.isFenced(r)) {
 			continue
 		}
 		isLonger := best != "" && c.statuses[best].Received.Less(st.Received)
--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -11,6 +11,13 @@
 	"baobabfield.example/core/types"
 )
 
+// leavingBound is the time after which an endpoint that leaves gets no new work. maxServiceTime is
+// the longest time of a statement at an endpoint that is not slowed down.
+const (
+	leavingBound   = 7 * time.Second
+	maxServiceTime = 100 * time.Millisecond
+)
+
 // callerDelay is the time from a reply to the caller's next statement.
 const callerDelay = time.Millisecond
 
@@ -428,6 +435,9 @@
 	if conn.inTx != (conn.caller != "") || (conn.inTx && conn.caller != caller) {
 		c.sim.recordViolation("statement %s ran in the transaction of %q", cmd.ID, conn.caller)
 	}
+	if since := conn.endpoint.leavingAt; since != 0 && !conn.inTx && c.sim.now.Sub(since) > leavingBound+maxServiceTime {
+		c.sim.recordViolation("endpoint %s ran %s %v after it had announced that it leaves", conn.endpoint.id, cmd.ID, c.sim.now.Sub(since))
+	}
 	s := c.sessions[caller]
 	if s == nil {
 		c.sim.recordViolation("endpoint %s ran %s, which no caller sent", conn.endpoint.id, cmd.ID)
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -241,7 +241,7 @@
 		if m.restartedRecently(id, openedAt) {
 			o.authority.HandleQueryFailure(m.now, id)
 		} else {
-			o.authority.HandleStatus(id, cmd.sentAt, st)
+			o.authority.HandleStatus(id, cmd.sentAt, openedAt, st)
 		}
 		if o.authority.Fenced() && !before {
 			m.fenceAuthority(o, "endpoint "+string(id)+" holds a later term")
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -36,8 +36,10 @@
 	// replyLossPercent is the percentage of replies that are lost.
 	replyLossPercent int
 	// rowBytes is the size of the row that a read returns; 0 for no row.
-	rowBytes  int
-	leaving   bool
+	rowBytes int
+	leaving  bool
+	// leavingAt is when the store learned that the endpoint leaves.
+	leavingAt types.Time
 	slowdown  int
 	startedAt int64
 	conns     map[*connSim]bool
@@ -60,6 +62,9 @@
 }
 
 func (e *endpointSim) register() {
+	if e.leaving && e.leavingAt == 0 {
+		e.leavingAt = e.sim.now
+	}
 	e.sim.store.put(proxy.KindEndpoints, string(e.id), proxy.Change{Endpoint: &catalog.Endpoint{
 		ID: e.id, Service: testService, Address: string(e.id), DataCentre: e.dc, Slots: testSlots,
 		Leaving: e.leaving, ClaimsPrimary: e.primary, StartedUnixMs: e.startedAt,
--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"cmp"
+
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/types"
 )
@@ -13,6 +15,7 @@
 	e.Leaving = e.Leaving || (known && old.Leaving && old.StartedUnixMs == e.StartedUnixMs)
 	before, _ := m.catalog.PrimaryOf(e.Service)
 	m.catalog.SetEndpoint(e)
+	m.noteLeaving(&e, known && old.StartedUnixMs == e.StartedUnixMs)
 	moved := known && (old.Address != e.Address || old.Service != e.Service || old.DataCentre != e.DataCentre)
 	restarted := known && old.StartedUnixMs != e.StartedUnixMs
 	if restarted {
@@ -39,6 +42,26 @@
 	}
 }
 
+// noteLeaving records since when an endpoint leaves. isSame is set if the record is of the process
+// that was known before.
+func (m *Machine) noteLeaving(e *catalog.Endpoint, isSame bool) {
+	since, ok := m.leavingSince[e.ID]
+	switch {
+	case !e.Leaving:
+		delete(m.leavingSince, e.ID)
+	case !ok || !isSame:
+		since = m.now
+		m.leavingSince[e.ID] = since
+	}
+}
+
+// mayStartWork reports whether a primary may get new work. One that leaves goes on until it is
+// replaced, but only for a part of the bound: other hosts may have learned earlier that it leaves.
+func (m *Machine) mayStartWork(primary types.Endpoint) bool {
+	since, leaves := m.leavingSince[primary]
+	return !leaves || m.now.Sub(since) < cmp.Or(m.settings.LeavingBound, defaultLeavingBound)*leavingWorkPercent/100
+}
+
 // drainReplica refuses the queued requests of a replica that leaves. A leaving primary
 // continues to serve until it is replaced.
 func (m *Machine) drainReplica(o *ownedEndpoint, e catalog.Endpoint) {
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -171,11 +171,20 @@
 	if spec, ok := m.catalog.Service(s.name); ok && spec.SyncReplicas > 0 {
 		fs.campaign.RequireAllReplicas()
 	}
+	if m.allHostsFollowAuthorityRules() {
+		fs.campaign.LeaveOutSilentReplicas()
+	}
 	m.log(Warn, "campaign started", field("service", s.name), field("reason", string(reason)), field("old", oldPrimary), field("token", catalog.NextToken(record.FencingToken, m.restore.era)))
 	m.incrementCounter("baobab_campaigns_total")
 	m.applyActions(s, fs.campaign.Start())
 }
 
+// allHostsFollowAuthorityRules reports whether no known host is of a build that uses a primary
+// by earlier rules.
+func (m *Machine) allHostsFollowAuthorityRules() bool {
+	return !slices.ContainsFunc(m.catalog.Hosts(), func(h catalog.Host) bool { return h.AuthorityRules < lead.AuthorityRules })
+}
+
 // mayClaim reports whether this host may claim the leadership that a record describes.
 func (m *Machine) mayClaim(fs *failoverState, record catalog.Leadership) bool {
 	if m.isolatedSince != 0 {
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -6,6 +6,7 @@
 
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/lead"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -74,6 +75,8 @@
 	executions map[pool.RequestID]*execution
 	ownedTxs   map[txKey]*ownedTx
 	services   map[types.Service]*serviceState
+	// leavingSince holds when this host learned that an endpoint leaves.
+	leavingSince map[types.Endpoint]types.Time
 	// restarts holds the endpoints that have restarted or may have restarted.
 	restarts map[types.Endpoint]restartRecord
 	// reachabilityRequesters holds, by endpoint, the hosts that wait for a
@@ -137,6 +140,7 @@
 		ownedTxs:     map[txKey]*ownedTx{},
 		services:     map[types.Service]*serviceState{},
 
+		leavingSince:           map[types.Endpoint]types.Time{},
 		restarts:               map[types.Endpoint]restartRecord{},
 		reachabilityRequesters: map[types.Endpoint]map[types.Host]uint64{},
 
@@ -234,7 +238,7 @@
 	p := m.peerFor(h)
 	if !p.helloSent {
 		p.helloSent = true
-		hello := Hello{DataCentre: m.settings.DataCentre, MeshAddress: m.settings.MeshAddress, StartedUnixMs: m.settings.StartedUnixMs, CPUMillicores: m.settings.CPUMillicores}
+		hello := Hello{DataCentre: m.settings.DataCentre, MeshAddress: m.settings.MeshAddress, StartedUnixMs: m.settings.StartedUnixMs, CPUMillicores: m.settings.CPUMillicores, AuthorityRules: lead.AuthorityRules}
 		m.emit(PeerSend{Host: h, Address: host.MeshAddress, Message: hello})
 	}
 	m.emit(PeerSend{Host: h, Address: host.MeshAddress, Message: msg})
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -32,6 +32,8 @@
 	StartedUnixMs int64
 	// CPUMillicores is the CPU capacity of the sender in thousandths of a core; 0 if unknown.
 	CPUMillicores int
+	// AuthorityRules is that of catalog.Host.
+	AuthorityRules int
 }
 
 // ExecRequest asks the owner of an endpoint to run a statement.
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -307,6 +307,7 @@
 	delete(m.stats, id)
 	delete(m.ownerCache, id)
 	delete(m.restarts, id)
+	delete(m.leavingSince, id)
 }
 
 // handleEndpointEvent dispatches a connection's event to its pool or control connection.
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -101,6 +101,10 @@
 			r.endpoint, r.host = "", ""
 			return types.ReasonNoMajority
 		}
+		if !m.mayStartWork(primary) {
+			r.endpoint, r.host = "", ""
+			return types.ReasonLeaving
+		}
 		r.endpoint = primary
 		return m.selectOwner(r)
 	}
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -35,8 +35,11 @@
 
 // serviceState is what the host knows of a service beyond the catalog.
 type serviceState struct {
-	name    types.Service
-	history freshness.History
+	name types.Service
+	// claimFreeAt is when this host requested its last read of the leadership records that
+	// showed no campaign for the service.
+	claimFreeAt types.Time
+	history     freshness.History
 	// primary is the endpoint whose positions history holds.
 	primary types.Endpoint
 	// positionRequestPending, positionRequestedAt and positionRequestSeq describe the newest
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -14,6 +14,9 @@
 	// fencedRecheckInterval is the time after which the authority over a fenced primary is
 	// requested anew.
 	fencedRecheckInterval = 300 * time.Millisecond
+	// claimFreeReadInterval is the time between two reads of the leadership records while they
+	// show a campaign, or the store does not respond.
+	claimFreeReadInterval = time.Second
 )
 
 // mayUsePrimary reports whether the authority permits an execution at the primary. Otherwise
@@ -89,7 +92,8 @@
 	}
 	if o.authority == nil {
 		o.authority = lead.NewAuthority(o.id, m.replicasOf(o))
-		o.authority.RequireReplica(fencedBy)
+		o.authority.RequireReplica(m.now, fencedBy)
+		o.authority.RecordClaimFree(m.serviceFor(o.service).claimFreeAt)
 	}
 	return o.authority
 }
@@ -105,11 +109,43 @@
 	return out
 }
 
-// sendAuthorityQueries sends the status queries that the authority needs.
+// sendAuthorityQueries sends the status queries that the authority needs, and reads the
+// leadership records if it has connections that the last read does not cover.
 func (m *Machine) sendAuthorityQueries(o *ownedEndpoint) {
 	for _, e := range o.authority.DueQueries(m.now) {
 		m.enqueueCommand(lead.Command{Endpoint: e, Op: lead.OpQueryStatus}, purposeAuthority)
 	}
+	since, uncovered := o.authority.UncoveredSince(m.now)
+	if !uncovered || m.refresh.isReading(KindLeadership, since) {
+		return
+	}
+	readAt := m.refresh.readAt[KindLeadership]
+	interval := claimFreeReadInterval
+	if readAt.Before(since) {
+		interval = urgentRefreshInterval
+	}
+	if m.now.Sub(readAt) >= interval {
+		m.requestRead(KindLeadership)
+	}
+}
+
+// noteClaimFree records which services had no campaign in progress when this host requested a
+// read of the leadership records.
+func (m *Machine) noteClaimFree(requestedAt types.Time) {
+	for _, name := range m.catalog.Services() {
+		if m.catalog.Leadership(name).CampaignOpen {
+			continue
+		}
+		s := m.serviceFor(name)
+		s.claimFreeAt = max(s.claimFreeAt, requestedAt)
+		for _, o := range ordered(m.owned) {
+			if o.service == name && o.authority != nil {
+				o.authority.RecordClaimFree(requestedAt)
+				m.trustConfirmedConns(o)
+				m.retryWaitingExecutions(o)
+			}
+		}
+	}
 }
 
 // mayAcknowledge reports whether the endpoint was certainly the primary when it committed.
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"baobabfield.example/core/feed"
@@ -18,6 +19,9 @@
 	// the hosts, the read itself, and the spreading of a change.
 	configAgePercent   = 27
 	endpointAgePercent = 28
+	// leavingWorkPercent is the part of LeavingBound for which a primary that leaves still gets new
+	// work, counted from when this host learned of it.
+	leavingWorkPercent = 50
 	// leadershipAge and hostsAge are those of the other kinds. A change of primary also shows
 	// in the endpoints' own records, and hosts that start or stop are also noticed by their
 	// connections.
@@ -63,16 +67,21 @@
 }
 
 // ReadStore reads the current objects of a kind from the store.
-type ReadStore struct{ Kind feed.Kind }
+type ReadStore struct {
+	Kind feed.Kind
+	// RequestedAt identifies the read of the kind.
+	RequestedAt types.Time
+}
 
 // WatchStore starts or ends the watches of the store.
 type WatchStore struct{ On bool }
 
-// StoreReadResult carries all objects of a kind at the time of the host's ReadStore. Failed is
-// set if the store did not respond.
+// StoreReadResult carries all objects of a kind at some time after RequestedAt, which is that of
+// the ReadStore. Failed is set if the store did not respond.
 type StoreReadResult struct {
-	Changes feed.Changes
-	Failed  bool
+	Changes     feed.Changes
+	RequestedAt types.Time
+	Failed      bool
 }
 
 func (ReadStore) isEffect()      {}
@@ -109,22 +118,16 @@
 	return len(pending) > 0 && !pending[len(pending)-1].Before(since)
 }
 
-// endRead removes a pending read and returns the time at which it was requested. Results do
-// not name their request, so each one is taken for that of the oldest.
-func (r *refreshState) endRead(k feed.Kind) types.Time {
-	pending := r.pendingReads[k]
-	if len(pending) == 0 {
-		return 0
-	}
-	r.pendingReads[k] = pending[1:]
-	return pending[0]
+// endRead removes a pending read.
+func (r *refreshState) endRead(k feed.Kind, requestedAt types.Time) {
+	r.pendingReads[k] = slices.DeleteFunc(r.pendingReads[k], func(at types.Time) bool { return at == requestedAt })
 }
 
 // requestRead reads a kind from the store.
 func (m *Machine) requestRead(k feed.Kind) {
 	m.refresh.readAt[k] = m.now
 	m.refresh.pendingReads[k] = append(m.refresh.pendingReads[k], m.now)
-	m.emit(ReadStore{Kind: k})
+	m.emit(ReadStore{Kind: k, RequestedAt: m.now})
 }
 
 // readOrder is a host's place among the hosts that read and watch the store.
@@ -197,7 +200,8 @@
 // unavailable.
 func (m *Machine) handleStoreRead(ev StoreReadResult) {
 	k := ev.Changes.Kind
-	requestedAt := m.refresh.endRead(k)
+	requestedAt := ev.RequestedAt
+	m.refresh.endRead(k, requestedAt)
 	notice := Digest{NoReply: true}
 	if ev.Failed {
 		m.refresh.readFailedAt = m.now
@@ -207,6 +211,9 @@
 		m.refresh.currentAt[k] = max(m.refresh.currentAt[k], requestedAt)
 		m.refresh.ownReadAt[k] = max(m.refresh.ownReadAt[k], requestedAt)
 		m.applyChanges(ev.Changes)
+		if k == KindLeadership {
+			m.noteClaimFree(requestedAt)
+		}
 		notice.JustRead = k
 	}
 	notice.Revisions = m.revisions()
--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -164,8 +164,8 @@
 			h := sim.sortedHosts()[sim.rng.IntN(len(sim.hosts))]
 			if h.alive {
 				sim.killHost(h.id)
+				sim.startHost(h.id, h.dc)
 			}
-			sim.startHost(h.id, h.dc)
 		}
 		sim.heal()
 		sim.runFor(3 * time.Second)
--- a/core/proxy/schedule_test.go
+++ b/core/proxy/schedule_test.go
@@ -49,7 +49,11 @@
 	case 0:
 		if h.alive {
 			sim.killHost(h.id)
-			sim.schedule(d, func() { sim.startHost(h.id, h.dc) })
+			sim.schedule(d, func() {
+				if !h.alive {
+					sim.startHost(h.id, h.dc)
+				}
+			})
 		}
 	case 1:
 		sim.cutDataCentre(dc, true)
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/lead"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -205,11 +206,11 @@
 	h.incarnation++
 	sim.store.watchers = slices.DeleteFunc(sim.store.watchers, func(x *hostSim) bool { return x == h })
 	h.alive, h.exited, h.suspended = true, false, false
-	h.conns = map[uint64]*connSim{}
+	h.conns, h.delayed = map[uint64]*connSim{}, nil
 	h.machine = proxy.New(proxy.Settings{
 		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
@@ -347,11 +348,11 @@
 	case proxy.Promote:
 		sim.promote(h, e)
 	case proxy.ReadStore:
-		sim.store.read(h, e.Kind)
+		sim.store.read(h, e)
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
@@ -396,7 +397,7 @@
 	values   map[string]proxy.Change
 	watchers []*hostSim
 	// staleObjects, as of staleAsOf, replaces the objects that lists return, as a replica of the
-	// store does that lags behind; nil for none.
+	// store does that lags behind; nil for none. A ReadStore returns the current objects.
 	staleObjects map[string]feed.Object
 	staleAsOf    types.Revision
 	// reads is the number of hosts' reads.
@@ -477,9 +478,9 @@
 }
 
 // read answers a host's read of all objects of a kind.
-func (s *storeSim) read(h *hostSim, k feed.Kind) {
+func (s *storeSim) read(h *hostSim, r proxy.ReadStore) {
 	s.reads++
-	s.sendObjects(h, k, func(c feed.Changes) proxy.Event { return proxy.StoreReadResult{Changes: c} })
+	s.sendObjects(h, r.Kind, func(c feed.Changes) proxy.Event { return proxy.StoreReadResult{Changes: c, RequestedAt: r.RequestedAt} })
 }
 
 func (s *storeSim) sendObjects(h *hostSim, k feed.Kind, event func(feed.Changes) proxy.Event) {
@@ -489,10 +490,10 @@
 			return
 		}
 		if !s.serves(h) {
-			if _, ok := event(feed.Changes{}).(proxy.StoreReadResult); ok {
+			if read, ok := event(feed.Changes{}).(proxy.StoreReadResult); ok {
 				s.sim.schedule(s.failureDelay, func() {
 					if h.incarnation == incarnation {
-						s.sim.deliver(h, proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, Failed: true})
+						s.sim.deliver(h, proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, RequestedAt: read.RequestedAt, Failed: true})
 					}
 				})
 			}
@@ -500,7 +501,7 @@
 		}
 		changes := feed.Changes{Kind: k, AsOf: s.revision, Full: true}
 		listed := s.current
-		if s.staleObjects != nil {
+		if _, isRead := event(feed.Changes{}).(proxy.StoreReadResult); s.staleObjects != nil && !isRead {
 			listed, changes.AsOf = s.staleObjects, s.staleAsOf
 		}
 		for _, o := range listed {
--- a/core/proxy/suspicion.go
+++ b/core/proxy/suspicion.go
@@ -67,7 +67,7 @@
 		m.startCampaign(s, lead.ReasonLeaving, primary)
 	case o == nil, m.now.Before(o.unreachableUntil):
 		fs.primaryMissingSince = 0
-	case m.isLeftFenced(o):
+	case m.isLeftFenced(o), m.isHeldUpByRecord(s, o):
 		m.startCampaign(s, lead.ReasonReplicasPaused, primary)
 	case fs.suspect == primary:
 		m.decideSuspicion(s, o)
@@ -89,6 +89,16 @@
 	return isOwner && o.fencedSince != 0 && m.now.Sub(o.fencedSince) >= missingPrimaryTimeout && m.now.Sub(o.lastUsedAt) < missingPrimaryTimeout
 }
 
+// isHeldUpByRecord reports whether this host, as the owner of a primary, has connections on which
+// it may not use it, since the leadership record shows a campaign whose holder does not go on.
+func (m *Machine) isHeldUpByRecord(s *serviceState, o *ownedEndpoint) bool {
+	if o.authority == nil || o.authority.Valid(m.now) || m.ownerOf(o.id, nil) != m.settings.Host {
+		return false
+	}
+	_, uncovered := o.authority.UncoveredSince(m.now)
+	return uncovered && m.catalog.Leadership(s.name).CampaignOpen && m.now.Sub(s.failover.recordChangedAt) >= rivalClaimTimeout
+}
+
 // isAbsent reports whether at least two recent commands or dials failed with Absent set, and no
 // connection of the pool contradicts them.
 func (m *Machine) isAbsent(o *ownedEndpoint) bool {
--- a/model/lead.pml
+++ b/model/lead.pml
@@ -9,6 +9,13 @@
  * old primary may crash and restart once. Its owner may not notice, since a broken
  * connection may give no error.
  *
+ * The campaign may leave out replica 1, which does not respond to it, if the old primary refused a
+ * connection. The owner reaches the replica all the while. It may open its connections to the
+ * replicas anew at any time, and read the leadership record.
+ *
+ * With PLANNED the model is that of a planned change instead, in which the old primary steps down
+ * by itself and a replica that holds its whole log is promoted. Replica 1 may be left out, too.
+ *
  * Each of these switches removes a safeguard, so that a check must fail:
  *   NOWAIT        the campaign does not wait for the lease to expire
  *   ONEPAUSE      the fence counts as complete with one paused replica
@@ -17,6 +24,11 @@
  *   NOACKCHECK    a write is acknowledged without a second check of the authority
  *   LATERESUME    the campaign resumes the replicas although the platform may still carry
  *                 out the promotion that it has requested
+ *   ANYCONN       a majority is enough on connections that are newer than the last read of a
+ *                 record without a campaign
+ *   LEFTOUTWAIT   the expiry of the lease counts although a replica was left out
+ *   NOCATCHUP     a planned change promotes a replica that lacks a part of the log (with PLANNED)
+ *   NOSTEPDOWN    a planned change does not wait for the old primary to step down (with PLANNED)
  */
 #define W 2             /* LeaseDuration */
 #define REPLICAS 2
@@ -31,6 +43,9 @@
 
 /* The owner: the ages of the replicas' confirmations, and its connections. */
 byte confirmationAge[REPLICAS];
+bool replicaCovered[REPLICAS] = true;   /* its connection is older than the last clear read */
+bool connConfirmed[REPLICAS];           /* confirmed since the newest connection was opened */
+bool connRead;                          /* a clear read since the newest connection was opened */
 bool connected = true;
 byte connIncarnation;
 bool connTrusted = true;    /* the authority covers the newest connection */
@@ -50,7 +65,8 @@
  */
 byte campaignState;
 bool startedOnRefusal;      /* the old primary refused a connection before the campaign */
-bool fenceComplete;         /* the replicas are paused */
+bool fenceComplete;         /* the replicas are paused, but for one that was left out */
+bool leftOut;
 byte fenceAge;
 bool oldRefusedAfterFence;  /* the old primary refused a connection after the fence */
 
@@ -58,21 +74,53 @@
 byte i;
 bool ok;
 
-/* Authority.Valid: the primary and one replica are a majority. */
+/*
+ * Authority.Valid: the primary and one replica are a majority, which is enough if the replica's
+ * connection is covered. Otherwise all replicas have to confirm.
+ */
 inline checkAuthority() {
+#ifdef ANYCONN
 	ok = (confirmationAge[0] < W || confirmationAge[1] < W)
+#else
+	ok = ((confirmationAge[0] < W && confirmationAge[1] < W)
+		|| (confirmationAge[0] < W && replicaCovered[0])
+		|| (confirmationAge[1] < W && replicaCovered[1]))
+#endif
 }
 
-/* Authority.HandleStatus, and Pool.TrustConnections for the open connections. */
+/* Authority.ConfirmedSince, and Pool.TrustConnections for the open connections. */
+inline updateTrust() {
+	if
+#ifdef ANYCONN
+	:: connConfirmed[0] || connConfirmed[1] -> connTrusted = true
+#else
+	:: connConfirmed[0] && connConfirmed[1] -> connTrusted = true
+	:: connRead && connConfirmed[0] && replicaCovered[0] -> connTrusted = true
+	:: connRead && connConfirmed[1] && replicaCovered[1] -> connTrusted = true
+#endif
+	:: else
+	fi
+}
+
+/* Authority.HandleStatus */
 inline Confirm(r) {
 	if
 	:: !paused[r] ->
 		confirmationAge[r] = 0;
-		connTrusted = true
+		connConfirmed[r] = true;
+		updateTrust()
 	:: else
 	fi
 }
 
+/* Machine.noteClaimFree: a read that shows no campaign, and no other primary. */
+inline ReadRecord() {
+	replicaCovered[0] = true;
+	replicaCovered[1] = true;
+	connRead = true;
+	updateTrust()
+}
+
 /* Machine.mayUsePrimary and Pool.findConnection. */
 inline SendOp(isWrite) {
 	checkAuthority();
@@ -136,7 +184,10 @@
 	fi;
 	connected = true;
 	connIncarnation = oldIncarnation;
-	connTrusted = false
+	connTrusted = false;
+	connConfirmed[0] = false;
+	connConfirmed[1] = false;
+	connRead = false
 }
 
 /*
@@ -156,21 +207,30 @@
 	:: paused[0] && paused[1] ->
 #endif
 		if
-		:: !fenceComplete -> fenceComplete = true; fenceAge = 0
+		:: !fenceComplete || leftOut -> fenceComplete = true; leftOut = false; fenceAge = 0
 		:: else
 		fi
 	:: else
 	fi
 }
 
+/* Campaign.mayLeaveOutSilent */
+inline LeaveOut() {
+	fenceComplete = true;
+	fenceAge = 0;
+	leftOut = true
+}
+
 /* Campaign.promoteIfFenced with Campaign.mustAwaitLeaseExpiry. */
 inline RequestPromotion() {
 #if defined(NOWAIT)
 	ok = true;
 #elif defined(EARLYREFUSAL)
 	ok = (fenceAge >= W || startedOnRefusal);
-#else
+#elif defined(LEFTOUTWAIT)
 	ok = (fenceAge >= W || oldRefusedAfterFence);
+#else
+	ok = ((fenceAge >= W && !leftOut) || oldRefusedAfterFence);
 #endif
 	if
 	:: ok -> campaignState = 2
@@ -186,6 +246,7 @@
 	paused[0] = false;
 	paused[1] = false;
 	fenceComplete = false;
+	leftOut = false;
 	oldRefusedAfterFence = false
 }
 
@@ -205,6 +266,7 @@
 /* One atomic step. It resets the scratch variables, so that they add no states. */
 #define STEP(guard, act) :: d_step { guard -> act; i = 0; ok = false }
 
+#ifndef PLANNED
 init {
 	do
 	/* the owner */
@@ -215,6 +277,9 @@
 	STEP(opState == 1, RunOp())
 	STEP(opState == 2, Acknowledge())
 	STEP(oldIsRunning, OpenConn())
+	STEP(campaignState == 0, ReadRecord())
+	STEP(replicaCovered[0], replicaCovered[0] = false)
+	STEP(replicaCovered[1], replicaCovered[1] = false)
 	STEP(hasOlderTrustedConn && oldIsRunning && olderConnIncarnation == oldIncarnation, TrustConn())
 	/* the old primary */
 	STEP(oldIsRunning && oldIncarnation == 0, Crash(true))
@@ -225,6 +290,7 @@
 	STEP(campaignState == 0 && !oldIsRunning, campaignState = 1; startedOnRefusal = true)
 	STEP(campaignState == 1 && !paused[0], PauseReplica(0))
 	STEP(campaignState == 1 && !paused[1], PauseReplica(1))
+	STEP(campaignState == 1 && startedOnRefusal && !fenceComplete && paused[0], LeaveOut())
 	STEP(campaignState == 1 && startedOnRefusal && fenceComplete && !oldIsRunning, oldRefusedAfterFence = true)
 	STEP(campaignState == 1 && fenceComplete, RequestPromotion())
 	STEP(campaignState == 1, GiveUp(); startedOnRefusal = false; campaignState = 0)
@@ -235,3 +301,61 @@
 	STEP(true, Tick())
 	od
 }
+
+#else
+#define WRITES 3
+
+/*
+ * The old primary's log, and what each replica has received of it. Replica 1 responds to the
+ * campaign at any time or never.
+ */
+byte logged;
+byte acknowledged;
+byte received[REPLICAS];
+bool oldIsPrimary = true;
+
+/* State: 0 not started, 1 stepping down, 2 catching up, 3 promoting, 4 promoted. */
+byte changeState;
+byte target;                /* the old primary's log after it has stepped down */
+byte candidate;
+
+/* Campaign.promoteIfCaughtUp */
+inline Choose(r) {
+#ifdef NOCATCHUP
+	ok = true;
+#else
+	ok = (received[r] >= target);
+#endif
+	if
+	:: ok -> candidate = r; changeState = 3
+	:: else
+	fi
+}
+
+/* Campaign.tickCatchingUp: the old primary is promoted again. */
+inline ReturnToOld() {
+	oldIsPrimary = true;
+	changeState = 0
+}
+
+init {
+	do
+	/* the old primary: a write is acknowledged before or after the replicas receive it */
+	STEP(oldIsPrimary && logged < WRITES, logged++; assert(changeState < 4))
+	STEP(acknowledged < logged, acknowledged++)
+	STEP(changeState < 4 && received[0] < logged, received[0]++)
+	STEP(changeState < 4 && received[1] < logged, received[1]++)
+	/* the planned change */
+	STEP(changeState == 0, changeState = 1)
+	STEP(changeState == 1, oldIsPrimary = false; target = logged; changeState = 2)
+#ifdef NOSTEPDOWN
+	STEP(changeState == 1, target = logged; changeState = 2)
+#endif
+	STEP(changeState == 2, Choose(0))
+	STEP(changeState == 2, Choose(1))
+	STEP(changeState == 2, ReturnToOld())
+	/* what the candidate lacks is rolled back: no acknowledged write may be among it */
+	STEP(changeState == 3, changeState = 4; assert(received[candidate] >= acknowledged && received[candidate] >= logged))
+	od
+}
+#endif
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/lead"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/random"
@@ -125,7 +126,7 @@
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
 		peerLinks: map[types.Host]*link{}, addresses: map[types.Host]string{}, encoder: peerwire.NewEncoder(),
-		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores},
+		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores, AuthorityRules: lead.AuthorityRules},
 		cancelHostRecord: func() {},
 		counters:         map[string]*metrics.Counter{}, histograms: map[string]*metrics.Histogram{},
 	}
@@ -280,7 +281,7 @@
 	case proxy.Promote:
 		go g.promoteEndpoint(ctx, g.settings.Promoter, e)
 	case proxy.ReadStore:
-		go g.refreshKind(ctx, g.settings.Store, e.Kind)
+		go g.refreshKind(ctx, g.settings.Store, e)
 	case proxy.WatchStore:
 		g.setWatching(ctx, e.On)
 	case proxy.StoreHostRecord:
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -135,19 +135,20 @@
 }
 
 // refreshKind reads a current list of a kind.
-func (g *Gateway) refreshKind(ctx context.Context, store Store, k feed.Kind) {
+func (g *Gateway) refreshKind(ctx context.Context, store Store, r proxy.ReadStore) {
+	k := r.Kind
 	storeCalls.Inc()
 	c, err := store.List(ctx, k, true)
 	if err != nil {
 		storeFailures.Inc()
 		g.logStoreEvent(proxy.Debug, "store list failed", k, err)
-		g.post(proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, Failed: true})
+		g.post(proxy.StoreReadResult{Changes: feed.Changes{Kind: k}, RequestedAt: r.RequestedAt, Failed: true})
 		return
 	}
 	g.logs.Enqueue(proxy.Log{Level: proxy.Debug, Event: "store objects listed", Fields: []proxy.Field{
 		{Key: "kind", Value: string(k)}, {Key: "era", Value: c.AsOf.Era()}, {Key: "as_of", Value: c.AsOf.Number()}, {Key: "objects", Value: len(c.Objects)},
 	}})
-	g.post(proxy.StoreReadResult{Changes: c})
+	g.post(proxy.StoreReadResult{Changes: c, RequestedAt: r.RequestedAt})
 }
 
 // readOrWatchChanges lists a kind if since is 0, and otherwise waits for its changes
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -19,7 +19,7 @@
 	switch b := f.GetProxy().GetBody().(type) {
 	case *meshpb.ProxyMessage_Hello:
 		h := b.Hello
-		return proxy.Hello{DataCentre: types.DataCentre(h.GetDataCentre()), MeshAddress: h.GetMeshAddress(), StartedUnixMs: h.GetStarted(), CPUMillicores: int(h.GetPower())}, nil
+		return proxy.Hello{DataCentre: types.DataCentre(h.GetDataCentre()), MeshAddress: h.GetMeshAddress(), StartedUnixMs: h.GetStarted(), CPUMillicores: int(h.GetPower()), AuthorityRules: int(h.GetRules())}, nil
 	case *meshpb.ProxyMessage_Exec:
 		return decodeExecRequest(b.Exec)
 	case *meshpb.ProxyMessage_Done:
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -28,6 +28,7 @@
 	case proxy.Hello:
 		p.Body = &meshpb.ProxyMessage_Hello{Hello: &meshpb.Hello{
 			DataCentre: string(m.DataCentre), MeshAddress: m.MeshAddress, Started: m.StartedUnixMs, Power: uint32(max(m.CPUMillicores, 0)),
+			Rules: uint32(max(m.AuthorityRules, 0)),
 		}}
 	case proxy.ExecRequest:
 		p.Body = &meshpb.ProxyMessage_Exec{Exec: encodeExecRequest(&m)}
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -28,7 +28,7 @@
 	begin := newQuery(statement.KindBegin)
 	point := types.LogPoint{Term: 3, Position: 9}
 	for _, msg := range []proxy.Message{
-		proxy.Hello{DataCentre: "a", MeshAddress: "1.2.3.4:5", StartedUnixMs: 7, CPUMillicores: 272},
+		proxy.Hello{DataCentre: "a", MeshAddress: "1.2.3.4:5", StartedUnixMs: 7, CPUMillicores: 272, AuthorityRules: 1},
 		proxy.ExecRequest{
 			ID: 1, Service: "s", Endpoint: "e", RequirePrimary: true, Tx: 4, Begin: &begin, Query: newQuery(statement.KindWrite),
 			Variables: statement.SessionVariables{{Name: "a", Value: "b"}}, Rank: 2, DueIn: -time.Millisecond, DeadlineIn: time.Second,
