core/lead: endpoints that leave together do not take turns as the primary

Cause: a planned change promoted the first replica that reported the whole log. Leaving replicas respond at once, the others when a slot is free. The new primary's owner then began again.

Change: a replica that stays is promoted; one that leaves only if it announced its end later than the primary and none that stays has caught up within 0.5 s. A host starts no campaign within 3.2 s of another host's change of the primary.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -18,6 +18,9 @@
 	// silentTimeout is the time after which a campaign that may do so goes on without the
 	// replicas that have not responded.
 	silentTimeout = 300 * time.Millisecond
+	// leavingCandidateDelay is the time that a planned change gives the replicas that stay to
+	// catch up before it chooses one that leaves.
+	leavingCandidateDelay = 500 * time.Millisecond
 	// catchUpTimeout bounds the wait of a planned change for the candidate to hold
 	// everything that the old primary has committed. After it, the most advanced
 	// replica is promoted, if every replica has responded. returnTimeout is the time after
@@ -65,8 +68,10 @@
 	oldReceived  types.LogPoint
 	oldResponded bool
 	// leaving holds the replicas that are about to stop. One of them is chosen only if
-	// no other candidate holds as much of the log.
-	leaving map[types.Endpoint]bool
+	// no other candidate holds as much of the log, and in a planned change only if it is in
+	// leavesLater: it has announced its end after the old primary. Otherwise endpoints that
+	// leave together would take turns as the primary.
+	leaving, leavesLater map[types.Endpoint]bool
 	// highestTerm is the highest term seen so far. Replicas are paused with the next
 	// one.
 	highestTerm types.Term
@@ -107,13 +112,16 @@
 		Service: service, Reason: reason, OldPrimary: oldPrimary, replicas: replicas, highestTerm: term,
 		phaseStartedAt: now,
 		statuses:       map[types.Endpoint]Status{}, paused: map[types.Endpoint]bool{}, pauseTerms: map[types.Endpoint]types.Term{}, excluded: map[types.Endpoint]bool{},
-		leaving: map[types.Endpoint]bool{},
+		leaving: map[types.Endpoint]bool{}, leavesLater: map[types.Endpoint]bool{},
 	}
 }
 
 // AvoidCandidate marks a replica that is about to stop. It is chosen only if no other
-// candidate holds as much of the log.
-func (c *Campaign) AvoidCandidate(endpoint types.Endpoint) { c.leaving[endpoint] = true }
+// candidate holds as much of the log. isLater states whether it has announced its end after
+// the old primary.
+func (c *Campaign) AvoidCandidate(endpoint types.Endpoint, isLater bool) {
+	c.leaving[endpoint], c.leavesLater[endpoint] = true, isLater
+}
 
 // RequireAllReplicas makes the campaign wait for every listed replica, unless the old primary
 // shows which replica holds its whole log. It is used if a commit is acknowledged once some
@@ -212,12 +220,28 @@
 	if !c.oldResponded {
 		return now.Sub(c.phaseStartedAt) >= silentTimeout
 	}
+	return c.plannedCandidate(now, c.oldReceived) != ""
+}
+
+// plannedCandidate returns the replica of a planned change that holds the log up to a position,
+// or an empty ID. One that leaves is returned only if the others have had leavingCandidateDelay
+// in the current phase.
+func (c *Campaign) plannedCandidate(now types.Time, position types.LogPoint) types.Endpoint {
+	var leaving types.Endpoint
 	for _, r := range c.replicas {
-		if st, ok := c.statuses[r]; ok && !c.excluded[r] && !st.Received.Less(c.oldReceived) {
-			return true
+		st, ok := c.statuses[r]
+		switch {
+		case !ok || c.excluded[r] || st.Received.Less(position):
+		case !c.leaving[r]:
+			return r
+		case c.leavesLater[r]:
+			leaving = r
 		}
 	}
-	return false
+	if now.Sub(c.phaseStartedAt) < leavingCandidateDelay {
+		return ""
+	}
+	return leaving
 }
 
 // HandleClaimResult processes the store's response to a claim. token is 0 if another
@@ -475,6 +499,9 @@
 		_, ok := c.statuses[r]
 		allResponded = allResponded && (ok || c.excluded[r])
 	}
+	if a := c.promoteIfCaughtUp(now); c.phase != PhaseCatchingUp {
+		return a
+	}
 	switch {
 	case waited > catchUpTimeout && allResponded:
 		return c.promoteMostAdvanced(now)
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -674,3 +674,46 @@
 	}
 	is.True(promoteAfterLease(t, c, paused.Add(lead.LeaseDuration), nil) != "")
 }
+
+// Endpoints that leave together must not become the primary by turns. The one that stays is chosen,
+// even if it responds last, and one that leaves only if it does so after the old primary.
+func TestPlannedChangeChoosesReplicaThatStays(t *testing.T) {
+	held := types.LogPoint{Term: 3, Position: 20}
+	for _, c := range []struct {
+		name                   string
+		staysResponds, isLater bool
+		want                   types.Endpoint
+	}{
+		{"one stays", true, false, "c"},
+		{"the one that stays is silent, the other left before", false, false, ""},
+		{"the one that stays is silent, the other leaves later", false, true, "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			campaign := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+			campaign.AvoidCandidate("b", c.isLater)
+			campaign.Start()
+			campaign.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3, Received: held})
+			is.True(!campaign.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held}).ClaimToken)
+			if c.staysResponds {
+				is.True(campaign.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3, Received: held}).ClaimToken)
+			}
+			claimed := startTime.Add(600 * time.Millisecond)
+			if campaign.Tick(claimed); campaign.Phase() != lead.PhaseClaiming {
+				is.Equal(c.want, types.Endpoint(""))
+				is.True(campaign.Tick(startTime.Add(time.Second)).Ended)
+				return
+			}
+			campaign.HandleClaimResult(claimed, 1)
+			campaign.HandleWritesDrained(claimed)
+			campaign.HandleStatus(claimed, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: held})
+			is.Equal(campaign.HandleStatus(claimed, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held}).Promote, types.Endpoint(""))
+			promoted := campaign.Tick(claimed.Add(600 * time.Millisecond)).Promote
+			if c.staysResponds {
+				is.Equal(promoted, types.Endpoint(""))
+				promoted = campaign.HandleStatus(claimed, lead.Command{Endpoint: "c"}, lead.Status{Term: 3, Received: held}).Promote
+			}
+			is.Equal(promoted, c.want)
+		})
+	}
+}
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -6,22 +6,13 @@
 	"baobabfield.example/core/types"
 )
 
-// promoteIfCaughtUp promotes the first replica that holds the old primary's whole log.
+// promoteIfCaughtUp promotes a replica that holds the old primary's whole log.
 func (c *Campaign) promoteIfCaughtUp(now types.Time) Actions {
-	var best types.Endpoint
-	for _, r := range c.replicas {
-		st, ok := c.statuses[r]
-		if !ok || c.excluded[r] || st.Received.Less(c.catchUpTarget) {
-			continue
-		}
-		if best == "" || (c.leaving[best] && !c.leaving[r]) {
-			best = r
-		}
-	}
-	if best == "" {
+	candidate := c.plannedCandidate(now, c.catchUpTarget)
+	if candidate == "" {
 		return Actions{}
 	}
-	return c.requestPromotion(now, best)
+	return c.requestPromotion(now, candidate)
 }
 
 // promoteMostAdvanced promotes the replica with the longest log, or the candidate of an
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -35,6 +35,8 @@
 	lag        time.Duration
 	// replyLossPercent is the percentage of replies that are lost.
 	replyLossPercent int
+	// statusDelay is the time that a control command waits for a slot.
+	statusDelay time.Duration
 	// rowBytes is the size of the row that a read returns; 0 for no row.
 	rowBytes int
 	leaving  bool
@@ -348,7 +350,7 @@
 	if c == nil || sim.isCut(h.id, h.dc, string(c.endpoint.id), c.endpoint.dc) {
 		return
 	}
-	sim.schedule(delayBetween(h.dc, c.endpoint.dc), func() {
+	sim.schedule(delayBetween(h.dc, c.endpoint.dc)+c.endpoint.statusDelay, func() {
 		if !c.open || !c.endpoint.alive || sim.isCut(h.id, h.dc, string(c.endpoint.id), c.endpoint.dc) {
 			return
 		}
@@ -387,6 +389,7 @@
 	sim.schedule(storeDelay+late, func() {
 		e := sim.endpoints[p.Endpoint]
 		result := proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Outcome: lead.PromotionNotRunning}
+		sim.promotions = append(sim.promotions, promotionSim{at: sim.now, holder: h.id, endpoint: p.Endpoint})
 		for _, other := range sim.sortedEndpoints() {
 			if other.token > p.FencingToken {
 				sim.recordViolation("promotion with token %d after token %d", p.FencingToken, other.token)
@@ -410,6 +413,13 @@
 	})
 }
 
+// promotionSim is a request for a promotion that has reached the platform.
+type promotionSim struct {
+	at       types.Time
+	holder   types.Host
+	endpoint types.Endpoint
+}
+
 func (e *endpointSim) becomePrimary() {
 	if !e.alive || e.primary {
 		return
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -20,6 +20,9 @@
 	// usually unavailable or unreachable for seconds.
 	campaignInterval   = 300 * time.Millisecond
 	claimRetryInterval = time.Second
+	// holderChangeInterval is the time after another host's change of primary in which this host
+	// starts none. The platform allows the duty to change hands once in three seconds.
+	holderChangeInterval = 3200 * time.Millisecond
 )
 
 // failoverState is the state of this host's supervision and replacement of a service's
@@ -35,8 +38,9 @@
 	// promoteCandidate is set while the record that names the candidate is being stored. The
 	// platform is called once the store has confirmed the record.
 	promoteCandidate types.Endpoint
-	// recordChangedAt is when this host last received a change of the record.
-	recordChangedAt types.Time
+	// recordChangedAt is when this host last received a change of the record, and
+	// promotionRecordedAt when it received one with another primary.
+	recordChangedAt, promotionRecordedAt types.Time
 	// nextCheckAt is the earliest time of the next suspicion or campaign.
 	nextCheckAt types.Time
 	// primaryMissingSince is when the service was first seen without a usable primary; zero if
@@ -112,6 +116,7 @@
 				m.applyActions(s, c.Abandon())
 				continue
 			}
+			m.avoidLeavingCandidates(c)
 			m.applyActions(s, c.Tick(m.now))
 			m.checkWritesDrained(s)
 			continue
@@ -144,15 +149,11 @@
 		return
 	}
 	var replicas []types.Endpoint
-	var leaving []types.Endpoint
 	for _, e := range m.catalog.EndpointsOf(s.name) {
 		if e.ID == oldPrimary || !m.catalog.IsListed(e.ID) {
 			continue
 		}
 		replicas = append(replicas, e.ID)
-		if e.Leaving {
-			leaving = append(leaving, e.ID)
-		}
 	}
 	if len(replicas) == 0 {
 		return
@@ -165,9 +166,7 @@
 	if primary, _ := m.catalog.PrimaryOf(s.name); record.Candidate != "" && record.Candidate != primary {
 		fs.campaign.FinishPromotion(record.Candidate)
 	}
-	for _, e := range leaving {
-		fs.campaign.AvoidCandidate(e)
-	}
+	m.avoidLeavingCandidates(fs.campaign)
 	if spec, ok := m.catalog.Service(s.name); ok && spec.SyncReplicas > 0 {
 		fs.campaign.RequireAllReplicas()
 	}
@@ -179,6 +178,16 @@
 	m.applyActions(s, fs.campaign.Start())
 }
 
+// avoidLeavingCandidates marks the endpoints that leave, also those that have announced it since
+// the campaign has begun.
+func (m *Machine) avoidLeavingCandidates(c *lead.Campaign) {
+	for _, e := range m.catalog.EndpointsOf(c.Service) {
+		if e.Leaving {
+			c.AvoidCandidate(e.ID, m.leavingSince[c.OldPrimary].Before(m.leavingSince[e.ID]))
+		}
+	}
+}
+
 // allHostsFollowAuthorityRules reports whether no known host is of a build that uses a primary
 // by earlier rules.
 func (m *Machine) allHostsFollowAuthorityRules() bool {
@@ -196,6 +205,9 @@
 		m.requestUrgentRead(KindLeadership)
 		return false
 	}
+	if record.Holder != m.settings.Host && isRecent(m.now, fs.promotionRecordedAt, holderChangeInterval) {
+		return false
+	}
 	heldByOther := record.CampaignOpen && record.Holder != m.settings.Host
 	return !heldByOther || fs.recordChangedAt == 0 || m.now.Sub(fs.recordChangedAt) >= rivalClaimTimeout || m.holderHasRestarted(record)
 }
@@ -384,10 +396,15 @@
 func (m *Machine) applyLeadership(record catalog.Leadership) {
 	m.noteEra(record.Revision)
 	before, _ := m.catalog.PrimaryOf(record.Service)
+	recorded := m.catalog.Leadership(record.Service)
 	if !m.catalog.SetLeadership(record) {
 		return
 	}
-	m.serviceFor(record.Service).failover.recordChangedAt = m.now
+	fs := &m.serviceFor(record.Service).failover
+	fs.recordChangedAt = m.now
+	if recorded.Revision != 0 && recorded.Primary != record.Primary {
+		fs.promotionRecordedAt = m.now
+	}
 	if after, _ := m.catalog.PrimaryOf(record.Service); after != before {
 		m.handlePrimaryChange(record.Service)
 	}
--- a/core/proxy/promotion_test.go
+++ b/core/proxy/promotion_test.go
@@ -177,3 +177,56 @@
 	}
 	return sim.store.values[string(o.Data)].Leadership.Candidate
 }
+
+// announcementDelay is the time from an endpoint's announcement until a promotion that was requested
+// before can reach the platform: the watch, the write of the candidate, and the call.
+const announcementDelay = 50 * time.Millisecond
+
+// minHolderChange is the time within which the platform allows the duty of promoting endpoints of a
+// service only to one host.
+const minHolderChange = 3 * time.Second
+
+// Several endpoints of a service begin to leave within half a second. The primary must go to one that
+// stays, although those that leave answer sooner, and hosts must not promote by turns.
+func TestEndpointsThatLeaveTogetherDoNotTakeTurns(t *testing.T) {
+	for seed := uint64(200); seed < 220; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 2)
+			sim.callers.pauseFactor = 4
+			sim.addEndpoint("e-d", "a", false)
+			sim.addEndpoint("e-e", "b", false)
+			openAll(sim)
+			sim.runFor(time.Second)
+			staying := map[types.Endpoint]bool{"e-c": true, "e-e": true}
+			for id := range staying {
+				sim.endpoints[id].statusDelay = time.Duration(sim.rng.IntN(80)) * time.Millisecond
+			}
+			for _, id := range []types.Endpoint{"e-a", "e-b", "e-d"} {
+				e := sim.endpoints[id]
+				sim.schedule(time.Duration(sim.rng.IntN(500))*time.Millisecond, func() {
+					e.leaving = true
+					e.register()
+				})
+			}
+			sim.runFor(3 * time.Second)
+			// One that stayed leaves as well, perhaps the new primary.
+			sim.endpoints["e-c"].leaving = true
+			sim.endpoints["e-c"].register()
+			sim.runFor(9 * time.Second)
+			sim.reportViolations()
+			sim.expectNoLostWrite()
+			sim.expectRecentWrite(500 * time.Millisecond)
+			if !sim.endpoints["e-e"].primary {
+				t.Error("the endpoint that stays is not the primary")
+			}
+			for i, p := range sim.promotions {
+				if since := sim.endpoints[p.endpoint].leavingAt; since != 0 && p.at.Sub(since) > announcementDelay {
+					t.Errorf("%s was promoted %v after it had announced that it leaves", p.endpoint, p.at.Sub(since))
+				}
+				if i > 0 && p.holder != sim.promotions[i-1].holder && p.at.Sub(sim.promotions[i-1].at) < minHolderChange {
+					t.Errorf("%s promoted %v after %s", p.holder, p.at.Sub(sim.promotions[i-1].at), sim.promotions[i-1].holder)
+				}
+			}
+		})
+	}
+}
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -21,7 +21,7 @@
 	endpointAgePercent = 28
 	// leavingWorkPercent is the part of LeavingBound for which a primary that leaves still gets new
 	// work, counted from when this host learned of it.
-	leavingWorkPercent = 50
+	leavingWorkPercent = 60
 	// leadershipAge and hostsAge are those of the other kinds. A change of primary also shows
 	// in the endpoints' own records, and hosts that start or stop are also noticed by their
 	// connections.
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -86,6 +86,7 @@
 	// request one reach the platform that much later and without an answer.
 	promoteTime      time.Duration
 	promoteCallDelay time.Duration
+	promotions       []promotionSim
 	// verbose prints log lines and violations while the simulation runs.
 	verbose bool
 }
