core/proxy, node/mesh: silent links are replaced, and what they lost is settled

Cause: a link that replaced a silent one was opened on the same session while its successor was dialled, and a peer went on replying over its own silent link. Nothing could say what was lost.

Change: a suspected session gets no new streams. After 0.15 s without a message and 80 ms after a ping the links of both directions are replaced, beside the old ones, which are still read. The owner then sends results again or names the requests that it has not received and will not run; these are attempted again. Only the process that they were sent to may answer. Transactions belong to the link of their last statement, so that the end of a replaced link does not end them.

Hosts of the earlier build ignore the new messages (TestSilentLinksBesideEarlierBuild).

TestRestartedOwnerDoesNotSettleRequestsOfEarlierProcess: without the check of the process, writes are committed twice.

--- a/core/proxy/effect.go
+++ b/core/proxy/effect.go
@@ -44,6 +44,10 @@
 	Message Message
 }
 
+// PeerReopen opens a new link to a host for the messages that follow. The old one is not written to
+// any more, but still read for some time.
+type PeerReopen struct{ Host types.Host }
+
 // PeerClose closes the connections to a host that does not respond.
 type PeerClose struct{ Host types.Host }
 
@@ -126,6 +130,7 @@
 func (CallerDrain) isEffect()            {}
 func (CallerResume) isEffect()           {}
 func (PeerSend) isEffect()               {}
+func (PeerReopen) isEffect()             {}
 func (PeerClose) isEffect()              {}
 func (EndpointDial) isEffect()           {}
 func (EndpointSend) isEffect()           {}
--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -15,7 +15,7 @@
 	e.Leaving = e.Leaving || (known && old.Leaving && old.StartedUnixMs == e.StartedUnixMs)
 	before, _ := m.catalog.PrimaryOf(e.Service)
 	m.catalog.SetEndpoint(e)
-	m.noteLeaving(&e, known && old.StartedUnixMs == e.StartedUnixMs)
+	m.noteLeaving(&e, &old)
 	moved := known && (old.Address != e.Address || old.Service != e.Service || old.DataCentre != e.DataCentre)
 	restarted := known && old.StartedUnixMs != e.StartedUnixMs
 	if restarted {
@@ -31,27 +31,32 @@
 		m.log(Info, "endpoint changed", field("endpoint", e.ID), field("service", e.Service), field("draining", e.Leaving),
 			field("claims_primary", e.ClaimsPrimary), field("born", e.StartedUnixMs), field("revision", revision.Number()))
 	}
-	if o := m.owned[e.ID]; o != nil {
-		o.pool.Configure(m.poolConfig(e))
-		if e.Leaving && !old.Leaving {
-			m.drainReplica(o, e)
-		}
-	}
+	m.applyEndpointToPool(&old, e)
 	if after, _ := m.catalog.PrimaryOf(e.Service); after != before {
 		m.handlePrimaryChange(e.Service)
 	}
 }
 
-// noteLeaving records since when an endpoint leaves. isSame is set if the record is of the process
-// that was known before.
-func (m *Machine) noteLeaving(e *catalog.Endpoint, isSame bool) {
-	since, ok := m.leavingSince[e.ID]
+// applyEndpointToPool applies a changed record to the pool of an owned endpoint.
+func (m *Machine) applyEndpointToPool(old *catalog.Endpoint, e catalog.Endpoint) {
+	o := m.owned[e.ID]
+	if o == nil {
+		return
+	}
+	o.pool.Configure(m.poolConfig(e))
+	if e.Leaving && !old.Leaving {
+		m.drainReplica(o, e)
+	}
+}
+
+// noteLeaving records since when an endpoint leaves. old is the record before; zero if none is known.
+func (m *Machine) noteLeaving(e, old *catalog.Endpoint) {
+	_, noted := m.leavingSince[e.ID]
 	switch {
 	case !e.Leaving:
 		delete(m.leavingSince, e.ID)
-	case !ok || !isSame:
-		since = m.now
-		m.leavingSince[e.ID] = since
+	case !noted || old.StartedUnixMs != e.StartedUnixMs:
+		m.leavingSince[e.ID] = m.now
 	}
 }
 
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -49,17 +49,26 @@
 
 // PeerMessage carries a message from another host.
 type PeerMessage struct {
-	From    types.Host
+	From types.Host
+	// Link is the link that it arrived on, as in PeerInboundClosed.
+	Link    LinkID
 	Message Message
 }
 
+// LinkID identifies a link that another host has opened to this host; 0 stands for a link that
+// this host has opened.
+type LinkID uint64
+
 // PeerDisconnected reports that the connection to another host has broken or could not be
 // opened.
 type PeerDisconnected struct{ Host types.Host }
 
 // PeerInboundClosed reports that another host has closed the connection that it had opened to
 // this host, so that it no longer reads the replies to requests sent on it.
-type PeerInboundClosed struct{ Host types.Host }
+type PeerInboundClosed struct {
+	Host types.Host
+	Link LinkID
+}
 
 // EndpointConnected reports that a connection to an endpoint is ready.
 type EndpointConnected struct{ Conn pool.ConnID }
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -46,6 +46,10 @@
 	excludedEndpoints []types.Endpoint
 	avoidedHosts      []types.Host
 	attempts          int
+	// hostStartedUnixMs is the start time of the process that the last attempt was sent to.
+	// unsettledSince is when the owner was asked about it; zero if it has answered.
+	hostStartedUnixMs int64
+	unsettledSince    types.Time
 	arrivedAt         types.Time
 	due               types.Time
 	deadline          types.Time
@@ -107,7 +111,7 @@
 // attemptRequest selects an endpoint and its owner and sends the request there.
 func (m *Machine) attemptRequest(r *request) {
 	m.assignID(r)
-	r.deferredAt = 0
+	r.deferredAt, r.unsettledSince = 0, 0
 	if !r.continuesTx {
 		if reason := m.selectEndpoint(r); reason != types.ReasonNone {
 			m.retryOrRefuse(r, reason)
@@ -115,6 +119,8 @@
 		}
 	}
 	r.attempts++
+	owner, _ := m.catalog.Host(r.host)
+	r.hostStartedUnixMs = owner.StartedUnixMs
 	m.statsFor(r.endpoint).inFlight++
 	exec := ExecRequest{
 		ID: r.id, Service: r.route.Service, Endpoint: r.endpoint, RequirePrimary: r.atPrimary,
@@ -429,7 +435,7 @@
 func (m *Machine) tickRequests() {
 	m.retryDeferred(false)
 	for _, r := range ordered(m.requests) {
-		if r.deferredAt != 0 || m.now.Before(r.deadline.Add(ownerReplySlack)) {
+		if r.deferredAt != 0 || m.endUnsettled(r) || m.now.Before(r.deadline.Add(ownerReplySlack)) {
 			continue
 		}
 		m.removeInFlight(r)
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// busyTickInterval is the time between ticks while a request is deferred or while a
-	// failover, a planned stop or gossip is in progress.
+	// busyTickInterval is the time between ticks while a request is deferred, while a failover, a
+	// planned stop or gossip is in progress, or while a host has not responded to a ping.
 	busyTickInterval = 40 * time.Millisecond
 	// activeTickInterval is the time between ticks while requests, executions or control
 	// commands are outstanding.
@@ -74,7 +74,11 @@
 	conns      map[pool.ConnID]connTarget
 	executions map[pool.RequestID]*execution
 	ownedTxs   map[txKey]*ownedTx
-	services   map[types.Service]*serviceState
+	// received holds the recent requests of other hosts; receivedInOrder holds them too, the oldest
+	// first.
+	received        map[requestKey]*receivedRequest
+	receivedInOrder []*receivedRequest
+	services        map[types.Service]*serviceState
 	// leavingSince holds when this host learned that an endpoint leaves.
 	leavingSince map[types.Endpoint]types.Time
 	// restarts holds the endpoints that have restarted or may have restarted.
@@ -108,6 +112,8 @@
 	// tickRequested is set if a tick is due at once; lastTickAt is the time of the last tick.
 	tickRequested bool
 	lastTickAt    types.Time
+	// inboundLink is the link on which the message that is being handled has arrived.
+	inboundLink LinkID
 	// localMessages holds the messages that this host has sent to itself during the current
 	// step.
 	localMessages []Message
@@ -138,6 +144,7 @@
 		conns:        map[pool.ConnID]connTarget{},
 		executions:   map[pool.RequestID]*execution{},
 		ownedTxs:     map[txKey]*ownedTx{},
+		received:     map[requestKey]*receivedRequest{},
 		services:     map[types.Service]*serviceState{},
 
 		leavingSince:           map[types.Endpoint]types.Time{},
@@ -177,11 +184,13 @@
 	case CallerDisconnected:
 		m.handleCallerDisconnected(ev.Session)
 	case PeerMessage:
+		m.inboundLink = ev.Link
 		m.handleMessage(ev.From, ev.Message)
+		m.inboundLink = 0
 	case PeerDisconnected:
 		m.handlePeerDisconnected(ev.Host)
 	case PeerInboundClosed:
-		m.endTxsOfHost(ev.Host)
+		m.endTxsOfHost(ev.Host, func(tx *ownedTx) bool { return tx.link == ev.Link })
 	case EndpointConnected, EndpointDialFailed, EndpointReplied, EndpointStatus, EndpointDisconnected:
 		m.handleEndpointEvent(ev)
 	case StoreChanges:
@@ -262,6 +271,7 @@
 	m.tickControlConns()
 	m.checkPossibleRestarts()
 	m.tickOwned()
+	m.tickReceived()
 	m.tickFailovers()
 	m.tickPeers()
 	m.tickIsolation()
@@ -278,7 +288,7 @@
 	}
 	at := m.lastTickAt.Add(idleTickInterval)
 	switch {
-	case len(m.deferred) > 0 || m.isFailoverActive() || m.stop.begun || m.gossip.hasPendingWork():
+	case len(m.deferred) > 0 || m.isFailoverActive() || m.stop.begun || m.gossip.hasPendingWork() || m.isAwaitingPong():
 		at = m.lastTickAt.Add(busyTickInterval)
 	case len(m.requests) > 0 || len(m.executions) > 0 || m.hasPendingCommands():
 		at = m.lastTickAt.Add(activeTickInterval)
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -17,7 +17,7 @@
 type TxID uint64
 
 // Message is a message between hosts: Hello, ExecRequest, ExecResult, EndTx, PositionRequest,
-// PositionResponse, Ping, Pong, Leaving, Digest, ChangesRequest, ChangesResponse,
+// PositionResponse, Ping, Pong, ReopenLink, OutstandingRequests, RequestsNotReceived, Leaving, Digest, ChangesRequest, ChangesResponse,
 // ReachabilityRequest or ReachabilityResponse.
 type Message interface{ isMessage() }
 
@@ -104,6 +104,10 @@
 // Pong is the reply to Ping.
 type Pong struct{}
 
+// ReopenLink asks the receiver to open a new link to the sender, which has received nothing on the
+// present one for some time. The sender has replaced its own link.
+type ReopenLink struct{}
+
 // Leaving announces that the sender accepts no new work.
 type Leaving struct{}
 
@@ -158,6 +162,7 @@
 func (PositionResponse) isMessage()     {}
 func (Ping) isMessage()                 {}
 func (Pong) isMessage()                 {}
+func (ReopenLink) isMessage()           {}
 func (Leaving) isMessage()              {}
 func (Digest) isMessage()               {}
 func (ChangesRequest) isMessage()       {}
--- a/core/proxy/ownedtx.go
+++ b/core/proxy/ownedtx.go
@@ -20,6 +20,8 @@
 	id         pool.TxID
 	endpoint   types.Endpoint
 	lastUsedAt types.Time
+	// link is the link on which the last statement arrived.
+	link LinkID
 }
 
 // resolveTx assigns an execution to its transaction, which its first statement creates. It
@@ -35,7 +37,7 @@
 		tx = &ownedTx{id: m.nextPoolTxID, endpoint: o.id}
 		m.ownedTxs[key] = tx
 	}
-	tx.lastUsedAt = m.now
+	tx.lastUsedAt, tx.link = m.now, m.inboundLink
 	ex.tx = tx.id
 	return tx.endpoint == o.id
 }
@@ -69,10 +71,10 @@
 	})
 }
 
-// endTxsOfHost ends all transactions of a frontend.
-func (m *Machine) endTxsOfHost(h types.Host) {
+// endTxsOfHost ends the selected transactions of a frontend.
+func (m *Machine) endTxsOfHost(h types.Host, selected func(*ownedTx) bool) {
 	for _, key := range m.txKeys() {
-		if key.host == h {
+		if key.host == h && selected(m.ownedTxs[key]) {
 			m.endOwnedTx(h, key.tx)
 		}
 	}
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -116,6 +116,9 @@
 
 // handleExec accepts or refuses a statement for an endpoint.
 func (m *Machine) handleExec(from types.Host, req ExecRequest) {
+	if !m.noteReceived(from, req.ID) {
+		return
+	}
 	o := m.ensureOwned(req.Endpoint)
 	m.nextExecutionID++
 	ex := &execution{
@@ -247,6 +250,7 @@
 		m.log(Info, "statement ended without an answer", field("id", ex.request.Query.ID), field("endpoint", ex.endpoint),
 			field("from", ex.from), field("primary", ex.request.RequirePrimary), field("ran", res.MayHaveRun), field("reason", res.Reason.String()), field("waited", res.QueueTime))
 	}
+	m.keepResult(ex.from, &res)
 	m.sendToHost(ex.from, res)
 }
 
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -11,9 +11,15 @@
 const (
 	// pingDelay is the time without a message after which a host with pending replies is
 	// pinged.
-	pingDelay = 250 * time.Millisecond
+	pingDelay = 150 * time.Millisecond
 	// pingTimeout is the time after a ping in which a message must arrive.
 	pingTimeout = 450 * time.Millisecond
+	// reopenDelay is the time after a ping without any message after which the links to and from
+	// the host are replaced: one of them may have fallen silent, while new ones work. The
+	// replies pending on the old ones are waited for until pingTimeout.
+	reopenDelay = 80 * time.Millisecond
+	// reopenInterval is the minimum time between two replacements of a link.
+	reopenInterval = 500 * time.Millisecond
 	// minProbeInterval and maxProbeInterval bound the time between pings to a host that is
 	// down. The interval doubles after each ping.
 	minProbeInterval = 300 * time.Millisecond
@@ -31,6 +37,8 @@
 	// pendingReplies is the number of replies expected from the host.
 	pendingReplies int
 	pingSentAt     types.Time
+	// reopenedAt is when the link to the host was last replaced.
+	reopenedAt types.Time
 	// down is set from the time at which the host became unresponsive or disconnected until a
 	// message from it arrives. A host that is down is not used. It may be alive, since only
 	// its connection to this host is known to have failed.
@@ -80,6 +88,13 @@
 	case Ping:
 		m.sendToHost(from, Pong{})
 	case Pong:
+	case ReopenLink:
+		m.reopenLink(from, false)
+		m.sendToHost(from, Pong{})
+	case OutstandingRequests:
+		m.handleOutstandingRequests(from, msg)
+	case RequestsNotReceived:
+		m.handleRequestsNotReceived(from, msg)
 	case Leaving:
 		m.markPeerLeaving(from)
 	case Digest:
@@ -174,7 +189,17 @@
 	m.removeGossipSource(h)
 	m.clearOwnerCache()
 	m.handleOwnerDisconnect(h)
-	m.endTxsOfHost(h)
+	m.endTxsOfHost(h, func(*ownedTx) bool { return true })
+}
+
+// isAwaitingPong reports whether a host has not responded to a ping.
+func (m *Machine) isAwaitingPong() bool {
+	for _, p := range m.peers {
+		if p.pingSentAt != 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // tickPeers pings hosts that have sent nothing for pingDelay while replies are pending, and
@@ -192,6 +217,11 @@
 			m.log(Warn, "host silent", field("peer", host.ID), field("silent", m.now.Sub(p.lastReceivedAt)), field("owed", p.pendingReplies))
 			m.emit(PeerClose{Host: host.ID})
 			m.markPeerDown(host.ID)
+		case p.pingSentAt != 0 && m.now.Sub(p.pingSentAt) > reopenDelay && p.reopenedAt.Before(p.pingSentAt):
+			m.log(Info, "link replaced", field("peer", host.ID), field("silent", m.now.Sub(p.lastReceivedAt)), field("owed", p.pendingReplies))
+			m.incrementCounter("baobab_links_replaced_total")
+			m.reopenLink(host.ID, true)
+			m.sendToHost(host.ID, Ping{})
 		case p.pingSentAt == 0 && p.pendingReplies > 0 && m.now.Sub(p.lastReceivedAt) > pingDelay:
 			m.pingDataCentre(host)
 		}
@@ -218,9 +248,25 @@
 	}
 	p.probeInterval = min(2*p.probeInterval, maxProbeInterval)
 	p.nextProbeAt = m.now.Add(p.probeInterval)
+	m.sendToHost(h, ReopenLink{})
 	m.sendToHost(h, Ping{})
 }
 
+// reopenLink replaces the link to a host, unless that was done just before, and settles the
+// requests that were sent on the old one. askPeer requests that the host do the same.
+func (m *Machine) reopenLink(h types.Host, askPeer bool) {
+	p := m.peerFor(h)
+	if isRecent(m.now, p.reopenedAt, reopenInterval) {
+		return
+	}
+	p.reopenedAt, p.helloSent = m.now, false
+	m.emit(PeerReopen{Host: h})
+	if askPeer {
+		m.sendToHost(h, ReopenLink{})
+	}
+	m.queryOutstanding(h)
+}
+
 // pingDataCentre pings an unresponsive host and other hosts of its data centre that have sent
 // nothing for pingDelay.
 func (m *Machine) pingDataCentre(unresponsive catalog.Host) {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -69,6 +69,9 @@
 	// cuts holds the broken links: pairs of data centres, or pairs of a host and another host
 	// or an endpoint.
 	cuts map[[2]string]bool
+	// silent holds the links that have fallen silent, from a host to another one. They stay so
+	// until the first host opens a new one.
+	silent map[[2]types.Host]bool
 	// storeCut holds the hosts that cannot reach the store.
 	storeCut      map[types.Host]bool
 	watchesSilent bool
@@ -124,7 +127,7 @@
 func newSimulation(t *testing.T, seed uint64, hostsPerDataCentre int) *simulation {
 	sim := &simulation{
 		t: t, now: simulationStart, rng: random.New(seed), hosts: map[types.Host]*hostSim{},
-		endpoints: map[types.Endpoint]*endpointSim{}, cuts: map[[2]string]bool{}, storeCut: map[types.Host]bool{},
+		endpoints: map[types.Endpoint]*endpointSim{}, cuts: map[[2]string]bool{}, storeCut: map[types.Host]bool{}, silent: map[[2]types.Host]bool{},
 		promoteTime: promoteTime, linkFreeAt: map[types.Host]types.Time{},
 	}
 	sim.store = newStore(sim)
@@ -227,9 +230,14 @@
 	}
 	for _, other := range sim.sortedHosts() {
 		if other != h && other.alive && !sim.isCut(h.id, h.dc, string(other.id), other.dc) {
-			sim.deliver(other, proxy.PeerDisconnected{Host: id})
-			sim.deliver(other, proxy.PeerInboundClosed{Host: id})
+			if !sim.silent[[2]types.Host{other.id, id}] {
+				sim.deliver(other, proxy.PeerDisconnected{Host: id})
+			}
+			if !sim.silent[[2]types.Host{id, other.id}] {
+				sim.deliver(other, proxy.PeerInboundClosed{Host: id})
+			}
 		}
+		delete(sim.silent, [2]types.Host{id, other.id})
 	}
 	if sim.callers != nil {
 		sim.callers.closeSessionsOfHost(h)
@@ -333,6 +341,8 @@
 	switch e := e.(type) {
 	case proxy.PeerSend:
 		sim.sendPeer(h, e)
+	case proxy.PeerReopen, proxy.PeerClose:
+		sim.replaceLink(h, e)
 	case proxy.EndpointDial:
 		sim.dial(h, e)
 	case proxy.EndpointSend:
@@ -368,11 +378,26 @@
 	}
 }
 
+// replaceLink ends the silence of a host's link to another one.
+func (sim *simulation) replaceLink(h *hostSim, e proxy.Effect) {
+	var peer types.Host
+	switch e := e.(type) {
+	case proxy.PeerReopen:
+		peer = e.Host
+	case proxy.PeerClose:
+		peer = e.Host
+	}
+	delete(sim.silent, [2]types.Host{h.id, peer})
+}
+
 func (sim *simulation) sendPeer(h *hostSim, e proxy.PeerSend) {
 	to := sim.hosts[e.Host]
 	if to == nil || sim.isCut(h.id, h.dc, string(to.id), to.dc) || (sim.isLost != nil && sim.isLost(h.id, e.Message)) {
 		return
 	}
+	if sim.silent[[2]types.Host{h.id, to.id}] {
+		return
+	}
 	incarnation := h.incarnation
 	delay := delayBetween(h.dc, to.dc)
 	if _, ok := e.Message.(proxy.ChangesResponse); ok {
@@ -381,7 +406,7 @@
 	}
 	sim.schedule(delay, func() {
 		switch {
-		case sim.isCut(h.id, h.dc, string(to.id), to.dc):
+		case sim.isCut(h.id, h.dc, string(to.id), to.dc), sim.silent[[2]types.Host{h.id, to.id}] && h.incarnation == incarnation:
 		case to.alive:
 			sim.deliver(to, proxy.PeerMessage{From: h.id, Message: e.Message})
 		case h.incarnation == incarnation:
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -266,6 +266,8 @@
 		g.applyCallerEffect(e)
 	case proxy.PeerSend:
 		g.sendToPeer(ctx, e)
+	case proxy.PeerReopen:
+		g.reopenLink(e.Host)
 	case proxy.PeerClose:
 		g.closeLink(e.Host)
 	case proxy.EndpointDial:
--- a/node/gateway/link.go
+++ b/node/gateway/link.go
@@ -21,6 +21,8 @@
 	linkQueueLength = 1024
 	// linkOpenTimeout bounds opening the stream of a link.
 	linkOpenTimeout = 1200 * time.Millisecond
+	// replacedLinkReadTime is the time for which a replaced link is still read.
+	replacedLinkReadTime = 3 * time.Second
 )
 
 var linksDisconnected = metrics.NewCounter("baobab_links_lost_total")
@@ -77,7 +79,7 @@
 		return
 	}
 	defer s.Close()
-	go g.readPeerMessages(s, h)
+	go g.readPeerMessages(s, h, 0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -123,9 +125,19 @@
 	g.mesh.SuspectHost(h)
 }
 
+// reopenLink opens a new link on a new session of the mesh with the next message. The old one
+// is still read for replacedLinkReadTime.
+func (g *Gateway) reopenLink(h types.Host) {
+	if l := g.peerLinks[h]; l != nil {
+		time.AfterFunc(replacedLinkReadTime, l.cancel)
+		delete(g.peerLinks, h)
+	}
+	g.mesh.SuspectHost(h)
+}
+
 // readPeerMessages posts the messages of another host to the gateway's task until
 // the stream ends.
-func (g *Gateway) readPeerMessages(s *mesh.Stream, from types.Host) {
+func (g *Gateway) readPeerMessages(s *mesh.Stream, from types.Host, link proxy.LinkID) {
 	for f := range s.Frames() {
 		msg, err := peerwire.Decode(f)
 		if err != nil {
@@ -134,21 +146,21 @@
 			}})
 			continue
 		}
-		g.post(proxy.PeerMessage{From: from, Message: msg})
+		g.post(proxy.PeerMessage{From: from, Link: link, Message: msg})
 	}
 }
 
 // acceptPeerStreams reads the streams that other hosts open.
 func (g *Gateway) acceptPeerStreams(ctx context.Context) {
-	for {
+	for link := proxy.LinkID(1); ; link++ {
 		select {
 		case <-ctx.Done():
 			return
 		case s := <-g.mesh.Inbound():
 			go func() {
 				defer s.Close()
-				g.readPeerMessages(s, s.Peer)
-				g.post(proxy.PeerInboundClosed{Host: s.Peer})
+				g.readPeerMessages(s, s.Peer, link)
+				g.post(proxy.PeerInboundClosed{Host: s.Peer, Link: link})
 			}()
 		}
 	}
--- a/node/mesh/mesh.go
+++ b/node/mesh/mesh.go
@@ -338,10 +338,19 @@
 	}
 }
 
-// replaceSession dials a new session to a suspected host.
+// replaceSession dials a new session to a suspected host. Streams that are opened meanwhile wait
+// for it: on the suspected session they might never be answered.
 func (t *Task) replaceSession(ctx context.Context, h types.Host) {
-	if p, ok := t.peers[h]; ok && h != t.settings.Host && time.Now().After(p.redialAt) {
-		t.closeIdleStreams(p)
+	p, ok := t.peers[h]
+	if !ok || h == t.settings.Host {
+		return
+	}
+	t.closeIdleStreams(p)
+	if p.session != nil {
+		p.session.closeAfterDelay()
+		p.session = nil
+	}
+	if time.Now().After(p.redialAt) {
 		t.dialPeer(ctx, h, p)
 	}
 }
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -39,6 +39,13 @@
 		return proxy.Ping{}, nil
 	case *meshpb.ProxyMessage_Pong:
 		return proxy.Pong{}, nil
+	case *meshpb.ProxyMessage_Outstanding:
+		return proxy.OutstandingRequests{IDs: convertIDs[proxy.RequestID](b.Outstanding.GetIds()), StartedUnixMs: b.Outstanding.GetStarted()}, nil
+	case *meshpb.ProxyMessage_NotReceived:
+		r := b.NotReceived
+		return proxy.RequestsNotReceived{IDs: convertIDs[proxy.RequestID](r.GetIds()), NotReceived: convertIDs[proxy.RequestID](r.GetNotReceived())}, nil
+	case *meshpb.ProxyMessage_ReopenLink:
+		return proxy.ReopenLink{}, nil
 	case *meshpb.ProxyMessage_Leaving:
 		return proxy.Leaving{}, nil
 	case *meshpb.ProxyMessage_Digest:
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -49,6 +49,14 @@
 		p.Body = &meshpb.ProxyMessage_Ping{Ping: true}
 	case proxy.Pong:
 		p.Body = &meshpb.ProxyMessage_Pong{Pong: true}
+	case proxy.OutstandingRequests:
+		p.Body = &meshpb.ProxyMessage_Outstanding{Outstanding: &meshpb.RequestIDs{Ids: convertIDs[uint64](m.IDs), Started: m.StartedUnixMs}}
+	case proxy.RequestsNotReceived:
+		p.Body = &meshpb.ProxyMessage_NotReceived{NotReceived: &meshpb.RequestIDs{
+			Ids: convertIDs[uint64](m.IDs), NotReceived: convertIDs[uint64](m.NotReceived),
+		}}
+	case proxy.ReopenLink:
+		p.Body = &meshpb.ProxyMessage_ReopenLink{ReopenLink: true}
 	case proxy.Leaving:
 		p.Body = &meshpb.ProxyMessage_Leaving{Leaving: true}
 	case proxy.Digest:
@@ -71,6 +79,15 @@
 	return &meshpb.Frame{Body: &meshpb.Frame_Proxy{Proxy: p}}
 }
 
+// convertIDs converts between the IDs of requests and their numbers.
+func convertIDs[T, F ~uint64](ids []F) []T {
+	var out []T
+	for _, id := range ids {
+		out = append(out, T(id))
+	}
+	return out
+}
+
 func encodePoint(p types.LogPoint) *meshpb.LogPoint {
 	if p == (types.LogPoint{}) {
 		return nil
