--- a/standin/fleet/operation_log.go
+++ b/standin/fleet/operation_log.go
@@ -117,20 +117,33 @@
 // writes that were acknowledged before the read began.
 func (l *operationLog) checkReadIsCurrent(i *Instance, id string, beganAt time.Time) {
 	l.acknowledgedWrites = l.acknowledgedWrites[max(0, len(l.acknowledgedWrites)-checkedWrites):]
-	inLog := map[string]bool{}
-	for _, e := range i.log[max(0, len(i.log)-2*checkedWrites):] {
-		for _, w := range e.writeIDs {
-			inLog[w] = true
-		}
-	}
+	recent := i.log[max(0, len(i.log)-2*checkedWrites):]
+	older := i.log[:len(i.log)-len(recent)]
+	inRecent := writesIn(recent)
 	for _, w := range l.acknowledgedWrites {
-		if history := l.historyOf(w); !history.dropped && !inLog[w] && history.acknowledgedAt.Before(beganAt) {
+		history := l.historyOf(w)
+		if history.dropped || inRecent[w] || !history.acknowledgedAt.Before(beganAt) {
+			continue
+		}
+		// An acknowledgement can be delivered long after its commit.
+		if !writesIn(older)[w] {
 			i.fleet.recordViolation("read %s at instance %s does not see write %s, acknowledged %v before", id, i.ID, w, beganAt.Sub(history.acknowledgedAt))
 			return
 		}
 	}
 }
 
+// writesIn returns the IDs of the writes in a part of a log.
+func writesIn(entries []logEntry) map[string]bool {
+	ids := map[string]bool{}
+	for _, e := range entries {
+		for _, id := range e.writeIDs {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // recordCommit counts commits. It records whether another instance was primary in a
 // later term, because such a commit must not be acknowledged.
 func (l *operationLog) recordCommit(i *Instance, ids []string) {
@@ -153,12 +166,7 @@
 
 // recordPromotion marks the committed writes that the new primary's log lacks as dropped.
 func (l *operationLog) recordPromotion(i *Instance) {
-	kept := map[string]bool{}
-	for _, e := range i.log {
-		for _, id := range e.writeIDs {
-			kept[id] = true
-		}
-	}
+	kept := writesIn(i.log)
 	for id, w := range l.writes {
 		if w.commits > 0 && !kept[id] {
 			w.dropped = true
