--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -17,8 +17,11 @@
 // cluster is a set of host processes that use a stand-in for the platform and its
 // database instances.
 type cluster struct {
-	t             *testing.T
-	rng           *rand.Rand
+	t   *testing.T
+	rng *rand.Rand
+	// silenceRng chooses the relays whose open connections fall silent beside the other faults; nil
+	// for none. It is separate from rng, so that a seed's other faults stay the same.
+	silenceRng    *rand.Rand
 	binaryPath    string
 	fleet         *fleet.Fleet
 	hosts         []*hostProcess
@@ -33,6 +36,7 @@
 // hostProcess is one host and the relay to its mesh port.
 type hostProcess struct {
 	cluster         *cluster
+	binaryPath      string
 	name            string
 	zone            string
 	frontendAddress string
@@ -121,7 +125,10 @@
 // newHostProcess writes the settings of host i and returns the host, not yet started.
 // The host reaches the store through a relay of its own.
 func (c *cluster) newHostProcess(i int) *hostProcess {
-	p := &hostProcess{cluster: c, name: fmt.Sprintf("host-%d", i), zone: string(rune('a' + i%3)), changeSemaphore: make(chan struct{}, 1)}
+	p := &hostProcess{cluster: c, binaryPath: c.binaryPath, name: fmt.Sprintf("host-%d", i), zone: string(rune('a' + i%3)), changeSemaphore: make(chan struct{}, 1)}
+	if *earlierBinary != "" && i%2 == 1 {
+		p.binaryPath = *earlierBinary
+	}
 	storeRelay := newRelay(c.t, c.fleet.Store().Address())
 	c.relays = append(c.relays, storeRelay)
 	frontendPort, readinessPort := reservePorts(c.t, 1), reservePorts(c.t, 1)
@@ -158,7 +165,7 @@
 		return
 	}
 	defer func() { _ = logFile.Close() }()
-	p.cmd = exec.Command(p.cluster.binaryPath, "platform", "--mesh-advertise", p.meshRelay.address())
+	p.cmd = exec.Command(p.binaryPath, "platform", "--mesh-advertise", p.meshRelay.address())
 	p.cmd.Env = append(os.Environ(), "BAOBABFIELD_CONFIG="+p.settingsPath, "GOMAXPROCS=2")
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
 	if err := p.cmd.Start(); err != nil {
@@ -198,9 +205,25 @@
 // storeFaults are the temporary faults of the platform's store.
 var storeFaults = []platform.Faults{{Unavailable: true}, {Unresponsive: true}, {DropResponseEvery: 2}}
 
+// silencePercent is the percentage of the relays whose connections fall silent at a time.
+const silencePercent = 70
+
+// silenceConnections makes the open connections of most relays fall silent, in one of three calls.
+func (c *cluster) silenceConnections() {
+	if c.silenceRng == nil || c.silenceRng.IntN(3) != 0 {
+		return
+	}
+	for _, r := range c.relays {
+		if c.silenceRng.IntN(100) < silencePercent {
+			r.silenceRequests <- struct{}{}
+		}
+	}
+}
+
 // injectRandomFault injects one fault, which ends by itself within 2 s. The order and
 // number of its draws from rng are part of what a seed reproduces.
 func (c *cluster) injectRandomFault() {
+	c.silenceConnections()
 	p := c.hosts[c.rng.IntN(len(c.hosts))]
 	instance := c.instances[c.rng.IntN(len(c.instances))]
 	r := c.relays[c.rng.IntN(len(c.relays))]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,8 @@
 	faultPeriod = flag.Duration("soak.length", 6*time.Second, "time during which each seed injects faults")
 	logDir      = flag.String("soak.logs", "", "directory that keeps the hosts' logs")
 	hostCount   = flag.Int("soak.hosts", 5, "number of hosts")
+	// With an earlier build beside the present one the run shows that both work together.
+	earlierBinary = flag.String("soak.earlier", "", "path of an earlier build of baobabd, which every second host runs")
 )
 
 // recoveryLimit is the time after the last fault within which a write has to succeed.
@@ -41,7 +43,22 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(t, seed, binary) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(t, newCluster(t, seed, binary, *hostCount)) })
+	}
+}
+
+// TestSoakWithSilentConnections is like TestSoak. Beside the other faults, open connections between
+// hosts, to the store and to the databases fall silent for good, while new ones work.
+func TestSoakWithSilentConnections(t *testing.T) {
+	binary := buildHost(t)
+	t.Cleanup(func() { _ = os.Remove(binary) })
+	for i := range max(1, *seedCount) {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			c := newCluster(t, seed, binary, *hostCount)
+			c.silenceRng = rand.New(rand.NewPCG(seed, 3))
+			runSeed(t, c)
+		})
 	}
 }
 
@@ -70,16 +87,14 @@
 	return t.Error
 }
 
-// runSeed runs callers on a new cluster, injects the seed's faults, and checks the
-// outcome.
-func runSeed(t *testing.T, seed uint64, binaryPath string) {
-	c := newCluster(t, seed, binaryPath, *hostCount)
+// runSeed runs callers on a cluster, injects the faults of its seed, and checks the outcome.
+func runSeed(t *testing.T, c *cluster) {
 	results := make(chan string, 1<<16)
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	callerCount := 3 * *hostCount
 	for i := range callerCount {
-		s := &session{cluster: c, name: fmt.Sprintf("s%d", i), rng: rand.New(rand.NewPCG(seed, uint64(i))), results: results}
+		s := &session{cluster: c, name: fmt.Sprintf("s%d", i), rng: rand.New(rand.NewPCG(c.seed, uint64(i))), results: results}
 		s.database = []string{"primary", "bounded_staleness", "read_your_writes"}[i%3]
 		go func() {
 			s.run(stop)
