--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -172,3 +173,36 @@
 		sim.reportViolations()
 	}
 }
+
+// The first lists of a new process may be seconds old, and show an endpoint that has begun to leave
+// since as one that stays. No other host tells it. The endpoint must get no new work from it after
+// the bound, and the primary that has replaced a leaving one is used.
+func TestRestartedHostWithOldListsUsesNoEndpointThatLeaves(t *testing.T) {
+	for seed := uint64(40); seed < 46; seed++ {
+		sim := newSimulation(t, seed, 2)
+		sim.callers.pauseFactor = 4
+		openAll(sim)
+		sim.runFor(time.Second)
+		sim.store.staleObjects, sim.store.staleAsOf = maps.Clone(sim.store.current), sim.store.revision
+		for _, id := range []types.Endpoint{"e-a", "e-b"} {
+			sim.endpoints[id].leaving = true
+			sim.endpoints[id].register()
+		}
+		sim.runFor(time.Duration(4000+sim.rng.IntN(2900)) * time.Millisecond)
+		sim.watchesSilent = true
+		sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+			switch msg.(type) {
+			case proxy.Digest, proxy.ChangesResponse:
+				return true
+			}
+			return false
+		}
+		for _, h := range sim.sortedHosts() {
+			sim.killHost(h.id)
+			sim.startHost(h.id, h.dc)
+		}
+		sim.runFor(6 * time.Second)
+		sim.reportViolations()
+		sim.expectRecentWriteOrRead(time.Second)
+	}
+}
