--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -17,8 +17,8 @@
 type TxID uint64
 
 // Message is a message between hosts: Hello, ExecRequest, ExecResult, EndTx, PositionRequest,
-// PositionResponse, Ping, Pong, ReopenLink, OutstandingRequests, RequestsNotReceived, Leaving, Digest, ChangesRequest, ChangesResponse,
-// ReachabilityRequest or ReachabilityResponse.
+// PositionResponse, Ping, Pong, ReopenLink, OutstandingRequests, RequestsNotReceived, Leaving,
+// Digest, ChangesRequest, ChangesResponse, ReachabilityRequest or ReachabilityResponse.
 type Message interface{ isMessage() }
 
 // Hello introduces the sender. It is the first message on every link, since the sender's
