core/proxy: a request that its owner has forgotten is not sent again

Found in reading the settlement of requests: an owner remembers a request for 12 s. A frontend whose route has a longer time limit, or that was suspended, could ask about an older one, was told that it had not been received, and sent a write again that had run.

TestForgottenRequestIsNotSentAgain: before, a write is committed twice; after, not.

--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -46,13 +46,15 @@
 	excludedEndpoints []types.Endpoint
 	avoidedHosts      []types.Host
 	attempts          int
-	// hostStartedUnixMs is the start time of the process that the last attempt was sent to.
-	// unsettledSince is when the owner was asked about it; zero if it has answered.
+	// attemptedAt is when the last attempt was sent, and hostStartedUnixMs the start time of the
+	// process that it was sent to.
+	attemptedAt       types.Time
 	hostStartedUnixMs int64
-	unsettledSince    types.Time
-	arrivedAt         types.Time
-	due               types.Time
-	deadline          types.Time
+	// unsettledSince is when the owner was asked about it; zero if it has answered.
+	unsettledSince types.Time
+	arrivedAt      types.Time
+	due            types.Time
+	deadline       types.Time
 	// deferredAt is the time at which the request was last deferred; zero while it is in
 	// flight.
 	deferredAt types.Time
@@ -120,7 +122,7 @@
 	}
 	r.attempts++
 	owner, _ := m.catalog.Host(r.host)
-	r.hostStartedUnixMs = owner.StartedUnixMs
+	r.attemptedAt, r.hostStartedUnixMs = m.now, owner.StartedUnixMs
 	m.statsFor(r.endpoint).inFlight++
 	exec := ExecRequest{
 		ID: r.id, Service: r.route.Service, Endpoint: r.endpoint, RequirePrimary: r.atPrimary,
--- a/core/proxy/settlement.go
+++ b/core/proxy/settlement.go
@@ -22,6 +22,10 @@
 	// maxKeptReplyBytes.
 	receivedRequestAge = 12 * time.Second
 	maxKeptReplyBytes  = 1 << 10
+	// maxSettlementAge is the age up to which the owner is asked about a request. It is well below
+	// receivedRequestAge: a request that the owner has forgotten looks like one that it has not
+	// received.
+	maxSettlementAge = receivedRequestAge / 2
 )
 
 // OutstandingRequests asks the owner which of the sender's requests it has not received. Started is
@@ -98,7 +102,7 @@
 func (m *Machine) queryOutstanding(h types.Host) {
 	msg := OutstandingRequests{}
 	for _, r := range ordered(m.requests) {
-		if r.host != h || r.deferredAt != 0 || (msg.StartedUnixMs != 0 && r.hostStartedUnixMs != msg.StartedUnixMs) {
+		if r.host != h || r.deferredAt != 0 || m.now.Sub(r.attemptedAt) > maxSettlementAge || (msg.StartedUnixMs != 0 && r.hostStartedUnixMs != msg.StartedUnixMs) {
 			continue
 		}
 		r.unsettledSince = m.now
@@ -132,16 +136,19 @@
 	m.sendToHost(from, answer)
 }
 
-// handleRequestsNotReceived attempts the requests again that their owner has not received.
+// handleRequestsNotReceived attempts the requests again that their owner has not received. An answer
+// after settlementTimeout does not count: the owner may have forgotten the requests.
 func (m *Machine) handleRequestsNotReceived(from types.Host, msg RequestsNotReceived) {
+	settled := map[RequestID]*request{}
 	for _, id := range msg.IDs {
-		if r := m.requests[id]; r != nil && r.host == from {
+		if r := m.requests[id]; r != nil && r.host == from && isRecent(m.now, r.unsettledSince, settlementTimeout) {
 			r.unsettledSince = 0
+			settled[id] = r
 		}
 	}
 	for _, id := range msg.NotReceived {
-		r := m.requests[id]
-		if r == nil || r.host != from || r.deferredAt != 0 {
+		r := settled[id]
+		if r == nil || r.deferredAt != 0 {
 			continue
 		}
 		m.incrementCounter("baobab_requests_resent_total")
--- a/core/proxy/silent_link_test.go
+++ b/core/proxy/silent_link_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
@@ -115,3 +116,29 @@
 		})
 	}
 }
+
+// The owner forgets a request before its time limit, which is long on this route. The frontend must
+// not ask about it then: the owner would say that it has not received it, and the write would run
+// again.
+func TestForgottenRequestIsNotSentAgain(t *testing.T) {
+	sim := newSimulation(t, 370, 1)
+	sim.store.put(proxy.KindConfig, "main", proxy.Change{Config: &catalog.Config{
+		Version: 2, Services: []catalog.Service{{Name: testService, MaxConnections: 40}},
+		Routes: []catalog.Route{{Database: "primary-db", Service: testService, StatementTimeout: 30 * time.Second, TargetLatency: 250 * time.Millisecond}},
+	}})
+	sim.runFor(time.Second)
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		_, isResult := msg.(proxy.ExecResult)
+		return isResult
+	}
+	sim.callers.openSession("h-b0", "primary-db", "write")
+	heard := func() { sim.deliver(sim.hosts["h-b0"], proxy.PeerMessage{From: "h-a0", Message: proxy.Pong{}}) }
+	for range 150 {
+		heard() // so that the link does not count as silent
+		sim.runFor(100 * time.Millisecond)
+	}
+	sim.isLost = nil
+	sim.deliver(sim.hosts["h-b0"], proxy.PeerMessage{From: "h-a0", Message: proxy.ReopenLink{}})
+	sim.runFor(2 * time.Second)
+	sim.reportViolations()
+}
