--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -190,13 +190,7 @@
 		}
 		sim.runFor(time.Duration(4000+sim.rng.IntN(2900)) * time.Millisecond)
 		sim.watchesSilent = true
-		sim.isLost = func(_ types.Host, msg proxy.Message) bool {
-			switch msg.(type) {
-			case proxy.Digest, proxy.ChangesResponse:
-				return true
-			}
-			return false
-		}
+		sim.loseGossip()
 		for _, h := range sim.sortedHosts() {
 			sim.killHost(h.id)
 			sim.startHost(h.id, h.dc)
--- a/core/proxy/silent_replica_test.go
+++ b/core/proxy/silent_replica_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
 
@@ -149,13 +148,7 @@
 				sim.killHost("h-a1")
 				sim.endpoints["e-a"].restart()
 				// The other hosts do not tell the new one what they know.
-				sim.isLost = func(_ types.Host, msg proxy.Message) bool {
-					switch msg.(type) {
-					case proxy.Digest, proxy.ChangesResponse:
-						return true
-					}
-					return false
-				}
+				sim.loseGossip()
 				sim.store.staleObjects, sim.store.staleAsOf = older, asOf
 				sim.startHost("h-a0", "a")
 				sim.cuts[[2]string{"h-a0", "e-c"}], sim.cuts[[2]string{"h-a0", "e-b"}] = false, true
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -378,6 +378,17 @@
 	}
 }
 
+// loseGossip makes the hosts learn nothing from each other about the store's objects.
+func (sim *simulation) loseGossip() {
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		switch msg.(type) {
+		case proxy.Digest, proxy.ChangesResponse:
+			return true
+		}
+		return false
+	}
+}
+
 // replaceLink ends the silence of a host's link to another one.
 func (sim *simulation) replaceLink(h *hostSim, e proxy.Effect) {
 	var peer types.Host
