core, platform: callers are told apart by workspace

Cause: neither the proxy nor its pools knew who calls. Every endpoint connection was opened under the proxy's own name, and keys in the configuration had no effect. Change: the configuration's workspaces and keys are decoded; a session belongs to the workspace of its key, an unknown key is refused, and each operation checks the key against the version in force. Requests carry the workspace, and a statement runs only on a connection opened for it; at the limit of connections the one that is idle for longest is closed. Hosts state that they know workspaces; others own no endpoints while the configuration has any. A new process answers "no such database" only once its configuration is confirmed.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -48,6 +48,19 @@
 	// Rank is the priority. Rank 0 is served first. It corresponds to
 	// types.RankSpec.Order.
 	Rank int
+	// Public is set if callers need no key.
+	Public bool
+}
+
+// Workspace is a customer organisation of the configuration.
+type Workspace struct {
+	Name types.Workspace
+	// Keys are the API keys of its callers. They must not appear in logs, metrics, errors or
+	// messages to endpoints.
+	Keys []string
+	// Rate is the limit of its operations per second over all hosts, Burst the number that may
+	// exceed it at once. A Rate of 0 means that there is no limit.
+	Rate, Burst float64
 }
 
 // Service is a service of the configuration.
@@ -66,6 +79,8 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
+	// Workspaces is empty if callers are not told apart.
+	Workspaces []Workspace
 	// TxIdleTimeout is the time after which an idle transaction can be ended. Zero
 	// means that it is never ended.
 	TxIdleTimeout time.Duration
@@ -104,8 +119,15 @@
 	// AuthorityRules is the version of the rules of package lead by which the host uses a
 	// primary; 0 for builds that state none.
 	AuthorityRules int
+	// WorkspaceRules is that of the host's build, see the constant; 0 for builds that do not
+	// know workspaces.
+	WorkspaceRules int
 }
 
+// WorkspaceRules is the version of the rules by which this build keeps workspaces apart. In a
+// configuration with workspaces, only hosts of this version own endpoints.
+const WorkspaceRules = 1
+
 // Leadership records which host can promote an endpoint of a service and which
 // endpoint it selected.
 type Leadership struct {
@@ -169,11 +191,13 @@
 
 // Catalog is the current view of the store. It must be used by one task only.
 type Catalog struct {
-	config    Config
-	routes    map[types.Database]Route
-	services  map[types.Service]Service
-	endpoints map[types.Endpoint]Endpoint
-	removeAt  map[types.Endpoint]types.Time
+	config   Config
+	routes   map[types.Database]Route
+	services map[types.Service]Service
+	// workspaceByKey maps each API key to its workspace.
+	workspaceByKey map[string]types.Workspace
+	endpoints      map[types.Endpoint]Endpoint
+	removeAt       map[types.Endpoint]types.Time
 	// endpointsByService caches the endpoints of each service, ordered by id. A
 	// change of an endpoint deletes the cached list of its service.
 	endpointsByService map[types.Service][]Endpoint
@@ -197,6 +221,7 @@
 	return &Catalog{
 		routes:             map[types.Database]Route{},
 		services:           map[types.Service]Service{},
+		workspaceByKey:     map[string]types.Workspace{},
 		endpoints:          map[types.Endpoint]Endpoint{},
 		removeAt:           map[types.Endpoint]types.Time{},
 		endpointsByService: map[types.Service][]Endpoint{},
@@ -225,6 +250,12 @@
 	}
 	slices.Sort(c.sortedServices)
 	c.sortedServices = slices.Compact(c.sortedServices)
+	clear(c.workspaceByKey)
+	for _, w := range cfg.Workspaces {
+		for _, key := range w.Keys {
+			c.workspaceByKey[key] = w.Name
+		}
+	}
 	return true
 }
 
@@ -250,6 +281,18 @@
 	return service, ok
 }
 
+// HasWorkspaces reports whether the configuration tells callers apart by their keys.
+func (c *Catalog) HasWorkspaces() bool { return len(c.config.Workspaces) > 0 }
+
+// Workspaces returns the workspaces of the configuration. The result must not be changed.
+func (c *Catalog) Workspaces() []Workspace { return c.config.Workspaces }
+
+// WorkspaceOfKey returns the workspace that holds an API key.
+func (c *Catalog) WorkspaceOfKey(key string) (types.Workspace, bool) {
+	w, ok := c.workspaceByKey[key]
+	return w, ok
+}
+
 // SetEndpoint stores an endpoint and cancels its pending removal, if any.
 func (c *Catalog) SetEndpoint(e Endpoint) {
 	delete(c.removeAt, e.ID)
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -12,11 +12,13 @@
 func (p *Pool) dispatch(now types.Time) {
 	for p.slotsInUse < p.cfg.Slots && p.queue.size > 0 {
 		started := false
-		needsConn := false
+		var missing *Request
 		p.queue.visitCandidates(now, func(rank, i int, qr *queuedRequest) bool {
 			c := p.findConnection(&qr.req)
 			if c == nil {
-				needsConn = needsConn || p.needsConnection(&qr.req)
+				if missing == nil && p.needsConnection(&qr.req) {
+					missing = &qr.req
+				}
 				return false
 			}
 			p.queue.remove(rank, i)
@@ -25,8 +27,8 @@
 			return true
 		})
 		if !started {
-			if needsConn {
-				p.dial(now)
+			if missing != nil {
+				p.dial(now, missing.Workspace)
 			}
 			return
 		}
@@ -47,7 +49,7 @@
 	var best *conn
 	bestSetup := 0
 	for _, c := range p.connList {
-		if c.state != stateIdle || (req.RequireTrusted && !p.IsTrusted(c.openedAt)) {
+		if c.state != stateIdle || c.workspace != req.Workspace || (req.RequireTrusted && !p.IsTrusted(c.openedAt)) {
 			continue
 		}
 		setup := p.setupCommandCount(c, req)
@@ -66,7 +68,7 @@
 		return false
 	}
 	return !req.RequireTrusted || !slices.ContainsFunc(p.connList, func(c *conn) bool {
-		return c.state == stateIdle && !p.IsTrusted(c.openedAt)
+		return c.state == stateIdle && c.workspace == req.Workspace && !p.IsTrusted(c.openedAt)
 	})
 }
 
@@ -84,16 +86,36 @@
 	return count
 }
 
-// dial opens a connection if the limits allow it.
-func (p *Pool) dial(now types.Time) {
-	if p.dialsInFlight >= maxConcurrentDials || len(p.connList) >= p.cfg.MaxConnections || now.Before(p.retryDialAt) {
+// dial opens a connection for a workspace if the limits allow it. At the limit of connections it
+// closes the connection of another workspace that has been idle for longest.
+func (p *Pool) dial(now types.Time, w types.Workspace) {
+	if p.dialsInFlight >= maxConcurrentDials || now.Before(p.retryDialAt) {
 		return
 	}
-	c := &conn{id: p.nextID(), state: stateDialing, stateSince: now, prepared: map[statement.Template]string{}}
+	if len(p.connList) >= p.cfg.MaxConnections && !p.evictIdle(now, w) {
+		return
+	}
+	c := &conn{id: p.nextID(), state: stateDialing, stateSince: now, workspace: w, prepared: map[statement.Template]string{}}
 	p.connByID[c.id] = c
 	p.connList = append(p.connList, c)
 	p.dialsInFlight++
-	p.emit(Dial{Conn: c.id})
+	p.emit(Dial{Conn: c.id, Workspace: w})
+}
+
+// evictIdle closes the connection that has been idle for longest among those of other
+// workspaces. It returns false if there is none.
+func (p *Pool) evictIdle(now types.Time, w types.Workspace) bool {
+	var oldest *conn
+	for _, c := range p.connList {
+		if c.state == stateIdle && c.workspace != w && (oldest == nil || c.stateSince < oldest.stateSince) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.closeConn(now, oldest, types.ReasonNone)
+	return true
 }
 
 // HandleConnected handles a connection that is open and ready.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -51,7 +51,9 @@
 	state      connState
 	stateSince types.Time
 	openedAt   types.Time
-	variables  statement.SessionVariables
+	// workspace is the one whose statements run on the connection.
+	workspace types.Workspace
+	variables statement.SessionVariables
 	// prepared holds the name under which each template is prepared on the connection.
 	prepared map[statement.Template]string
 	// preparedCount is the number of names that the connection has used.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -41,6 +41,9 @@
 	ID RequestID
 	// Tx is the transaction of the statement; zero for none.
 	Tx TxID
+	// Workspace is that of the caller; empty for none. The request runs only on a connection that
+	// was opened for it.
+	Workspace types.Workspace
 	// Begin opens the transaction. It is set on the first statement of the transaction.
 	Begin *Query
 	Query Query
@@ -98,8 +101,11 @@
 // Effect is an output of the pool: Dial, Send, Close or Result.
 type Effect interface{ isEffect() }
 
-// Dial requests a new connection.
-type Dial struct{ Conn ConnID }
+// Dial requests a new connection for the statements of a workspace.
+type Dial struct {
+	Conn      ConnID
+	Workspace types.Workspace
+}
 
 // Send requests that a command be written to a connection.
 type Send struct {
--- a/core/proxy/debugstate.go
+++ b/core/proxy/debugstate.go
@@ -114,6 +114,8 @@
 		return "host is stopping"
 	case m.catalog.ConfigVersion() == 0:
 		return "no configuration is known"
+	case m.catalog.HasWorkspaces() && !m.isConfigConfirmed():
+		return "the configuration is not confirmed"
 	case len(m.catalog.Hosts()) == 0:
 		return "no host is known"
 	case !m.hasEndpoint():
--- a/core/proxy/effect.go
+++ b/core/proxy/effect.go
@@ -57,6 +57,8 @@
 	Service  types.Service
 	Endpoint types.Endpoint
 	Address  string
+	// Workspace is the one whose statements the connection will run; empty for none.
+	Workspace types.Workspace
 }
 
 // EndpointSend sends a command on a connection.
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -33,6 +33,8 @@
 type CallerStarted struct {
 	Session  SessionID
 	Database types.Database
+	// Key is the caller's API key.
+	Key string
 }
 
 // CallerQuery carries a caller's statement. A statement that cannot be decoded has Kind 0.
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -88,6 +88,9 @@
 			m.replyError(s, statement.CodeNoDatabase, "database "+string(s.database)+" does not exist any more")
 			return
 		}
+		if !m.authenticateOperation(s, &route) {
+			return
+		}
 		r.route = route
 		r.needsPrimary = q.Stmt.Writes() || route.Consistency == catalog.ConsistencyPrimary
 	}
@@ -127,6 +130,7 @@
 	exec := ExecRequest{
 		ID: r.id, Service: r.route.Service, Endpoint: r.endpoint, RequirePrimary: r.atPrimary,
 		Query: r.query, Variables: r.session.variables, Rank: r.route.Rank,
+		Workspace: r.session.workspace, Public: r.route.Public,
 		DueIn: r.due.Sub(m.now), DeadlineIn: r.deadline.Sub(m.now), MaxStaleness: r.route.MaxStaleness,
 	}
 	if r.inTx() {
@@ -199,9 +203,15 @@
 	if reply.Code != statement.CodeOK {
 		level = Info
 	}
-	m.log(level, "request", field("id", r.query.ID), field("kind", r.query.Stmt.Kind.String()), field("database", r.session.database),
+	fields := []Field{
+		field("id", r.query.ID), field("kind", r.query.Stmt.Kind.String()), field("database", r.session.database),
 		field("config", m.catalog.ConfigVersion()), field("endpoint", r.endpoint), field("owner", r.host), field("primary", r.atPrimary),
-		field("outcome", reply.Code.String()), field("reason", r.lastReason.String()), field("text", reply.Text), field("tries", r.attempts), field("took", took))
+		field("outcome", reply.Code.String()), field("reason", r.lastReason.String()), field("text", reply.Text), field("tries", r.attempts), field("took", took),
+	}
+	if r.session.workspace != "" {
+		fields = append(fields, field("workspace", r.session.workspace))
+	}
+	m.log(level, "request", fields...)
 	m.emit(Metric{Name: fmt.Sprintf("baobab_request_seconds{rank=\"%d\",outcome=%q}", r.route.Rank, reply.Code.String()), Sample: max(took, 1)})
 	m.replyToCaller(r.session, reply)
 }
@@ -209,6 +219,11 @@
 // handleNotRun handles a result that says that the statement has not run.
 func (m *Machine) handleNotRun(r *request, res ExecResult) {
 	reason := res.Reason
+	if reason == types.ReasonLimited {
+		r.lastReason = reason
+		m.refuseRequest(r, statement.CodeBusy, fmt.Sprintf("not run: %s, retry after %d ms", reason, res.RetryAfter.Milliseconds()))
+		return
+	}
 	switch res.Reply.Code {
 	case statement.CodeLagging:
 		reason = types.ReasonBehind
--- /dev/null
+++ b/core/proxy/identity.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"cmp"
+	"time"
+
+	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/statement"
+	"baobabfield.example/core/types"
+)
+
+const (
+	// configConfirmTimeout is the time after which a new process uses a configuration that
+	// nothing has confirmed, so that callers are served while the store is away.
+	configConfirmTimeout = 3 * time.Second
+	// withdrawnTxPercent is the part of the configuration's bound for which a transaction goes on
+	// after the key of its caller was withdrawn. The rest is for the spreading of the version.
+	withdrawnTxPercent = 50
+)
+
+// isConfigConfirmed reports whether the configuration is known to be one that was current after
+// this process started. The first list of a new process may be several seconds old: it may lack a
+// database that exists by now, or hold a key that was withdrawn.
+func (m *Machine) isConfigConfirmed() bool {
+	if _, ok := m.refresh.currentAt[KindConfig]; ok {
+		return true
+	}
+	return m.refresh.startedAt != 0 && m.now.Sub(m.refresh.startedAt) >= configConfirmTimeout
+}
+
+// authenticate returns the workspace of a caller's key. It returns false if the caller may not use
+// the route.
+func (m *Machine) authenticate(key string, route *catalog.Route) (types.Workspace, bool) {
+	if !m.catalog.HasWorkspaces() {
+		return "", true
+	}
+	w, ok := m.catalog.WorkspaceOfKey(key)
+	return w, ok || route.Public
+}
+
+// authenticateOperation checks the caller's key before a statement or transaction. If the key was
+// withdrawn, it refuses the statement and closes the session.
+func (m *Machine) authenticateOperation(s *session, route *catalog.Route) bool {
+	w, ok := m.authenticate(s.key, route)
+	if !ok {
+		m.logAuthFailure(s.database, "key withdrawn")
+		s.backlog = nil
+		m.replyError(s, statement.CodeAuthFailed, "the key is not known")
+		m.closeSession(s, statement.CodeOK, "")
+		return false
+	}
+	s.workspace = w
+	return true
+}
+
+func (m *Machine) logAuthFailure(db types.Database, reason string) {
+	m.incrementCounter("baobab_auth_failed_total")
+	m.log(Info, "session refused", append([]Field{
+		field("database", db), field("reason", reason), field("config", m.catalog.ConfigVersion()),
+	}, m.currencyFields(KindConfig)...)...)
+}
+
+// closeWithdrawnSessions closes the idle sessions whose keys the configuration does not hold any
+// more. The others are closed after their statement or transaction.
+func (m *Machine) closeWithdrawnSessions() {
+	for _, s := range ordered(m.sessions) {
+		if !m.isWithdrawn(s) {
+			s.withdrawnAt = 0
+			continue
+		}
+		if s.withdrawnAt == 0 {
+			s.withdrawnAt = m.now
+			m.log(Info, "key withdrawn", field("session", s.id), field("workspace", s.workspace), field("database", s.database),
+				field("config", m.catalog.ConfigVersion()), field("transaction", s.tx != nil))
+		}
+		if s.tx == nil && s.currentRequest == nil {
+			m.drainSession(s)
+		}
+	}
+}
+
+// isWithdrawn reports whether the key of a session was valid and is not any more. A session whose
+// route is gone keeps its key, since its next statement is refused for the route.
+func (m *Machine) isWithdrawn(s *session) bool {
+	route, ok := m.catalog.Route(s.database)
+	if !ok {
+		return false
+	}
+	_, ok = m.authenticate(s.key, &route)
+	return !ok
+}
+
+// abortWithdrawnTransactions ends the transactions that have gone on for long after the key of
+// their caller was withdrawn.
+func (m *Machine) abortWithdrawnTransactions() {
+	limit := cmp.Or(m.settings.ConfigBound, defaultConfigBound) * withdrawnTxPercent / 100
+	for _, s := range ordered(m.sessions) {
+		if s.withdrawnAt != 0 && s.tx != nil && s.currentRequest == nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
+			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
+			s.endsTx = true
+			m.drainSession(s)
+		}
+	}
+}
+
+// mayRunFor reports whether this owner knows for whom a request runs. A host that does not know
+// workspaces sends none.
+func (m *Machine) mayRunFor(req *ExecRequest) bool {
+	return !m.catalog.HasWorkspaces() || req.Workspace != "" || req.Public
+}
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -247,7 +247,7 @@
 	p := m.peerFor(h)
 	if !p.helloSent {
 		p.helloSent = true
-		hello := Hello{DataCentre: m.settings.DataCentre, MeshAddress: m.settings.MeshAddress, StartedUnixMs: m.settings.StartedUnixMs, CPUMillicores: m.settings.CPUMillicores, AuthorityRules: lead.AuthorityRules}
+		hello := Hello{DataCentre: m.settings.DataCentre, MeshAddress: m.settings.MeshAddress, StartedUnixMs: m.settings.StartedUnixMs, CPUMillicores: m.settings.CPUMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 		m.emit(PeerSend{Host: h, Address: host.MeshAddress, Message: hello})
 	}
 	m.emit(PeerSend{Host: h, Address: host.MeshAddress, Message: msg})
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -34,6 +34,8 @@
 	CPUMillicores int
 	// AuthorityRules is that of catalog.Host.
 	AuthorityRules int
+	// WorkspaceRules is that of catalog.Host.
+	WorkspaceRules int
 }
 
 // ExecRequest asks the owner of an endpoint to run a statement.
@@ -50,6 +52,9 @@
 	Variables      statement.SessionVariables
 	// Rank is the urgency, as in pool.Request.
 	Rank int
+	// Workspace is that of the caller; empty for none. Public is set if the route needs no key.
+	Workspace types.Workspace
+	Public    bool
 	// DueIn is the remaining time until the latency objective, DeadlineIn that until the
 	// timeout.
 	DueIn, DeadlineIn time.Duration
@@ -73,6 +78,8 @@
 	Load int
 	// QueueTime is the time in the queue, ServiceTime the time at the endpoint.
 	QueueTime, ServiceTime time.Duration
+	// RetryAfter is when the caller should return, with ReasonLimited.
+	RetryAfter time.Duration
 }
 
 // EndTx requests that the owner end a transaction that its frontend no longer uses.
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -129,6 +129,10 @@
 	case o == nil, m.now.Before(o.unreachableUntil):
 		m.sendResult(ex, ExecResult{Reason: types.ReasonUnreachable})
 		return
+	case !m.mayRunFor(&req):
+		m.log(Warn, "request without a workspace", field("id", req.Query.ID), field("from", from), field("endpoint", req.Endpoint))
+		m.sendResult(ex, ExecResult{Reason: types.ReasonUnreachable})
+		return
 	case m.stop.refusingWork && (req.Tx == 0 || req.Begin != nil):
 		m.sendResult(ex, ExecResult{Reason: types.ReasonLeaving})
 		return
@@ -165,7 +169,7 @@
 		}
 	}
 	o.pool.Submit(m.now, pool.Request{
-		ID: ex.id, Tx: ex.tx, Begin: ex.request.Begin, Query: ex.request.Query, MinPosition: after, Variables: ex.request.Variables,
+		ID: ex.id, Tx: ex.tx, Workspace: ex.request.Workspace, Begin: ex.request.Begin, Query: ex.request.Query, MinPosition: after, Variables: ex.request.Variables,
 		Rank: ex.request.Rank, Due: ex.due, Deadline: ex.deadline, RequireTrusted: ex.request.RequirePrimary,
 	})
 }
@@ -186,7 +190,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case pool.Dial:
-			m.dialPoolConn(o, e.Conn)
+			m.dialPoolConn(o, e)
 		case pool.Send:
 			m.emit(EndpointSend{Conn: e.Conn, Command: e.Command})
 		case pool.Close:
@@ -199,14 +203,14 @@
 	return len(effects) > 0
 }
 
-func (m *Machine) dialPoolConn(o *ownedEndpoint, id pool.ConnID) {
+func (m *Machine) dialPoolConn(o *ownedEndpoint, dial pool.Dial) {
 	e, ok := m.catalog.Endpoint(o.id)
 	if !ok {
-		o.pool.HandleDialFailure(m.now, id)
+		o.pool.HandleDialFailure(m.now, dial.Conn)
 		return
 	}
 	m.incrementCounter("baobab_endpoint_dials_total")
-	m.emit(EndpointDial{Conn: id, Service: o.service, Endpoint: o.id, Address: e.Address})
+	m.emit(EndpointDial{Conn: dial.Conn, Service: o.service, Endpoint: o.id, Address: e.Address, Workspace: dial.Workspace})
 }
 
 // handlePoolResult handles the result of an execution.
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -120,7 +120,7 @@
 		return
 	}
 	m.log(Info, "host added from hello", field("peer", from), field("data_centre", h.DataCentre), field("started", h.StartedUnixMs))
-	m.catalog.SetHost(catalog.Host{ID: from, DataCentre: h.DataCentre, MeshAddress: h.MeshAddress, StartedUnixMs: h.StartedUnixMs, CPUMillicores: h.CPUMillicores, AuthorityRules: h.AuthorityRules})
+	m.catalog.SetHost(catalog.Host{ID: from, DataCentre: h.DataCentre, MeshAddress: h.MeshAddress, StartedUnixMs: h.StartedUnixMs, CPUMillicores: h.CPUMillicores, AuthorityRules: h.AuthorityRules, WorkspaceRules: h.WorkspaceRules})
 	m.clearOwnerCache()
 }
 
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -200,7 +200,7 @@
 func (m *Machine) usableHosts(dc types.DataCentre, avoided []types.Host) []types.Host {
 	var local, all []types.Host
 	for _, h := range m.catalog.Hosts() {
-		if !m.isUsable(h) || slices.Contains(avoided, h.ID) {
+		if !m.isUsable(h) || !m.keepsWorkspacesApart(&h) || slices.Contains(avoided, h.ID) {
 			continue
 		}
 		all = append(all, h.ID)
@@ -214,6 +214,11 @@
 	return all
 }
 
+// keepsWorkspacesApart reports whether a host can own endpoints in the present configuration.
+func (m *Machine) keepsWorkspacesApart(h *catalog.Host) bool {
+	return !m.catalog.HasWorkspaces() || h.WorkspaceRules >= catalog.WorkspaceRules
+}
+
 // clearOwnerCache drops what is cached of the order of the hosts.
 func (m *Machine) clearOwnerCache() {
 	clear(m.ownerCache)
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -12,10 +12,15 @@
 
 // session is a caller's connection.
 type session struct {
-	id        SessionID
-	database  types.Database
-	variables statement.SessionVariables
-	prepared  map[string]statement.Template
+	id       SessionID
+	database types.Database
+	// key is the caller's API key, and workspace the one that holds it; empty for none.
+	key       string
+	workspace types.Workspace
+	// withdrawnAt is when the key was found to be withdrawn; zero if it is valid.
+	withdrawnAt types.Time
+	variables   statement.SessionVariables
+	prepared    map[string]statement.Template
 	// lastCommit is the position of the session's last commit, at lastCommitService.
 	lastCommit        types.LogPoint
 	lastCommitService types.Service
@@ -68,13 +73,28 @@
 		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host is starting, connect again in a second"})
 		return
 	}
-	if _, ok := m.catalog.Route(ev.Database); !ok {
+	route, ok := m.catalog.Route(ev.Database)
+	if !ok && !m.isConfigConfirmed() {
+		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host is starting, connect again in a second"})
+		return
+	}
+	if !ok {
 		m.log(Info, "session refused", append([]Field{field("database", ev.Database), field("reason", "no route"), field("config", m.catalog.ConfigVersion())}, m.currencyFields(KindConfig)...)...)
 		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeNoDatabase, Text: "database " + string(ev.Database) + " does not exist"})
 		return
 	}
+	if m.catalog.HasWorkspaces() && !m.isConfigConfirmed() {
+		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host is starting, connect again in a second"})
+		return
+	}
+	workspace, ok := m.authenticate(ev.Key, &route)
+	if !ok {
+		m.logAuthFailure(ev.Database, "unknown key")
+		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeAuthFailed, Text: "the key is not known"})
+		return
+	}
 	m.sessions[ev.Session] = &session{
-		id: ev.Session, database: ev.Database, prepared: map[string]statement.Template{},
+		id: ev.Session, database: ev.Database, key: ev.Key, workspace: workspace, prepared: map[string]statement.Template{},
 	}
 	m.emit(CallerReady{Session: ev.Session})
 }
@@ -167,6 +187,9 @@
 		m.replyError(s, statement.CodeNoDatabase, "database "+string(s.database)+" does not exist any more")
 		return
 	}
+	if !m.authenticateOperation(s, &route) {
+		return
+	}
 	m.nextTxID++
 	s.tx = &transaction{id: m.nextTxID, route: route, begin: q}
 	s.tx.needsPrimary = q.Stmt.Kind == statement.KindBegin || route.Consistency == catalog.ConsistencyPrimary
@@ -228,7 +251,7 @@
 	switch {
 	case s.drain == drainDone:
 		m.closeDrainedSession(s)
-	case (m.stop.begun || m.mustMoveSessions()) && s.tx == nil:
+	case (m.stop.begun || m.mustMoveSessions() || s.withdrawnAt != 0) && s.tx == nil:
 		m.drainSession(s)
 	}
 }
@@ -289,6 +312,7 @@
 
 // tickSessions ends transactions that have been idle for too long.
 func (m *Machine) tickSessions() {
+	m.abortWithdrawnTransactions()
 	limit := m.catalog.TxIdleTimeout()
 	if limit <= 0 {
 		return
--- a/core/statement/reply.go
+++ b/core/statement/reply.go
@@ -40,17 +40,19 @@
 	CodeInDoubt
 	// CodeOther stands for every code that the protocol adapter does not know.
 	CodeOther
+	// CodeAuthFailed is a code of the proxy's own replies: the caller's key is not known.
+	CodeAuthFailed
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "unknown name", "lagging", "read only", "failed", "timed out", "malformed",
-	"wrong endpoint", "connection limit", "no database", "aborted", "in doubt", "other code",
+	"wrong endpoint", "connection limit", "no database", "aborted", "in doubt", "other code", "authentication failed",
 }
 
 func (c Code) String() string { return codeNames[c] }
 
 // Valid reports whether c is one of the declared codes.
-func (c Code) Valid() bool { return c <= CodeOther }
+func (c Code) Valid() bool { return c <= CodeAuthFailed }
 
 // NotRun reports whether the code proves that the endpoint has not run the
 // statement.
--- a/core/types/id.go
+++ b/core/types/id.go
@@ -15,6 +15,10 @@
 // Endpoint identifies one database instance that holds a replica of a Database.
 type Endpoint string
 
+// Workspace names a customer organisation that shares databases with others. It is empty if the
+// configuration has no workspaces, and for callers of public routes whose key is unknown.
+type Workspace string
+
 // Rank names a priority class that an operator defined, for instance "urgent".
 type Rank string
 
--- a/core/types/outcome.go
+++ b/core/types/outcome.go
@@ -76,6 +76,8 @@
 	ReasonFenced
 	// ReasonReadOnly means that a replica refused a statement that writes.
 	ReasonReadOnly
+	// ReasonLimited means that the workspace has reached its rate limit.
+	ReasonLimited
 
 	reasonCount
 )
@@ -83,7 +85,7 @@
 var reasonNames = [reasonCount]string{
 	"none", "not owner", "not primary", "no authority", "behind", "stale",
 	"queue full", "late", "shed", "retired", "leaving", "unreachable",
-	"no majority", "lost write", "bad request", "broken", "fenced", "read only",
+	"no majority", "lost write", "bad request", "broken", "fenced", "read only", "rate limit reached",
 }
 
 // Valid reports whether r is one of the declared reasons.
--- a/node/gateway/caller.go
+++ b/node/gateway/caller.go
@@ -98,13 +98,13 @@
 	reader := &callerReader{sock: sock}
 	r := bufio.NewReaderSize(reader, callerReadBufferBytes)
 	_ = sock.SetReadDeadline(time.Now().Add(startupTimeout))
-	db, err := g.settings.Codec.ReadStartup(r)
+	db, key, err := g.settings.Codec.ReadStartup(r)
 	if err != nil {
 		g.logCallerError(id, err)
 		return
 	}
 	_ = sock.SetReadDeadline(time.Time{})
-	g.post(proxy.CallerStarted{Session: id, Database: db})
+	g.post(proxy.CallerStarted{Session: id, Database: db, Key: key})
 	for {
 		if err := reader.awaitMessage(r); errors.Is(err, os.ErrDeadlineExceeded) {
 			g.post(proxy.CallerDrained{Session: id})
--- a/node/gateway/caller_test.go
+++ b/node/gateway/caller_test.go
@@ -18,9 +18,9 @@
 // lineCodec decodes lines: the first one is the database, each further one a query's id.
 type lineCodec struct{ Codec }
 
-func (lineCodec) ReadStartup(r *bufio.Reader) (types.Database, error) {
+func (lineCodec) ReadStartup(r *bufio.Reader) (types.Database, string, error) {
 	line, err := r.ReadString('\n')
-	return types.Database(line), err
+	return types.Database(line), "", err
 }
 
 func (lineCodec) ReadQuery(r *bufio.Reader) (pool.Query, error) {
--- a/node/gateway/endpoint.go
+++ b/node/gateway/endpoint.go
@@ -93,7 +93,7 @@
 	}
 	_ = sock.SetDeadline(time.Now().Add(dialTimeout))
 	r = bufio.NewReaderSize(sock, endpointReadBufferBytes)
-	if _, err = sock.Write(g.settings.Codec.AppendStartup(nil, d.Service, d.Endpoint)); err == nil {
+	if _, err = sock.Write(g.settings.Codec.AppendStartup(nil, d.Service, d.Endpoint, d.Workspace)); err == nil {
 		code, readErr := g.settings.Codec.ReadStartupReply(r)
 		if readErr == nil && code == statement.CodeOK {
 			_ = sock.SetDeadline(time.Time{})
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -126,7 +126,7 @@
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
 		peerLinks: map[types.Host]*link{}, addresses: map[types.Host]string{}, encoder: peerwire.NewEncoder(),
-		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores, AuthorityRules: lead.AuthorityRules},
+		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules},
 		cancelHostRecord: func() {},
 		counters:         map[string]*metrics.Counter{}, histograms: map[string]*metrics.Histogram{},
 	}
--- a/node/gateway/ports.go
+++ b/node/gateway/ports.go
@@ -25,8 +25,9 @@
 // Append return buf with the encoded message appended. Several tasks use a Codec
 // concurrently.
 type Codec interface {
-	// ReadStartup reads the message that opens a caller's session.
-	ReadStartup(r *bufio.Reader) (types.Database, error)
+	// ReadStartup reads the message that opens a caller's session: its database and the
+	// caller's key. An error does not contain the key.
+	ReadStartup(r *bufio.Reader) (db types.Database, key string, err error)
 	// ReadQuery reads a caller's next statement. An error ends the session.
 	ReadQuery(r *bufio.Reader) (pool.Query, error)
 	// AppendReady encodes the message that accepts a caller's session.
@@ -37,8 +38,9 @@
 	// nothing if the code is OK.
 	AppendClose(buf []byte, code statement.Code, text string) []byte
 
-	// AppendStartup encodes the message that opens a session at an endpoint.
-	AppendStartup(buf []byte, service types.Service, endpoint types.Endpoint) []byte
+	// AppendStartup encodes the message that opens a session at an endpoint, for a workspace
+	// if it is not empty.
+	AppendStartup(buf []byte, service types.Service, endpoint types.Endpoint, workspace types.Workspace) []byte
 	// ReadStartupReply reads an endpoint's reply to a startup message. The code is OK if
 	// the endpoint accepts the session.
 	ReadStartupReply(r *bufio.Reader) (statement.Code, error)
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -19,7 +19,7 @@
 	switch b := f.GetProxy().GetBody().(type) {
 	case *meshpb.ProxyMessage_Hello:
 		h := b.Hello
-		return proxy.Hello{DataCentre: types.DataCentre(h.GetDataCentre()), MeshAddress: h.GetMeshAddress(), StartedUnixMs: h.GetStarted(), CPUMillicores: int(h.GetPower()), AuthorityRules: int(h.GetRules())}, nil
+		return proxy.Hello{DataCentre: types.DataCentre(h.GetDataCentre()), MeshAddress: h.GetMeshAddress(), StartedUnixMs: h.GetStarted(), CPUMillicores: int(h.GetPower()), AuthorityRules: int(h.GetRules()), WorkspaceRules: int(h.GetWorkspaces())}, nil
 	case *meshpb.ProxyMessage_Exec:
 		return decodeExecRequest(b.Exec)
 	case *meshpb.ProxyMessage_Done:
@@ -87,6 +87,7 @@
 		ID: proxy.RequestID(e.GetId()), Service: types.Service(e.GetService()), Endpoint: types.Endpoint(e.GetEndpoint()),
 		RequirePrimary: e.GetPrimary(), Tx: proxy.TxID(e.GetTx()), Rank: int(e.GetRank()), DueIn: microseconds(e.GetDueUs()),
 		DeadlineIn: microseconds(e.GetDeadlineUs()), MaxStaleness: microseconds(e.GetMaxAgeUs()), After: decodePoint(e.GetAfter()),
+		Workspace: types.Workspace(e.GetWorkspace()), Public: e.GetPublic(),
 	}
 	var err error
 	if out.Query, err = decodeStatement(e.GetStatement()); err != nil {
@@ -120,6 +121,7 @@
 			Code: code, Text: string(d.GetText()), Rows: rows, Signature: string(d.GetSignature()), State: state, Position: decodePoint(d.GetPosition()),
 		},
 		TxOpen: d.GetTxOpen(), Load: int(d.GetLoad()), QueueTime: microseconds(d.GetWaitedUs()), ServiceTime: microseconds(d.GetServedUs()),
+		RetryAfter: microseconds(d.GetRetryAfterUs()),
 	}, nil
 }
 
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -28,7 +28,7 @@
 	case proxy.Hello:
 		p.Body = &meshpb.ProxyMessage_Hello{Hello: &meshpb.Hello{
 			DataCentre: string(m.DataCentre), MeshAddress: m.MeshAddress, Started: m.StartedUnixMs, Power: uint32(max(m.CPUMillicores, 0)),
-			Rules: uint32(max(m.AuthorityRules, 0)),
+			Rules: uint32(max(m.AuthorityRules, 0)), Workspaces: uint32(max(m.WorkspaceRules, 0)),
 		}}
 	case proxy.ExecRequest:
 		p.Body = &meshpb.ProxyMessage_Exec{Exec: encodeExecRequest(&m)}
@@ -116,7 +116,7 @@
 		Id: uint64(e.ID), Service: string(e.Service), Endpoint: string(e.Endpoint), Primary: e.RequirePrimary, Tx: uint64(e.Tx),
 		Begin: encodeStatement(e.Begin), Statement: encodeStatement(&e.Query), Rank: uint32(max(e.Rank, 0)),
 		DueUs: e.DueIn.Microseconds(), DeadlineUs: e.DeadlineIn.Microseconds(), MaxAgeUs: uint64(e.MaxStaleness.Microseconds()),
-		After: encodePoint(e.After),
+		After: encodePoint(e.After), Workspace: string(e.Workspace), Public: e.Public,
 	}
 	for _, v := range e.Variables {
 		out.Values = append(out.Values, &meshpb.SessionValue{Name: []byte(v.Name), Value: []byte(v.Value)})
@@ -129,6 +129,7 @@
 		Id: uint64(d.ID), Ran: d.MayHaveRun, Reason: uint32(d.Reason), Code: uint32(d.Reply.Code), Text: []byte(d.Reply.Text),
 		Signature: []byte(d.Reply.Signature), State: uint32(d.Reply.State), Position: encodePoint(d.Reply.Position),
 		TxOpen: d.TxOpen, Load: uint32(d.Load), WaitedUs: uint64(d.QueueTime.Microseconds()), ServedUs: uint64(d.ServiceTime.Microseconds()),
+		RetryAfterUs: uint64(d.RetryAfter.Microseconds()),
 	}
 	for _, row := range d.Reply.Rows {
 		out.Rows = append(out.Rows, []byte(row))
