core/proxy: a configuration that is not recent denies nothing

Change: what the configuration does not hold is denied only while it is younger than 70 % of its bound. Otherwise the caller is told to return (busy, not run). The same holds for keys; with workspaces a new process accepts callers once its configuration is confirmed. A session whose key is withdrawn ends between two operations, an open transaction after half of the bound.

--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -59,6 +59,8 @@
 	name           string
 	host           *hostSim
 	session        proxy.SessionID
+	key            string
+	closeCode      statement.Code
 	db             types.Database
 	ready          bool
 	closed         bool
@@ -93,8 +95,12 @@
 // openSession opens a session at a host. It repeats operations of one kind: "read", "write",
 // "tx", "readtx" or "set".
 func (c *callers) openSession(h types.Host, db types.Database, kind string) *callerSim {
+	return c.openSessionWithKey(h, db, kind, "")
+}
+
+func (c *callers) openSessionWithKey(h types.Host, db types.Database, kind, key string) *callerSim {
 	c.nextID++
-	s := &callerSim{name: fmt.Sprintf("c%d", c.nextID), host: c.sim.hosts[h], db: db, kind: kind}
+	s := &callerSim{name: fmt.Sprintf("c%d", c.nextID), host: c.sim.hosts[h], db: db, kind: kind, key: key}
 	c.sessions[s.name] = s
 	c.connect(s)
 	return s
@@ -111,7 +117,7 @@
 	c.nextID++
 	s.session = proxy.SessionID(c.nextID)
 	s.ready, s.closed, s.currentID = false, false, ""
-	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db})
+	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db, Key: s.key})
 }
 
 // selectHost selects a ready host for a session: its present one, or one of the same data
@@ -169,6 +175,7 @@
 		}
 	case proxy.CallerClose:
 		if s := c.findSession(h, e.Session); s != nil {
+			s.closeCode = e.Code
 			c.handleClose(s, e.Code == statement.CodeOK)
 		}
 	}
@@ -443,6 +450,9 @@
 		c.sim.recordViolation("endpoint %s ran %s, which no caller sent", conn.endpoint.id, cmd.ID)
 		return
 	}
+	if want := c.sim.workspaceOfKey[s.key]; conn.workspace != want {
+		c.sim.recordViolation("statement %s of workspace %q ran on a connection of %q", cmd.ID, want, conn.workspace)
+	}
 	if got, _ := conn.variables.Get("mode"); s.kind == "set" && s.currentID == cmd.ID && got != s.modeValue {
 		c.sim.recordViolation("statement %s ran with mode %q, not %q", cmd.ID, got, s.modeValue)
 	}
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -122,6 +122,7 @@
 	host      *hostSim
 	id        uint64
 	endpoint  *endpointSim
+	workspace types.Workspace
 	open      bool
 	variables statement.SessionVariables
 	templates map[string]statement.Template
@@ -151,7 +152,7 @@
 		case !e.alive:
 			sim.deliver(h, proxy.EndpointDialFailed{Conn: d.Conn, Absent: true})
 		default:
-			c := &connSim{sim: sim, host: h, id: uint64(d.Conn), endpoint: e, open: true, templates: map[string]statement.Template{}}
+			c := &connSim{sim: sim, host: h, id: uint64(d.Conn), endpoint: e, workspace: d.Workspace, open: true, templates: map[string]statement.Template{}}
 			h.conns[c.id] = c
 			e.conns[c] = true
 			sim.deliver(h, proxy.EndpointConnected{Conn: d.Conn})
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -85,7 +85,7 @@
 	default:
 		route, ok := m.catalog.Route(s.database)
 		if !ok {
-			m.replyError(s, statement.CodeNoDatabase, "database "+string(s.database)+" does not exist any more")
+			m.replyDatabaseGone(s)
 			return
 		}
 		if !m.authenticateOperation(s, &route) {
--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -13,11 +13,36 @@
 	// configConfirmTimeout is the time after which a new process uses a configuration that
 	// nothing has confirmed, so that callers are served while the store is away.
 	configConfirmTimeout = 3 * time.Second
+	// denyAgePercent is the age up to which a configuration proves that a database or a key does
+	// not exist, as a part of its bound. The rest is for a request that waits for this host's CPU.
+	denyAgePercent = 70
 	// withdrawnTxPercent is the part of the configuration's bound for which a transaction goes on
 	// after the key of its caller was withdrawn. The rest is for the spreading of the version.
 	withdrawnTxPercent = 50
 )
 
+// isConfigRecent reports whether the configuration was current a short time ago, so that what it does
+// not hold does not exist. A host that is short of CPU time can miss new versions for many seconds,
+// and goes on accepting sessions.
+func (m *Machine) isConfigRecent() bool {
+	at, ok := m.refresh.currentAt[KindConfig]
+	return ok && m.now.Sub(at) <= m.configBound()*denyAgePercent/100
+}
+
+func (m *Machine) configBound() time.Duration {
+	return cmp.Or(m.settings.ConfigBound, defaultConfigBound)
+}
+
+// denial returns the code and text of a refusal for something that the configuration does not hold:
+// the given ones, or, if the configuration is not recent, that it is not known yet.
+func (m *Machine) denial(code statement.Code, text string) (statement.Code, string) {
+	if m.isConfigRecent() {
+		return code, text
+	}
+	m.incrementCounter("baobab_denials_postponed_total")
+	return statement.CodeBusy, "not run: the configuration of this host may be out of date, connect again in a second"
+}
+
 // isConfigConfirmed reports whether the configuration is known to be one that was current after
 // this process started. The first list of a new process may be several seconds old: it may lack a
 // database that exists by now, or hold a key that was withdrawn.
@@ -43,8 +68,9 @@
 func (m *Machine) authenticateOperation(s *session, route *catalog.Route) bool {
 	w, ok := m.authenticate(s.key, route)
 	if !ok {
-		m.logAuthFailure(s.database, "key withdrawn")
+		m.logRefusedSession(s.database, "key withdrawn")
 		s.backlog = nil
+		m.incrementCounter("baobab_auth_failed_total")
 		m.replyError(s, statement.CodeAuthFailed, "the key is not known")
 		m.closeSession(s, statement.CodeOK, "")
 		return false
@@ -53,8 +79,7 @@
 	return true
 }
 
-func (m *Machine) logAuthFailure(db types.Database, reason string) {
-	m.incrementCounter("baobab_auth_failed_total")
+func (m *Machine) logRefusedSession(db types.Database, reason string) {
 	m.log(Info, "session refused", append([]Field{
 		field("database", db), field("reason", reason), field("config", m.catalog.ConfigVersion()),
 	}, m.currencyFields(KindConfig)...)...)
@@ -93,7 +118,7 @@
 // abortWithdrawnTransactions ends the transactions that have gone on for long after the key of
 // their caller was withdrawn.
 func (m *Machine) abortWithdrawnTransactions() {
-	limit := cmp.Or(m.settings.ConfigBound, defaultConfigBound) * withdrawnTxPercent / 100
+	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
 		if s.withdrawnAt != 0 && s.tx != nil && s.currentRequest == nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
 			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -57,7 +57,7 @@
 func (m *Machine) refreshInterval(k feed.Kind) time.Duration {
 	switch k {
 	case KindConfig:
-		return cmp.Or(m.settings.ConfigBound, defaultConfigBound) * configAgePercent / 100
+		return m.configBound() * configAgePercent / 100
 	case KindEndpoints:
 		return cmp.Or(m.settings.LeavingBound, defaultLeavingBound) * endpointAgePercent / 100
 	case KindLeadership:
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -74,13 +74,10 @@
 		return
 	}
 	route, ok := m.catalog.Route(ev.Database)
-	if !ok && !m.isConfigConfirmed() {
-		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host is starting, connect again in a second"})
-		return
-	}
 	if !ok {
-		m.log(Info, "session refused", append([]Field{field("database", ev.Database), field("reason", "no route"), field("config", m.catalog.ConfigVersion())}, m.currencyFields(KindConfig)...)...)
-		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeNoDatabase, Text: "database " + string(ev.Database) + " does not exist"})
+		m.logRefusedSession(ev.Database, "no route")
+		code, text := m.denial(statement.CodeNoDatabase, "database "+string(ev.Database)+" does not exist")
+		m.emit(CallerClose{Session: ev.Session, Code: code, Text: text})
 		return
 	}
 	if m.catalog.HasWorkspaces() && !m.isConfigConfirmed() {
@@ -89,8 +86,10 @@
 	}
 	workspace, ok := m.authenticate(ev.Key, &route)
 	if !ok {
-		m.logAuthFailure(ev.Database, "unknown key")
-		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeAuthFailed, Text: "the key is not known"})
+		m.logRefusedSession(ev.Database, "unknown key")
+		m.incrementCounter("baobab_auth_failed_total")
+		code, text := m.denial(statement.CodeAuthFailed, "the key is not known")
+		m.emit(CallerClose{Session: ev.Session, Code: code, Text: text})
 		return
 	}
 	m.sessions[ev.Session] = &session{
@@ -184,7 +183,7 @@
 	}
 	route, ok := m.catalog.Route(s.database)
 	if !ok {
-		m.replyError(s, statement.CodeNoDatabase, "database "+string(s.database)+" does not exist any more")
+		m.replyDatabaseGone(s)
 		return
 	}
 	if !m.authenticateOperation(s, &route) {
@@ -231,6 +230,12 @@
 	m.replyToCaller(s, statement.Reply{Code: code, Text: text, State: s.state()})
 }
 
+// replyDatabaseGone refuses a statement of a session whose database is not configured any more.
+func (m *Machine) replyDatabaseGone(s *session) {
+	code, text := m.denial(statement.CodeNoDatabase, "database "+string(s.database)+" does not exist any more")
+	m.replyError(s, code, text)
+}
+
 // replyToCaller replies to the current statement and runs the next one of the backlog.
 func (m *Machine) replyToCaller(s *session, r statement.Reply) {
 	s.currentRequest = nil
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -75,6 +75,10 @@
 	// storeCut holds the hosts that cannot reach the store.
 	storeCut      map[types.Host]bool
 	watchesSilent bool
+	// workspaces are those of the next configuration. workspaceOfKey holds every key that a
+	// configuration had.
+	workspaces     []catalog.Workspace
+	workspaceOfKey map[string]types.Workspace
 	// isLost reports whether a message between hosts is lost; nil for none.
 	isLost func(from types.Host, msg proxy.Message) bool
 	// cutsRefuse makes dials over a broken link fail as refused instead of timing out.
@@ -128,7 +132,7 @@
 	sim := &simulation{
 		t: t, now: simulationStart, rng: random.New(seed), hosts: map[types.Host]*hostSim{},
 		endpoints: map[types.Endpoint]*endpointSim{}, cuts: map[[2]string]bool{}, storeCut: map[types.Host]bool{}, silent: map[[2]types.Host]bool{},
-		promoteTime: promoteTime, linkFreeAt: map[types.Host]types.Time{},
+		promoteTime: promoteTime, linkFreeAt: map[types.Host]types.Time{}, workspaceOfKey: map[string]types.Workspace{},
 	}
 	sim.store = newStore(sim)
 	for i, dc := range dataCentres {
@@ -190,7 +194,12 @@
 }
 
 func (sim *simulation) configureRoutes(version uint64, databases ...types.Database) {
-	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
+	for _, w := range sim.workspaces {
+		for _, key := range w.Keys {
+			sim.workspaceOfKey[key] = w.Name
+		}
+	}
+	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
@@ -214,7 +223,7 @@
 	h.machine = proxy.New(proxy.Settings{
 		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
@@ -363,7 +372,7 @@
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
