core/proxy: a started host waits for its turn to confirm its configuration

Change: the read keeps its usual order. Result: tests of core/proxy for keys and workspaces pass; the calls are not counted again yet.

--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -175,12 +175,8 @@
 	if noConfig {
 		return
 	}
+	stagger := m.stagger(order.rank)
 	for _, k := range Kinds {
-		stagger := m.stagger(order.rank)
-		if k == KindConfig && m.catalog.HasWorkspaces() && !m.isConfigConfirmed() {
-			// Callers wait for the confirmation.
-			stagger = 0
-		}
 		due := m.now.Sub(r.currentAt[k]) >= m.refreshInterval(k)+stagger
 		if due && len(r.pendingReads[k]) == 0 && m.now.Sub(r.readAt[k]) >= refreshRetryInterval+stagger {
 			m.requestRead(k)
