core/pool: a policy for connections of workspaces

The owner counts connections that are being opened as slot use, opens one only for requests that no open connection will serve sooner, and closes the idle connection that is reused least.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -8,30 +8,203 @@
 	"baobabfield.example/core/types"
 )
 
-// dispatch starts queued requests while slots and connections are free.
+// dispatch starts queued requests while slots and connections are free, and opens connections for
+// those that lack one.
 func (p *Pool) dispatch(now types.Time) {
-	for p.slotsInUse < p.cfg.Slots && p.queue.size > 0 {
-		started := false
-		var missing *Request
+	missing := p.startRequests(now)
+	p.reviewAt = 0
+	switch {
+	case p.cfg.ByWorkspace:
+		p.openMissing(now, missing)
+	case len(missing) > 0:
+		p.dial(now, missing[0].req.Workspace)
+	}
+}
+
+// startRequests starts queued requests while slots and connections are free. It returns the first
+// request of each workspace that lacks a connection while a slot is free. With connections by
+// workspace, a request that lacks one gets it opened in its turn, as far as the share of slot time
+// for opening allows.
+func (p *Pool) startRequests(now types.Time) []*queuedRequest {
+	var missing []*queuedRequest
+	for started := true; started; {
+		started = false
+		missing = nil
+		if p.freeSlots(now) <= 0 || p.queue.size == 0 {
+			break
+		}
 		p.queue.visitCandidates(now, func(rank, i int, qr *queuedRequest) bool {
 			c := p.findConnection(&qr.req)
+			if c != nil && p.openInTurn(now, missing) {
+				// The opening may have taken the connection or the last slot.
+				c = p.findConnection(&qr.req)
+			}
 			if c == nil {
-				if missing == nil && p.needsConnection(&qr.req) {
-					missing = &qr.req
+				if p.needsConnection(&qr.req) && !containsWorkspace(missing, qr.req.Workspace) {
+					missing = append(missing, qr)
 				}
 				return false
 			}
+			if p.freeSlots(now) <= 0 {
+				return false
+			}
 			p.queue.remove(rank, i)
 			p.startRequest(now, c, qr)
 			started = true
 			return true
 		})
-		if !started {
-			if missing != nil {
-				p.dial(now, missing.Workspace)
+	}
+	return missing
+}
+
+// containsWorkspace reports whether the list has a request of a workspace.
+func containsWorkspace(list []*queuedRequest, w types.Workspace) bool {
+	return slices.ContainsFunc(list, func(qr *queuedRequest) bool { return qr.req.Workspace == w })
+}
+
+// freeSlots returns the number of slots that are free. With connections by workspace, those that
+// are being opened occupy slots.
+func (p *Pool) freeSlots(now types.Time) int {
+	free := p.cfg.Slots - p.slotsInUse
+	if !p.cfg.ByWorkspace || p.dialsInFlight == 0 {
+		return free
+	}
+	for _, c := range p.connList {
+		if c.state == stateDialing && now.Sub(c.stateSince) < openingSlotTime {
+			free--
+		}
+	}
+	return free
+}
+
+// openInTurn opens connections for requests that come before one that could start at once. It
+// reports whether it has opened any.
+func (p *Pool) openInTurn(now types.Time, missing []*queuedRequest) bool {
+	opened := false
+	if !p.cfg.ByWorkspace {
+		return opened
+	}
+	for _, qr := range missing {
+		if p.freeSlots(now) > 0 && p.mayDial(now) && p.openFor(now, qr, true) {
+			opened = true
+		}
+	}
+	return opened
+}
+
+// openMissing opens connections for requests that lack one while no other request can start.
+// Requests that still wait are considered again after the time of an opening, since a statement
+// may run for longer than expected.
+func (p *Pool) openMissing(now types.Time, missing []*queuedRequest) {
+	for _, qr := range missing {
+		if p.freeSlots(now) > 0 && p.mayDial(now) {
+			p.openFor(now, qr, false)
+		}
+	}
+	if len(missing) > 0 || (p.dialsInFlight > 0 && p.queue.size > 0) {
+		p.reviewAt = now.Add(p.policy.openingTime())
+	}
+}
+
+// openFor opens a connection for a request if the policy allows it. inTurn is set if other
+// requests wait that could start at once.
+func (p *Pool) openFor(now types.Time, qr *queuedRequest, inTurn bool) bool {
+	holdings := p.holdings(now)
+	w := qr.req.Workspace
+	i := slices.IndexFunc(holdings, func(h holding) bool { return h.workspace == w })
+	if i < 0 || !holdings[i].needsAnother() {
+		return false
+	}
+	var victim *conn
+	if len(p.connList) >= p.connectionLimit(now) {
+		v := p.policy.selectVictim(now, holdings, i, isOverdue(now, qr))
+		if v < 0 {
+			return false
+		}
+		victim = p.longestIdle(holdings[v].workspace)
+	}
+	if inTurn && !p.policy.spendCredit(now, p.cfg.Slots) {
+		return false
+	}
+	if victim != nil {
+		p.closeUnused(now, victim, CauseEvicted)
+	}
+	p.open(now, w)
+	return true
+}
+
+// holdings returns what the workspaces hold at the endpoint and wait for, in the order of their
+// oldest connections.
+func (p *Pool) holdings(now types.Time) []holding {
+	var out []holding
+	index := map[types.Workspace]int{}
+	of := func(w types.Workspace) *holding {
+		i, ok := index[w]
+		if !ok {
+			i = len(out)
+			index[w] = i
+			out = append(out, holding{workspace: w})
+		}
+		return &out[i]
+	}
+	for _, c := range p.connList {
+		h := of(c.workspace)
+		h.total++
+		switch {
+		case c.state == stateDialing:
+			h.opening++
+		case c.state == stateIdle:
+			h.idle++
+		case c.state == stateRunning && c.endsTx():
+			h.freeSoon += p.policy.startsBeforeOpening(p.queue.serviceTime(clampRank(c.currentRequest.req.Rank)), now.Sub(c.sentAt))
+		}
+	}
+	for r := range p.queue.byRank {
+		for _, qr := range p.queue.byRank[r] {
+			if !qr.req.continuesTx() {
+				of(qr.req.Workspace).waiting++
 			}
+		}
+	}
+	return out
+}
+
+// endsTx reports whether the connection is free for other requests after its current statement.
+func (c *conn) endsTx() bool {
+	kind := c.currentRequest.req.Query.Stmt.Kind
+	return c.tx == 0 || kind == statement.KindCommit || kind == statement.KindRollback
+}
+
+// longestIdle returns the connection of a workspace that has been idle for longest.
+func (p *Pool) longestIdle(w types.Workspace) *conn {
+	var oldest *conn
+	for _, c := range p.connList {
+		if c.state == stateIdle && c.workspace == w && (oldest == nil || c.stateSince < oldest.stateSince) {
+			oldest = c
+		}
+	}
+	return oldest
+}
+
+// closeUnusedConns closes connections that have been idle for long, and idle ones above the limit,
+// those with the least reuse first.
+func (p *Pool) closeUnusedConns(now types.Time) {
+	if !p.cfg.ByWorkspace {
+		return
+	}
+	p.policy.forget(now)
+	for _, c := range append([]*conn(nil), p.connList...) {
+		if c.state == stateIdle && now.Sub(c.stateSince) >= idleConnTimeout {
+			p.closeUnused(now, c, CauseUnused)
+		}
+	}
+	for len(p.connList) > p.cfg.MaxConnections {
+		holdings := p.holdings(now)
+		v, _ := p.policy.leastReused(now, holdings, -1, false)
+		if v < 0 {
 			return
 		}
+		p.closeUnused(now, p.longestIdle(holdings[v].workspace), CauseEvicted)
 	}
 }
 
@@ -89,12 +262,27 @@
 // dial opens a connection for a workspace if the limits allow it. At the limit of connections it
 // closes the connection of another workspace that has been idle for longest.
 func (p *Pool) dial(now types.Time, w types.Workspace) {
-	if p.dialsInFlight >= maxConcurrentDials || now.Before(p.retryDialAt) {
+	if !p.mayDial(now) {
 		return
 	}
 	if len(p.connList) >= p.cfg.MaxConnections && !p.evictIdle(now, w) {
 		return
 	}
+	p.open(now, w)
+}
+
+// mayDial reports whether one more connection may be opened at this time.
+func (p *Pool) mayDial(now types.Time) bool {
+	limit := maxConcurrentDials
+	if p.cfg.ByWorkspace {
+		// Connections that are being opened must leave slots for work.
+		limit = max(1, min(limit, p.cfg.Slots/2))
+	}
+	return p.dialsInFlight < limit && !now.Before(p.retryDialAt)
+}
+
+// open opens a connection for a workspace.
+func (p *Pool) open(now types.Time, w types.Workspace) {
 	c := &conn{id: p.nextID(), state: stateDialing, stateSince: now, workspace: w, prepared: map[statement.Template]string{}}
 	p.connByID[c.id] = c
 	p.connList = append(p.connList, c)
@@ -114,10 +302,19 @@
 	if oldest == nil {
 		return false
 	}
-	p.closeConn(now, oldest, types.ReasonNone)
+	p.closeUnused(now, oldest, CauseEvicted)
 	return true
 }
 
+// closeUnused closes an idle connection.
+func (p *Pool) closeUnused(now types.Time, c *conn, cause CloseCause) {
+	p.emit(Close{Conn: c.id, Cause: cause})
+	p.dropConn(now, c, types.ReasonNone)
+}
+
+// connectionLimit returns the number of connections that this host may have.
+func (p *Pool) connectionLimit(types.Time) int { return p.cfg.MaxConnections }
+
 // HandleConnected handles a connection that is open and ready.
 func (p *Pool) HandleConnected(now types.Time, id ConnID) {
 	c := p.connByID[id]
@@ -129,6 +326,7 @@
 	p.dialFailures = 0
 	p.retryDialAt = 0
 	p.dialsInFlight--
+	p.policy.recordOpening(now.Sub(c.stateSince))
 	c.state, c.stateSince, c.openedAt = stateIdle, now, now
 	p.dispatch(now)
 }
@@ -153,11 +351,26 @@
 		p.connByTx[c.tx] = c
 	}
 	c.holdsSlot = true
+	if p.cfg.ByWorkspace && !qr.req.continuesTx() {
+		p.policy.recordUse(now, c.workspace, p.connectionsInUse(c.workspace))
+	}
 	c.overdueAt = now.Add(overdueBaseTime + overdueServiceTimes*p.queue.serviceTime(clampRank(qr.req.Rank)))
 	p.slotsInUse++
 	p.sendNextCommand(now, c)
 }
 
+// connectionsInUse returns the number of a workspace's connections that run a statement or hold a
+// transaction.
+func (p *Pool) connectionsInUse(w types.Workspace) int {
+	n := 0
+	for _, c := range p.connList {
+		if c.workspace == w && (c.state == stateRunning || c.state == statePinned) {
+			n++
+		}
+	}
+	return n
+}
+
 // buildCommands returns the commands that a request needs on a connection.
 func (p *Pool) buildCommands(c *conn, req *Request) []Command {
 	var out []Command
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -32,6 +32,9 @@
 	Slots int
 	// MaxConnections is the number of connections that this host may open.
 	MaxConnections int
+	// ByWorkspace is set if workspaces share the endpoint. The connections then follow the policy
+	// of connections.go; otherwise one is opened for each request that finds none.
+	ByWorkspace bool
 }
 
 // connState is the state of a connection.
@@ -103,8 +106,11 @@
 	// trustedUntil is the latest opening time of trusted connections. These certainly
 	// lead to the instance that the owner has identified.
 	trustedUntil types.Time
-	draining     bool
-	effects      []Effect
+	policy       connectionPolicy
+	// reviewAt is when requests that lack a connection are considered again; zero for never.
+	reviewAt types.Time
+	draining bool
+	effects  []Effect
 }
 
 // New returns a pool without connections. nextID returns the IDs of new connections.
@@ -196,6 +202,7 @@
 		}
 	}
 	p.refuseUnreachable(now)
+	p.closeUnusedConns(now)
 	p.dispatch(now)
 }
 
@@ -240,7 +247,7 @@
 }
 
 // NextWake returns the time at which Tick is due; false if nothing is queued, running or
-// being dialled.
+// being dialled, and no idle connection is to be closed.
 func (p *Pool) NextWake() (types.Time, bool) {
 	at, ok := p.queue.earliestDeadline()
 	earlier := func(t types.Time) {
@@ -251,8 +258,13 @@
 	if p.queue.size > 0 && p.retryDialAt != 0 {
 		earlier(p.retryDialAt)
 	}
+	if p.reviewAt != 0 {
+		earlier(p.reviewAt)
+	}
 	for _, c := range p.connList {
 		switch {
+		case c.state == stateIdle && p.cfg.ByWorkspace:
+			earlier(c.stateSince.Add(idleConnTimeout))
 		case c.state == stateDialing:
 			earlier(c.stateSince.Add(dialTimeout))
 		case c.state == stateRunning && c.holdsSlot:
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -115,7 +115,23 @@
 
 // Close requests that a connection be closed. The endpoint rolls back its open
 // transaction.
-type Close struct{ Conn ConnID }
+type Close struct {
+	Conn  ConnID
+	Cause CloseCause
+}
+
+// CloseCause is why a connection is closed.
+type CloseCause uint8
+
+const (
+	// CauseNone stands for a connection that has failed or belongs to an ended transaction or pool.
+	CauseNone CloseCause = iota
+	// CauseEvicted: an idle connection makes room for one of another workspace, or exceeds the
+	// limit.
+	CauseEvicted
+	// CauseUnused: the connection has been idle for long.
+	CauseUnused
+)
 
 func (Dial) isEffect()   {}
 func (Send) isEffect()   {}
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -105,7 +105,7 @@
 	if s, ok := m.catalog.Service(e.Service); ok {
 		maxConnections = max(maxConnections, s.MaxConnections*connectionSharePercent/100)
 	}
-	return pool.Config{Slots: max(e.Slots, 1), MaxConnections: maxConnections}
+	return pool.Config{Slots: max(e.Slots, 1), MaxConnections: maxConnections, ByWorkspace: m.catalog.HasWorkspaces()}
 }
 
 func (m *Machine) newConn(id types.Endpoint, isControl bool) pool.ConnID {
