--- a/core/pool/connections.go
+++ b/core/pool/connections.go
@@ -19,7 +19,7 @@
 	maxLevels = 16
 	// priorGap is added to the time that the recorded uses span, so that a few uses in quick
 	// succession do not count for a high rate.
-	priorGap = 10 * time.Second
+	priorGap = 30 * time.Second
 	// idleConnTimeout is the time after which an unused connection is closed. It is four times
 	// the mean gap of the smallest of 84 workspaces at a primary (0.034 requests a second).
 	idleConnTimeout = 2 * time.Minute
