core/pool, core/proxy: refused dials and former owners keep to the connection limit

An endpoint at its limit refuses a dial: the owner then only replaces its connections for a while, and the endpoint does not count as failed. A host that is no longer the owner keeps at most 30 % of the connections.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -116,7 +116,10 @@
 		return false
 	}
 	var victim *conn
-	if len(p.connList) >= p.connectionLimit(now) {
+	switch excess := len(p.connList) - p.connectionLimit(now); {
+	case excess > 0:
+		return false
+	case excess == 0:
 		v := p.policy.selectVictim(now, holdings, i, isOverdue(now, qr))
 		if v < 0 {
 			return false
@@ -265,7 +268,8 @@
 	if !p.mayDial(now) {
 		return
 	}
-	if len(p.connList) >= p.cfg.MaxConnections && !p.evictIdle(now, w) {
+	excess := len(p.connList) - p.cfg.MaxConnections
+	if excess > 0 || (excess == 0 && !p.evictIdle(now, w)) {
 		return
 	}
 	p.open(now, w)
@@ -312,8 +316,14 @@
 	p.dropConn(now, c, types.ReasonNone)
 }
 
-// connectionLimit returns the number of connections that this host may have.
-func (p *Pool) connectionLimit(types.Time) int { return p.cfg.MaxConnections }
+// connectionLimit returns the number of connections that this host may have. After a refused dial
+// it is what the endpoint has accepted.
+func (p *Pool) connectionLimit(now types.Time) int {
+	if now.Before(p.acceptedUntil) {
+		return min(p.cfg.MaxConnections, max(p.accepted, 1))
+	}
+	return p.cfg.MaxConnections
+}
 
 // HandleConnected handles a connection that is open and ready.
 func (p *Pool) HandleConnected(now types.Time, id ConnID) {
@@ -327,6 +337,9 @@
 	p.retryDialAt = 0
 	p.dialsInFlight--
 	p.policy.recordOpening(now.Sub(c.stateSince))
+	if !now.Before(p.acceptedUntil) {
+		p.refusedDials = 0
+	}
 	c.state, c.stateSince, c.openedAt = stateIdle, now, now
 	p.dispatch(now)
 }
@@ -342,6 +355,24 @@
 	p.removeConn(c)
 }
 
+// HandleDialRefused handles a connection that the endpoint has refused because of its connection
+// limit. The endpoint serves its other connections, so this is no failed dial. Further connections
+// only replace open ones for a while, since the host that owned the endpoint before may still hold
+// the rest.
+func (p *Pool) HandleDialRefused(now types.Time, id ConnID) {
+	c := p.connByID[id]
+	if c == nil {
+		return
+	}
+	p.removeConn(c)
+	p.lastResponseAt = now
+	p.accepted = len(p.connList) - p.dialsInFlight
+	p.acceptedUntil = now.Add(min(refusedDialDelay<<min(p.refusedDials, maxRefusedDoublings), maxRefusedDialDelay))
+	p.refusedDials++
+	p.retryDialAt = now.Add(refusedDialDelay)
+	p.dispatch(now)
+}
+
 // startRequest starts a request on a connection.
 func (p *Pool) startRequest(now types.Time, c *conn, qr *queuedRequest) {
 	c.state, c.currentRequest, c.isAbandoned = stateRunning, qr, false
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,6 +14,12 @@
 	maxConcurrentDials = 2
 	// dialRetryDelay is the time between a failed dial and the next one.
 	dialRetryDelay = 200 * time.Millisecond
+	// refusedDialDelay is the time between a dial that the endpoint has refused because of its
+	// connection limit and the next one. The time until one more connection than before is tried
+	// doubles with each refusal up to maxRefusedDialDelay.
+	refusedDialDelay    = 100 * time.Millisecond
+	maxRefusedDialDelay = 2 * time.Second
+	maxRefusedDoublings = 5
 	// dialTimeout is the time after which a dial counts as failed.
 	dialTimeout = 500 * time.Millisecond
 	// maxUnreachableWait is the time for which a request stays queued while no
@@ -97,6 +103,11 @@
 	// allowed.
 	retryDialAt  types.Time
 	dialFailures int
+	// refusedDials is the number of dials that the endpoint has refused since its connection limit
+	// was reached. Until acceptedUntil, accepted is the number of connections that it accepts.
+	refusedDials  int
+	accepted      int
+	acceptedUntil types.Time
 	// lastResponseAt is the time of the endpoint's last response of any kind.
 	lastResponseAt types.Time
 	// position is the end of the endpoint's log in its newest reply. positionAt is the
@@ -207,11 +218,15 @@
 }
 
 // refuseUnreachable refuses requests that have been queued for maxUnreachableWait while
-// dials fail and no connection is open.
+// dials fail or are refused and no connection is open.
 func (p *Pool) refuseUnreachable(now types.Time) {
-	if p.dialFailures == 0 || len(p.connList) > p.dialsInFlight {
+	if (p.dialFailures == 0 && p.refusedDials == 0) || len(p.connList) > p.dialsInFlight {
 		return
 	}
+	reason := types.ReasonUnreachable
+	if p.dialFailures == 0 {
+		reason = types.ReasonQueueFull
+	}
 	for r := range p.queue.byRank {
 		for i := 0; i < len(p.queue.byRank[r]); {
 			qr := p.queue.byRank[r][i]
@@ -220,7 +235,7 @@
 				continue
 			}
 			p.queue.remove(r, i)
-			p.refuse(qr, now, types.ReasonUnreachable)
+			p.refuse(qr, now, reason)
 		}
 	}
 }
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -76,11 +76,12 @@
 type EndpointConnected struct{ Conn pool.ConnID }
 
 // EndpointDialFailed reports that a connection could not be opened. Absent is set if nothing
-// listens at the address or another instance listens there. Otherwise the endpoint may be
-// unreachable or overloaded.
+// listens at the address or another instance listens there, AtLimit if the endpoint accepts no
+// more connections. Otherwise the endpoint may be unreachable or overloaded.
 type EndpointDialFailed struct {
-	Conn   pool.ConnID
-	Absent bool
+	Conn    pool.ConnID
+	Absent  bool
+	AtLimit bool
 }
 
 // EndpointReplied carries the reply to the outstanding command of a connection.
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -17,6 +17,10 @@
 	// open. The rest is left for control connections and for a host that takes over the
 	// ownership.
 	connectionSharePercent = 60
+	// formerOwnerPercent is the share that a host may keep which is no longer the owner, for
+	// transactions and for hosts that have not noticed the change. Both shares leave some
+	// connections for control.
+	formerOwnerPercent = 30
 	// minConnections is the least number of connections that an owner may open.
 	minConnections = 2
 	// idleEndpointTimeout is the time without requests after which an endpoint's connections
@@ -102,8 +106,12 @@
 
 func (m *Machine) poolConfig(e catalog.Endpoint) pool.Config {
 	maxConnections := minConnections
+	percent := connectionSharePercent
+	if m.catalog.HasWorkspaces() && m.ownerOf(e.ID, nil) != m.settings.Host {
+		percent = formerOwnerPercent
+	}
 	if s, ok := m.catalog.Service(e.Service); ok {
-		maxConnections = max(maxConnections, s.MaxConnections*connectionSharePercent/100)
+		maxConnections = max(maxConnections, s.MaxConnections*percent/100)
 	}
 	return pool.Config{Slots: max(e.Slots, 1), MaxConnections: maxConnections, ByWorkspace: m.catalog.HasWorkspaces()}
 }
@@ -195,6 +203,7 @@
 			m.emit(EndpointSend{Conn: e.Conn, Command: e.Command})
 		case pool.Close:
 			delete(m.conns, e.Conn)
+			m.countClosed(e.Cause)
 			m.emit(EndpointClose{Conn: e.Conn})
 		case pool.Result:
 			m.handlePoolResult(o, e)
@@ -213,6 +222,17 @@
 	m.emit(EndpointDial{Conn: dial.Conn, Service: o.service, Endpoint: o.id, Address: e.Address, Workspace: dial.Workspace})
 }
 
+// countClosed counts the connections that were closed without a failure.
+func (m *Machine) countClosed(cause pool.CloseCause) {
+	switch cause {
+	case pool.CauseEvicted:
+		m.incrementCounter("baobab_pool_evicted_total")
+	case pool.CauseUnused:
+		m.incrementCounter("baobab_pool_unused_total")
+	case pool.CauseNone:
+	}
+}
+
 // handlePoolResult handles the result of an execution.
 func (m *Machine) handlePoolResult(o *ownedEndpoint, r pool.Result) {
 	ex := m.executions[r.ID]
@@ -285,6 +305,9 @@
 			}
 		}
 		m.retryWaitingExecutions(o)
+		if e, ok := m.catalog.Endpoint(id); ok && m.catalog.HasWorkspaces() {
+			o.pool.Configure(m.poolConfig(e)) // the owner may have changed
+		}
 		if m.now.Sub(o.lastUsedAt) > idleEndpointTimeout && o.pool.IsIdle() && len(o.waitingExecutions) == 0 {
 			m.releaseEndpoint(id, types.ReasonNone)
 		}
@@ -324,7 +347,9 @@
 	case EndpointConnected:
 		m.handleConnOpened(ev.Conn)
 	case EndpointDialFailed:
-		m.handleConnClosed(ev.Conn, ev.Absent)
+		if !ev.AtLimit || !m.handleDialRefused(ev.Conn) {
+			m.handleConnClosed(ev.Conn, ev.Absent)
+		}
 	case EndpointDisconnected:
 		m.handleConnClosed(ev.Conn, false)
 	case EndpointReplied:
@@ -351,6 +376,21 @@
 	}
 }
 
+// handleDialRefused handles a connection that an endpoint at its connection limit has refused. It
+// returns false if that counts as a failure: for control connections, and without workspaces, where
+// one host at a time opens connections to an endpoint.
+func (m *Machine) handleDialRefused(id pool.ConnID) bool {
+	c, ok := m.conns[id]
+	o := m.owned[c.endpoint]
+	if !ok || c.isControl || o == nil || !m.catalog.HasWorkspaces() {
+		return false
+	}
+	delete(m.conns, id)
+	m.incrementCounter("baobab_pool_refused_dials_total")
+	o.pool.HandleDialRefused(m.now, id)
+	return true
+}
+
 func (m *Machine) handleConnClosed(id pool.ConnID, absent bool) {
 	c, ok := m.conns[id]
 	if !ok {
--- a/node/gateway/endpoint.go
+++ b/node/gateway/endpoint.go
@@ -53,9 +53,9 @@
 // runEndpointConn connects to an endpoint and reads its replies until the connection
 // ends.
 func (g *Gateway) runEndpointConn(ctx context.Context, d proxy.EndpointDial, out <-chan []byte) {
-	sock, r, absent := g.connectEndpoint(ctx, d)
+	sock, r, failed := g.connectEndpoint(ctx, d)
 	if sock == nil {
-		g.post(proxy.EndpointDialFailed{Conn: d.Conn, Absent: absent})
+		g.post(failed)
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = sock.Close() })
@@ -78,18 +78,19 @@
 }
 
 // connectEndpoint connects to an endpoint and starts a session. If that fails, sock
-// is nil, and absent is set if no endpoint of this ID runs at the address: the
-// connection was refused or another endpoint replied.
-func (g *Gateway) connectEndpoint(ctx context.Context, d proxy.EndpointDial) (sock net.Conn, r *bufio.Reader, absent bool) {
+// is nil and failed says why. Absent is set if no endpoint of this ID runs at the
+// address: the connection was refused or another endpoint replied.
+func (g *Gateway) connectEndpoint(ctx context.Context, d proxy.EndpointDial) (sock net.Conn, r *bufio.Reader, failed proxy.EndpointDialFailed) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	failed.Conn = d.Conn
 	// A command on a connection that was given up must not reach the endpoint later, when
 	// another host may have sent it newer ones.
 	sock, err := netopt.DialDiscarding(dialCtx, d.Address)
 	if err != nil {
-		absent = errors.Is(err, syscall.ECONNREFUSED)
-		g.logDialFailure(d, err.Error(), absent)
-		return nil, nil, absent
+		failed.Absent = errors.Is(err, syscall.ECONNREFUSED)
+		g.logDialFailure(d, err.Error(), failed.Absent)
+		return nil, nil, failed
 	}
 	_ = sock.SetDeadline(time.Now().Add(dialTimeout))
 	r = bufio.NewReaderSize(sock, endpointReadBufferBytes)
@@ -98,17 +99,18 @@
 		if readErr == nil && code == statement.CodeOK {
 			_ = sock.SetDeadline(time.Time{})
 			g.post(proxy.EndpointConnected{Conn: d.Conn})
-			return sock, r, false
+			return sock, r, failed
 		}
 		err = readErr
 		if err == nil {
-			absent = code == statement.CodeWrongEndpoint
+			failed.Absent = code == statement.CodeWrongEndpoint
+			failed.AtLimit = code == statement.CodeConnectionLimit
 			err = errors.New("endpoint refused startup: " + code.String())
 		}
 	}
 	_ = sock.Close()
-	g.logDialFailure(d, err.Error(), absent)
-	return nil, nil, absent
+	g.logDialFailure(d, err.Error(), failed.Absent)
+	return nil, nil, failed
 }
 
 func (g *Gateway) logDialFailure(d proxy.EndpointDial, reason string, absent bool) {
