--- a/core/pool/workspaces_test.go
+++ b/core/pool/workspaces_test.go
@@ -318,11 +318,34 @@
 	h.is.Equal(h.replyToOldest(statement.Reply{}).ID, "small")
 }
 
-// Openings count as slot use: with all slots in use or opening, nothing starts.
+// A workspace whose only connection is held by a transaction gets another one once its request has
+// waited for a quarter of its objective, although the others use theirs more.
+func TestCapDoesNotStarveWorkspaceBehindItsTransaction(t *testing.T) {
+	h := newWorkspaceHarness(t, 4, 2)
+	for i := range 10 {
+		h.submit(pool.Request{ID: pool.RequestID(100 + i), Workspace: "often", Query: read("often")})
+		h.replyToOldest(statement.Reply{})
+	}
+	begin := pool.Query{ID: "begin", Stmt: statement.Statement{Kind: statement.KindBegin, Text: "BEGIN"}}
+	h.submit(pool.Request{ID: 1, Tx: 1, Workspace: "small", Begin: &begin, Query: write("w")})
+	h.replyToOldest(statement.Reply{State: statement.StateInTransaction})
+	h.replyToOldest(statement.Reply{State: statement.StateInTransaction})
+	h.submit(pool.Request{ID: 2, Workspace: "small", Query: read("small")})
+	h.is.Equal(len(h.closed), 0)
+	for range 5 {
+		at, ok := h.pool.NextWake()
+		h.is.True(ok)
+		h.advance(at.Sub(h.now))
+	}
+	h.is.Equal(len(h.closed), 1)
+	h.is.Equal(h.replyToOldest(statement.Reply{}).ID, "small")
+}
+
+// With all slots in use or occupied by an opening, no request starts on an idle connection.
 func TestOpeningsCountAsSlotUse(t *testing.T) {
 	is := is.New(t)
 	var next pool.ConnID
-	p := pool.New(pool.Config{Slots: 3, MaxConnections: 10, ByWorkspace: true}, func() pool.ConnID { next++; return next })
+	p := pool.New(pool.Config{Slots: 2, MaxConnections: 10, ByWorkspace: true}, func() pool.ConnID { next++; return next })
 	now := startTime
 	var dials, sends []pool.ConnID
 	collect := func() {
@@ -335,24 +358,33 @@
 			}
 		}
 	}
-	submit := func(id pool.RequestID, w types.Workspace) {
+	id := pool.RequestID(0)
+	submit := func(w types.Workspace) {
+		id++
 		p.Submit(now, pool.Request{ID: id, Workspace: w, Query: read("q"), Due: now.Add(time.Second), Deadline: now.Add(time.Second)})
 		collect()
 	}
-	for i := range 5 {
-		submit(pool.RequestID(1+i), types.Workspace(fmt.Sprint("w", i)))
+	for _, w := range []types.Workspace{"a", "b"} {
+		submit(w)
+		p.HandleConnected(now, dials[len(dials)-1])
+		collect()
+		p.HandleReply(now, sends[len(sends)-1], statement.Reply{})
+		collect()
 	}
-	is.Equal(len(dials), 1) // of 3 slots, one is for opening
-	p.HandleConnected(now, dials[0])
-	collect()
-	is.Equal(len(sends), 1)
-	is.Equal(len(dials), 2)
-	p.HandleConnected(now, dials[1])
-	collect()
-	p.HandleConnected(now, dials[2])
-	collect()
+	submit("c")
+	submit("d") // waits for its turn, since one of two slots is left for work
+	is.Equal(len(dials), 3)
+	submit("a")
 	is.Equal(len(sends), 3)
-	is.Equal(len(dials), 3) // all slots are in use
+	submit("b")
+	is.Equal(len(sends), 3) // both slots are taken
+	p.HandleReply(now, sends[2], statement.Reply{})
+	collect()
+	is.Equal(len(sends), 4)
+	now = now.Add(150 * time.Millisecond) // the opening takes so long that it waits for the network
+	p.Tick(now)
+	submit("a")
+	is.Equal(len(sends), 5)
 }
 
 // No connection is opened for a request that a running connection of its workspace will serve
