core/proxy: affinity of workspaces to replicas

Reads of a workspace prefer as many endpoints as its fair part of the connections fills. Small workspaces prefer their replica to another one in the own data centre.

--- a/core/proxy/affinity.go
+++ b/core/proxy/affinity.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
 )
@@ -20,6 +21,59 @@
 	smallAffinityCost = 80 * time.Millisecond
 )
 
+// workspaceShares holds the part of all operations that each workspace may send, by the limits of
+// a version of the configuration.
+type workspaceShares struct {
+	version uint64
+	shares  map[types.Workspace]float64
+}
+
+// affinityCost returns the extra cost of an endpoint for a read of a workspace, see AffinityCost.
+// It is zero without workspaces.
+func (m *Machine) affinityCost(e *catalog.Endpoint, w types.Workspace) time.Duration {
+	service, ok := m.catalog.Service(e.Service)
+	if w == "" || !ok {
+		return 0
+	}
+	var endpoints []types.Endpoint
+	for _, other := range m.catalog.EndpointsOf(e.Service) {
+		if !other.Leaving {
+			endpoints = append(endpoints, other.ID)
+		}
+	}
+	primary, _ := m.catalog.PrimaryOf(e.Service)
+	connections := service.MaxConnections * connectionSharePercent / 100 * len(endpoints)
+	return AffinityCost(w, m.shareOf(w)*float64(connections), e.ID, primary, endpoints)
+}
+
+// shareOf returns the share of a workspace. Workspaces without a limit, whose size is not known,
+// have the whole of it among others that have one.
+func (m *Machine) shareOf(w types.Workspace) float64 {
+	if version := m.catalog.ConfigVersion(); m.shares.shares == nil || m.shares.version != version {
+		m.shares = workspaceShares{version: version, shares: sharesOf(m.catalog.Workspaces())}
+	}
+	return m.shares.shares[w]
+}
+
+func sharesOf(workspaces []catalog.Workspace) map[types.Workspace]float64 {
+	total := 0.0
+	for i := range workspaces {
+		total += workspaces[i].Rate
+	}
+	out := make(map[types.Workspace]float64, len(workspaces))
+	for i := range workspaces {
+		switch rate := workspaces[i].Rate; {
+		case total == 0:
+			out[workspaces[i].Name] = 1 / float64(len(workspaces))
+		case rate == 0:
+			out[workspaces[i].Name] = 1
+		default:
+			out[workspaces[i].Name] = rate / total
+		}
+	}
+	return out
+}
+
 // AffinityCost returns the extra cost of reading at an endpoint for a workspace, so that its reads
 // use few of the connections of a service. A workspace prefers as many of the endpoints as its
 // fair part of the connections fills with one connection each. connections is that part. The
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -65,6 +65,8 @@
 	// those that read the store; nil after a change of the hosts.
 	ownerCache      map[types.Endpoint]types.Host
 	cachedReadOrder *readOrder
+	// shares caches the sizes of the workspaces for the affinity of reads.
+	shares workspaceShares
 
 	owned map[types.Endpoint]*ownedEndpoint
 	// ownedInOrder holds the values of owned in the order of their creation.
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -116,7 +116,7 @@
 		if e.Leaving || slices.Contains(r.excludedEndpoints, e.ID) {
 			continue
 		}
-		cost := m.readCost(e, e.ID == primary)
+		cost := m.readCost(e, e.ID == primary) + m.affinityCost(e, r.session.workspace)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
