--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -56,10 +56,12 @@
 
 // callerSim is one session.
 type callerSim struct {
-	name           string
-	host           *hostSim
-	session        proxy.SessionID
-	db             types.Database
+	name    string
+	host    *hostSim
+	session proxy.SessionID
+	db      types.Database
+	// workspace is also the session's key; empty without workspaces.
+	workspace      types.Workspace
 	ready          bool
 	closed         bool
 	statementCount int
@@ -111,7 +113,7 @@
 	c.nextID++
 	s.session = proxy.SessionID(c.nextID)
 	s.ready, s.closed, s.currentID = false, false, ""
-	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db})
+	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db, Key: string(s.workspace)})
 }
 
 // selectHost selects a ready host for a session: its present one, or one of the same data
@@ -443,6 +445,9 @@
 		c.sim.recordViolation("endpoint %s ran %s, which no caller sent", conn.endpoint.id, cmd.ID)
 		return
 	}
+	if conn.workspace != s.workspace {
+		c.sim.recordViolation("statement %s of workspace %q ran on a connection of %q", cmd.ID, s.workspace, conn.workspace)
+	}
 	if got, _ := conn.variables.Get("mode"); s.kind == "set" && s.currentID == cmd.ID && got != s.modeValue {
 		c.sim.recordViolation("statement %s ran with mode %q, not %q", cmd.ID, got, s.modeValue)
 	}
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -45,7 +45,10 @@
 	slowdown  int
 	startedAt int64
 	conns     map[*connSim]bool
-	token     uint64
+	// connectionLimit is the number of connections above which dials are refused; 0 for none.
+	// refusedDials counts these, mostConns is the largest number of connections.
+	connectionLimit, refusedDials, mostConns int
+	token                                    uint64
 	// tokenHolder is the host that has requested the promotion with token, and tokenProcess its
 	// incarnation.
 	tokenHolder  types.Host
@@ -121,6 +124,7 @@
 	sim       *simulation
 	host      *hostSim
 	id        uint64
+	workspace types.Workspace
 	endpoint  *endpointSim
 	open      bool
 	variables statement.SessionVariables
@@ -150,10 +154,14 @@
 		case h.incarnation != incarnation, sim.isCut(h.id, h.dc, string(e.id), e.dc):
 		case !e.alive:
 			sim.deliver(h, proxy.EndpointDialFailed{Conn: d.Conn, Absent: true})
+		case e.connectionLimit > 0 && len(e.conns) >= e.connectionLimit:
+			e.refusedDials++
+			sim.deliver(h, proxy.EndpointDialFailed{Conn: d.Conn, AtLimit: true})
 		default:
-			c := &connSim{sim: sim, host: h, id: uint64(d.Conn), endpoint: e, open: true, templates: map[string]statement.Template{}}
+			c := &connSim{sim: sim, host: h, id: uint64(d.Conn), workspace: d.Workspace, endpoint: e, open: true, templates: map[string]statement.Template{}}
 			h.conns[c.id] = c
 			e.conns[c] = true
+			e.mostConns = max(e.mostConns, len(e.conns))
 			sim.deliver(h, proxy.EndpointConnected{Conn: d.Conn})
 		}
 	})
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -90,6 +90,8 @@
 	promoteTime      time.Duration
 	promoteCallDelay time.Duration
 	promotions       []promotionSim
+	// workspaces are those of the configurations; none if callers are not told apart.
+	workspaces []catalog.Workspace
 	// verbose prints log lines and violations while the simulation runs.
 	verbose bool
 }
@@ -184,13 +186,16 @@
 // testTxIdleTimeout is the idle timeout of transactions in every configuration.
 const testTxIdleTimeout = 3 * time.Second
 
+// testMaxConnections is the connection limit of the endpoints in the configuration.
+const testMaxConnections = 40
+
 // configure stores a version of the configuration.
 func (sim *simulation) configure(version uint64) {
 	sim.configureRoutes(version, "primary-db", "bounded-db", "own-db")
 }
 
 func (sim *simulation) configureRoutes(version uint64, databases ...types.Database) {
-	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
+	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: testMaxConnections}}, Workspaces: sim.workspaces}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
@@ -214,7 +219,7 @@
 	h.machine = proxy.New(proxy.Settings{
 		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
@@ -363,7 +368,7 @@
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
