--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -124,12 +124,12 @@
 type CloseCause uint8
 
 const (
-	// CauseNone stands for a connection that has failed or belongs to an ended transaction or pool.
+	// CauseNone is that of a connection that has failed or belongs to an ended transaction or pool.
 	CauseNone CloseCause = iota
-	// CauseEvicted: an idle connection makes room for one of another workspace, or exceeds the
-	// limit.
+	// CauseEvicted means that an idle connection makes room for one of another workspace, or
+	// exceeds the limit.
 	CauseEvicted
-	// CauseUnused: the connection has been idle for long.
+	// CauseUnused means that the connection has been idle for long.
 	CauseUnused
 )
 
--- a/core/pool/workspace_load_test.go
+++ b/core/pool/workspace_load_test.go
@@ -27,6 +27,8 @@
 	// serviceConnections is the limit of an endpoint, ownerConnections the part of its owner.
 	serviceConnections = 112
 	ownerConnections   = serviceConnections * 60 / 100
+	// serviceRunLength is the time for which requests arrive.
+	serviceRunLength = 3 * time.Minute
 	// openingWork is the slot time to open a connection.
 	openingWork = 12 * time.Millisecond
 	// commitWork is the slot time of a COMMIT.
@@ -155,17 +157,17 @@
 	heap.Push(&r.events, loadEvent{at: r.now.Add(d), seq: r.seq, action: action})
 }
 
-// play plays the load for a time and then lets the queues drain.
-func (r *serviceRun) play(length time.Duration) {
+// play plays the load and then lets the queues drain.
+func (r *serviceRun) play() {
 	start := r.now
 	for k := range deploymentA {
 		for w := range workspaceCount {
-			r.scheduleOperation(k, w, start, start.Add(length))
+			r.scheduleOperation(k, w, start, start.Add(serviceRunLength))
 		}
 	}
 	for len(r.events) > 0 {
 		e := heap.Pop(&r.events).(loadEvent)
-		if e.at.After(start.Add(length + 10*time.Second)) {
+		if e.at.After(start.Add(serviceRunLength + 10*time.Second)) {
 			break
 		}
 		r.now = e.at
@@ -439,7 +441,6 @@
 // connection of every workspace at every replica.
 func TestWorkspacesShareConnections(t *testing.T) {
 	const (
-		length = 3 * time.Minute
 		// openedLimit is the part of the connections that the baseline opens. It was at most 0.13
 		// when the test was written. In the calm the policy alone opened 0.29 and affinity alone
 		// 0.47 of them.
@@ -460,9 +461,9 @@
 		for seed := uint64(1); seed <= 2; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				baseline := newServiceRun(t, seed, false, false, s)
-				baseline.play(length)
+				baseline.play()
 				ours := newServiceRun(t, seed, true, true, s)
-				ours.play(length)
+				ours.play()
 				t.Logf("baseline %v", baseline)
 				t.Logf("ours     %v", ours)
 				if float64(ours.opened()) > openedLimit*float64(baseline.opened()) {
@@ -483,9 +484,9 @@
 	s := surge{-1, 9, time.Minute, 2 * time.Minute}
 	for seed := uint64(1); seed <= 2; seed++ {
 		baseline := newServiceRun(t, seed, false, false, s)
-		baseline.play(3 * time.Minute)
+		baseline.play()
 		ours := newServiceRun(t, seed, true, true, s)
-		ours.play(3 * time.Minute)
+		ours.play()
 		t.Logf("baseline %v", baseline)
 		t.Logf("ours     %v", ours)
 		if ours.worth < baseline.worth || ours.inTime[0] < baseline.inTime[0] {
--- /dev/null
+++ b/node/gateway/endpoint_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/proxy"
+	"baobabfield.example/platform"
+)
+
+// A connection that an endpoint refuses because of its connection limit is reported as such: it
+// must not count as a failed or absent endpoint.
+func TestRefusalAtConnectionLimitIsReported(t *testing.T) {
+	for reply, want := range map[string]proxy.EndpointDialFailed{
+		"ERROR MAXCONN limit\r\n":    {Conn: 7, AtLimit: true},
+		"ERROR WRONGNODE other\r\n":  {Conn: 7, Absent: true},
+		"ERROR BUSY later\r\n":       {Conn: 7},
+		"COMPLETE not a reply -\r\n": {Conn: 7},
+	} {
+		is := is.New(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		go func() {
+			sock, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(sock).ReadString('\n')
+			_, _ = io.WriteString(sock, reply)
+			_, _ = io.Copy(io.Discard, sock)
+			_ = sock.Close()
+		}()
+		g := &Gateway{settings: Settings{Codec: platform.LineCodec{}}, logs: NewLogWriter(io.Discard), inbox: make(chan any, inboxSize), stopped: make(chan struct{})}
+		sock, _, failed := g.connectEndpoint(context.Background(), proxy.EndpointDial{Conn: 7, Service: "s", Endpoint: "e", Address: ln.Addr().String()})
+		is.True(sock == nil)
+		is.Equal(failed, want)
+		is.NoErr(ln.Close())
+	}
+}
