--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -14,6 +14,12 @@
 	maxConcurrentDials = 2
 	// dialRetryDelay is the time between a failed dial and the next one.
 	dialRetryDelay = 200 * time.Millisecond
+	// refusedDialDelay is the time between a dial that the endpoint has refused because of its
+	// connection limit and the next one. The time until one more connection than before is tried
+	// doubles with each refusal up to maxRefusedDialDelay.
+	refusedDialDelay    = 100 * time.Millisecond
+	maxRefusedDialDelay = 2 * time.Second
+	maxRefusedDoublings = 5
 	// dialTimeout is the time after which a dial counts as failed.
 	dialTimeout = 500 * time.Millisecond
 	// maxUnreachableWait is the time for which a request stays queued while no
@@ -32,6 +38,9 @@
 	Slots int
 	// MaxConnections is the number of connections that this host may open.
 	MaxConnections int
+	// ByWorkspace is set if workspaces share the endpoint. The connections then follow the policy
+	// of connections.go; otherwise one is opened for each request that finds none.
+	ByWorkspace bool
 }
 
 // connState is the state of a connection.
@@ -94,6 +103,11 @@
 	// allowed.
 	retryDialAt  types.Time
 	dialFailures int
+	// refusedDials is the number of dials that the endpoint has refused since its connection limit
+	// was reached. Until acceptedUntil, accepted is the number of connections that it accepts.
+	refusedDials  int
+	accepted      int
+	acceptedUntil types.Time
 	// lastResponseAt is the time of the endpoint's last response of any kind.
 	lastResponseAt types.Time
 	// position is the end of the endpoint's log in its newest reply. positionAt is the
@@ -103,8 +117,11 @@
 	// trustedUntil is the latest opening time of trusted connections. These certainly
 	// lead to the instance that the owner has identified.
 	trustedUntil types.Time
-	draining     bool
-	effects      []Effect
+	policy       connectionPolicy
+	// reviewAt is when requests that lack a connection are considered again; zero for never.
+	reviewAt types.Time
+	draining bool
+	effects  []Effect
 }
 
 // New returns a pool without connections. nextID returns the IDs of new connections.
@@ -196,15 +213,20 @@
 		}
 	}
 	p.refuseUnreachable(now)
+	p.closeUnusedConns(now)
 	p.dispatch(now)
 }
 
 // refuseUnreachable refuses requests that have been queued for maxUnreachableWait while
-// dials fail and no connection is open.
+// dials fail or are refused and no connection is open.
 func (p *Pool) refuseUnreachable(now types.Time) {
-	if p.dialFailures == 0 || len(p.connList) > p.dialsInFlight {
+	if (p.dialFailures == 0 && p.refusedDials == 0) || len(p.connList) > p.dialsInFlight {
 		return
 	}
+	reason := types.ReasonUnreachable
+	if p.dialFailures == 0 {
+		reason = types.ReasonQueueFull
+	}
 	for r := range p.queue.byRank {
 		for i := 0; i < len(p.queue.byRank[r]); {
 			qr := p.queue.byRank[r][i]
@@ -213,7 +235,7 @@
 				continue
 			}
 			p.queue.remove(r, i)
-			p.refuse(qr, now, types.ReasonUnreachable)
+			p.refuse(qr, now, reason)
 		}
 	}
 }
@@ -240,7 +262,7 @@
 }
 
 // NextWake returns the time at which Tick is due; false if nothing is queued, running or
-// being dialled.
+// being dialled, and no idle connection is to be closed.
 func (p *Pool) NextWake() (types.Time, bool) {
 	at, ok := p.queue.earliestDeadline()
 	earlier := func(t types.Time) {
@@ -251,8 +273,13 @@
 	if p.queue.size > 0 && p.retryDialAt != 0 {
 		earlier(p.retryDialAt)
 	}
+	if p.reviewAt != 0 {
+		earlier(p.reviewAt)
+	}
 	for _, c := range p.connList {
 		switch {
+		case c.state == stateIdle && p.cfg.ByWorkspace:
+			earlier(c.stateSince.Add(idleConnTimeout))
 		case c.state == stateDialing:
 			earlier(c.stateSince.Add(dialTimeout))
 		case c.state == stateRunning && c.holdsSlot:
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -188,6 +188,9 @@
 // testTxIdleTimeout is the idle timeout of transactions in every configuration.
 const testTxIdleTimeout = 3 * time.Second
 
+// testMaxConnections is the connection limit of the endpoints in the configuration.
+const testMaxConnections = 40
+
 // configure stores a version of the configuration.
 func (sim *simulation) configure(version uint64) {
 	sim.configureRoutes(version, "primary-db", "bounded-db", "own-db")
@@ -199,7 +202,7 @@
 			sim.workspaceOfKey[key] = w.Name
 		}
 	}
-	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
+	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: testMaxConnections}}}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
