--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -40,9 +40,12 @@
 	urgentRefreshInterval = 100 * time.Millisecond
 	// failedReadPenalty is the time after a failed read during which a host reads last.
 	failedReadPenalty = 5 * time.Second
-	// initialListDelay is the time that a new process gives its first lists. Without a
-	// configuration after that time it watches the store.
+	// initialListDelay is the time that a new process gives its first lists.
 	initialListDelay = 400 * time.Millisecond
+	// configWatchDelay is the time after which a new process without a configuration watches the
+	// store whatever its place. Until then the hosts that watch send it the configuration: when a
+	// whole fleet starts, each watching host costs eight calls.
+	configWatchDelay = 2 * time.Second
 	// totalWatchers is the number of hosts that watch the store and notify the others of their
 	// data centres, at least minWatchers in each one. Each watch causes load at the store, but
 	// a single host that fails or is cut off must not delay changes for its data centre.
@@ -167,7 +170,8 @@
 	}
 	order := m.readOrder()
 	noConfig := m.catalog.ConfigVersion() == 0
-	if on := (noConfig || order.rank < order.watchers) && !m.stop.begun; on != r.watching {
+	lacksConfig := noConfig && m.now.Sub(r.startedAt) >= configWatchDelay
+	if on := (lacksConfig || order.rank < order.watchers) && !m.stop.begun; on != r.watching {
 		r.watching = on
 		m.log(Info, "store watch changed", field("on", on), field("rank", order.rank))
 		m.emit(WatchStore{On: on})
