--- /dev/null
+++ b/core/limits/group.go
@@ -0,0 +1,380 @@
+package limits
+
+import (
+	"slices"
+
+	"baobabfield.example/core/random"
+	"baobabfield.example/core/types"
+)
+
+// group is a group of workspaces with a common keeper.
+type group struct {
+	number  int
+	buckets []*bucket
+	// active holds the buckets with demand, pending operations or a grant.
+	active []*bucket
+	// keeper is the state of this host as the keeper of the group.
+	keeper keeper
+
+	// candidates are the possible keepers in the order of preference. silentUntil holds those
+	// that have not replied, and when they are tried again.
+	candidates  []types.Host
+	silentUntil map[types.Host]types.Time
+	keeperHost  types.Host
+	// keeperProcess and keeperClock are those of the last reply of keeperHost; zero for none.
+	keeperProcess uint64
+	keeperClock   types.Time
+	// unansweredSince is when the oldest report after the last reply was sent; zero for none.
+	unansweredSince types.Time
+	sent            []sentReport
+	appliedSeq      uint64
+	lastReportAt    types.Time
+	// urgent is set if a report is due after urgentReportInterval.
+	urgent bool
+
+	// staticFrom is the time from which the static share is used: the end of the last loan, or
+	// of startDelay. lentTo is the process that has the loan, and lentShare the share.
+	staticFrom types.Time
+	lentTo     uint64
+	lentShare  float64
+}
+
+// sentReport is a report that may still be answered.
+type sentReport struct {
+	seq uint64
+	at  types.Time
+	to  types.Host
+	// isProbe is set for a report without demands to a keeper that was silent.
+	isProbe bool
+}
+
+func (g *group) init(number int) {
+	g.number = number
+	g.silentUntil = map[types.Host]types.Time{}
+	g.keeper.init()
+}
+
+// removeExcept removes the buckets of the workspaces that are not kept and returns them.
+func (g *group) removeExcept(kept func(types.Workspace) bool) []*bucket {
+	var removed []*bucket
+	drop := func(b *bucket) bool { return !kept(b.limit.Workspace) }
+	for _, b := range g.buckets {
+		if drop(b) {
+			removed = append(removed, b)
+		}
+	}
+	g.buckets = slices.DeleteFunc(g.buckets, drop)
+	g.active = slices.DeleteFunc(g.active, drop)
+	return removed
+}
+
+func (g *group) list(b *bucket) {
+	if !b.listed {
+		b.listed = true
+		g.active = append(g.active, b)
+	}
+}
+
+func (g *group) advanceAll(m *Machine, now types.Time) {
+	for _, b := range g.buckets {
+		m.advance(b, now)
+	}
+}
+
+// setCandidates sets the possible keepers. Rendezvous hashing orders them, so that a host that
+// comes or goes moves few groups.
+func (g *group) setCandidates(hosts []types.Host) {
+	weight := func(h types.Host) uint64 { return random.Hash(holderHashSeed+1+uint64(g.number), string(h)) }
+	g.candidates = slices.Clone(hosts)
+	slices.SortFunc(g.candidates, func(a, b types.Host) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+	for h := range g.silentUntil {
+		if !slices.Contains(g.candidates, h) {
+			delete(g.silentUntil, h)
+		}
+	}
+}
+
+// selectKeeper selects the first candidate that is not silent.
+func (m *Machine) selectKeeper(now types.Time, g *group, silent bool) {
+	var selected types.Host
+	for _, h := range g.candidates {
+		if _, isSilent := g.silentUntil[h]; !isSilent {
+			selected = h
+			break
+		}
+	}
+	if selected == "" && len(g.candidates) > 0 {
+		selected = g.candidates[0]
+	}
+	if selected == g.keeperHost {
+		return
+	}
+	if len(g.buckets) > 0 {
+		m.keeperChanges = append(m.keeperChanges, KeeperChange{Group: g.number, From: g.keeperHost, To: selected, Silent: silent})
+	}
+	g.keeperHost, g.keeperProcess, g.keeperClock = selected, 0, 0
+	g.unansweredSince = 0
+	g.notePending()
+}
+
+// expectsReply reports whether a grant may be on its way, or will be requested now.
+func (g *group) expectsReply(now types.Time) bool {
+	return g.keeperHost != "" && (g.unansweredSince == 0 || now.Sub(g.unansweredSince) < keeperSilenceTimeout/2)
+}
+
+// notePending requests a report before the next regular one.
+func (g *group) notePending() {
+	g.urgent = true
+}
+
+// needsReports reports whether this host takes part in the group.
+func (m *Machine) needsReports(g *group) bool {
+	return len(g.buckets) > 0 && g.keeperHost != "" && (m.share > 0 || len(g.active) > 0)
+}
+
+// nextReportAt returns the time of the next report.
+func (g *group) nextReportAt() types.Time {
+	if g.lastReportAt == 0 {
+		return 0
+	}
+	if g.urgent {
+		return g.lastReportAt.Add(urgentReportInterval)
+	}
+	return g.lastReportAt.Add(reportInterval)
+}
+
+// sendDueReports sends the reports that are due.
+func (m *Machine) sendDueReports(now types.Time) {
+	for i := range m.groups {
+		g := &m.groups[i]
+		if m.needsReports(g) && !now.Before(g.nextReportAt()) {
+			m.sendReport(now, g)
+		}
+	}
+}
+
+// sendReport sends a report to the keeper. It lends the static share if the keeper has answered
+// and no other process has a valid loan.
+func (m *Machine) sendReport(now types.Time, g *group) {
+	r := Report{Group: g.number, KeeperProcess: g.keeperProcess, KeeperClock: g.keeperClock, Hosts: m.membership.count}
+	isFree := !now.Before(g.staticFrom)
+	if g.keeperProcess != 0 && m.share > 0 && (isFree || g.lentTo == g.keeperProcess) {
+		if isFree {
+			g.advanceAll(m, now)
+		}
+		r.LendFor, r.Share = loanTime, m.share
+		g.lentTo, g.lentShare = g.keeperProcess, m.share
+		g.staticFrom = max(g.staticFrom, now.Add(loanTime+loanTime*clockDriftPercent/100))
+		if isFree {
+			for _, b := range g.buckets {
+				b.clip(m, now)
+			}
+		}
+	}
+	g.active = slices.DeleteFunc(g.active, func(b *bucket) bool {
+		rate := b.demandRate(now)
+		if rate < minDemand && len(b.pending) == 0 && !now.Before(b.shareUntil) {
+			b.listed = false
+			return true
+		}
+		if rate >= minDemand || len(b.pending) > 0 {
+			b.asked = len(b.pending)
+			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: b.need(now, rate)})
+		}
+		return false
+	})
+	g.lastReportAt, g.urgent = now, false
+	if g.unansweredSince == 0 {
+		g.unansweredSince = now
+	}
+	m.send(now, g, g.keeperHost, &r, false)
+}
+
+func (m *Machine) send(now types.Time, g *group, to types.Host, r *Report, isProbe bool) {
+	m.nextSeq++
+	r.Seq = m.nextSeq
+	g.sent = append(g.sent, sentReport{seq: r.Seq, at: now, to: to, isProbe: isProbe})
+	if len(g.sent) > maxSentReports {
+		g.sent = g.sent[1:]
+	}
+	m.messages = append(m.messages, Message{To: to, Report: r})
+}
+
+// HandleGrants handles a keeper's reply.
+func (m *Machine) HandleGrants(now types.Time, from types.Host, msg *Grants) {
+	m.start(now)
+	if msg.Group < 0 || msg.Group >= groupCount {
+		return
+	}
+	g := &m.groups[msg.Group]
+	delete(g.silentUntil, from)
+	m.selectKeeper(now, g, false)
+	i := slices.IndexFunc(g.sent, func(s sentReport) bool { return s.seq == msg.Seq && s.to == from })
+	if i < 0 || msg.Seq <= g.appliedSeq || from != g.keeperHost {
+		return
+	}
+	report := g.sent[i]
+	g.sent = g.sent[i+1:]
+	g.appliedSeq = msg.Seq
+	g.keeperProcess, g.keeperClock = msg.KeeperProcess, msg.KeeperClock
+	g.unansweredSince = 0
+	if len(g.sent) > 0 {
+		g.unansweredSince = g.sent[0].at
+	}
+	m.noteHostCount(now, msg.Hosts)
+	if report.isProbe {
+		g.dropShares(m, now, msg.KeeperProcess)
+		return
+	}
+	m.applyGrants(now, g, msg, report.at)
+}
+
+// dropShares ends the grants of a keeper's process. The keeper takes a report that repeats its
+// later clock as the confirmation that they are no longer used.
+func (g *group) dropShares(m *Machine, now types.Time, process uint64) {
+	for _, b := range g.active {
+		if b.shareProcess == process {
+			m.advance(b, now)
+			b.share, b.shareUntil = 0, min(b.shareUntil, now)
+			b.clip(m, now)
+		}
+	}
+}
+
+// applyGrants replaces the grants of a group.
+func (m *Machine) applyGrants(now types.Time, g *group, msg *Grants, sentAt types.Time) {
+	granted := make(map[*bucket]Grant, len(msg.Grants))
+	for _, grant := range msg.Grants {
+		if b := m.buckets[grant.Workspace]; b != nil && b.group == g {
+			granted[b] = grant
+			g.list(b)
+		}
+	}
+	until := sentAt.Add(min(msg.ValidFor, grantTime))
+	for _, b := range g.active {
+		m.advance(b, now)
+		grant, listed := granted[b]
+		m.replaceShare(b, now, grant.Share, until, msg.KeeperProcess)
+		if grant.Tokens > 0 {
+			b.stock, b.stockUntil = grant.Tokens, sentAt.Add(tokenTime)
+		}
+		isShort := listed && grant.Tokens < b.asked
+		b.asked = 0
+		if isShort {
+			b.exhaustedUntil = now.Add(exhaustedTime)
+		}
+		m.servePending(b, now, isShort)
+		if len(b.pending) > 0 {
+			g.notePending()
+		}
+	}
+}
+
+// replaceShare replaces the granted share of a bucket. A higher share that another keeper has
+// granted stays until it expires: both are backed by loans.
+func (m *Machine) replaceShare(b *bucket, now types.Time, share float64, until types.Time, process uint64) {
+	if now.Before(b.shareUntil) {
+		if b.shareProcess != process && b.share > share {
+			return
+		}
+		if share < b.share-confirmedReduction {
+			b.group.urgent = true
+		}
+	}
+	b.share, b.shareUntil, b.shareProcess = share, until, process
+	b.clip(m, now)
+}
+
+// Tick performs the work that has become due.
+func (m *Machine) Tick(now types.Time) {
+	m.start(now)
+	if len(m.buckets) == 0 {
+		return
+	}
+	if now.Sub(m.lastTickAt) > suspensionThreshold {
+		// Replies may have arrived while this process did not run.
+		for i := range m.groups {
+			if m.groups[i].unansweredSince != 0 {
+				m.groups[i].unansweredSince = now
+			}
+		}
+	}
+	m.lastTickAt = now
+	m.expireHosts(now)
+	m.updateShare(now)
+	for i := range m.groups {
+		g := &m.groups[i]
+		m.checkKeeper(now, g)
+		for _, b := range g.active {
+			if len(b.pending) > 0 {
+				m.servePending(b, now, false)
+			}
+		}
+	}
+	m.sendDueReports(now)
+	m.limited = slices.DeleteFunc(m.limited, func(b *bucket) bool {
+		if now.Sub(b.lastRefusedAt) < limitedTime {
+			return false
+		}
+		m.limitedChanges = append(m.limitedChanges, LimitedChange{Workspace: b.limit.Workspace, Refused: b.refused})
+		b.isLimited, b.refused = false, 0
+		return true
+	})
+}
+
+// checkKeeper replaces a keeper that does not reply, and probes the preferred ones that did not.
+func (m *Machine) checkKeeper(now types.Time, g *group) {
+	if !m.needsReports(g) {
+		return
+	}
+	if g.unansweredSince != 0 && now.Sub(g.unansweredSince) >= keeperSilenceTimeout {
+		g.silentUntil[g.keeperHost] = now.Add(silentKeeperProbeInterval)
+		g.unansweredSince = 0
+		m.selectKeeper(now, g, true)
+	}
+	for _, h := range g.candidates {
+		if h == g.keeperHost {
+			break
+		}
+		if until, ok := g.silentUntil[h]; ok && !now.Before(until) {
+			g.silentUntil[h] = now.Add(silentKeeperProbeInterval)
+			m.send(now, g, h, &Report{Group: g.number, Hosts: m.membership.count}, true)
+		}
+	}
+}
+
+// NextWake returns when Tick must be called next.
+func (m *Machine) NextWake(now types.Time) (types.Time, bool) {
+	if len(m.buckets) == 0 {
+		return 0, false
+	}
+	at, ok := m.membership.nextShareChange(now)
+	consider := func(t types.Time) {
+		if !ok || t.Before(at) {
+			at, ok = t, true
+		}
+	}
+	for i := range m.groups {
+		g := &m.groups[i]
+		if m.needsReports(g) {
+			consider(g.nextReportAt())
+			if g.unansweredSince != 0 {
+				consider(g.unansweredSince.Add(keeperSilenceTimeout))
+			}
+		}
+		for _, b := range g.active {
+			if len(b.pending) > 0 {
+				consider(b.pending[0].deadline)
+			}
+		}
+	}
+	for _, b := range m.limited {
+		consider(b.lastRefusedAt.Add(limitedTime))
+	}
+	return at, ok
+}
--- /dev/null
+++ b/core/limits/keeper.go
@@ -0,0 +1,294 @@
+package limits
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+// keeper is the state of a host as the keeper of a group.
+type keeper struct {
+	// lastClock is the clock value of the last reply. Every reply has a higher one.
+	lastClock types.Time
+	reporters map[types.Host]*reporter
+	// lent is the sum of the valid loans at advancedAt, and lentSeconds its integral over time.
+	lent        float64
+	lentSeconds float64
+	advancedAt  types.Time
+	accounts    map[types.Workspace]*account
+}
+
+// reporter is what the keeper knows of a host that reports.
+type reporter struct {
+	// clock and seq are those of its last report, which tells the newest grants that it uses.
+	clock types.Time
+	seq   uint64
+	// reportedAt is the time of its last report.
+	reportedAt types.Time
+	// share is lent until lentUntil.
+	share     float64
+	lentUntil types.Time
+	// hosts is the number of eligible hosts that it knows.
+	hosts int
+}
+
+// account is the part of a workspace's limit that the keeper has not granted as shares.
+type account struct {
+	limit  Limit
+	tokens float64
+	// advancedAt and lentSeconds are those of the keeper when tokens were last added, and granted
+	// the outstanding shares since then.
+	advancedAt  types.Time
+	lentSeconds float64
+	granted     float64
+	consumers   map[types.Host]*consumer
+}
+
+// consumer is a host that has demand for a workspace or holds grants of it.
+type consumer struct {
+	demand float64
+	// reportedAt is the time of the report with the demand.
+	reportedAt types.Time
+	grants     []outstandingGrant
+}
+
+// outstandingGrant is a grant that a host may still use.
+type outstandingGrant struct {
+	clock types.Time
+	share float64
+	until types.Time
+	// tokens are valid until tokensUntil.
+	tokens      int
+	tokensUntil types.Time
+}
+
+func (k *keeper) init() {
+	k.reporters, k.accounts = map[types.Host]*reporter{}, map[types.Workspace]*account{}
+}
+
+// configure replaces the accounts. A new account begins without tokens.
+func (k *keeper) configure(now types.Time, buckets []*bucket) {
+	k.advance(now)
+	kept := make(map[types.Workspace]bool, len(buckets))
+	for _, b := range buckets {
+		w := b.limit.Workspace
+		kept[w] = true
+		if a := k.accounts[w]; a != nil {
+			k.advanceAccount(a, now)
+			a.limit = b.limit
+			continue
+		}
+		k.accounts[w] = &account{limit: b.limit, advancedAt: now, lentSeconds: k.lentSeconds, consumers: map[types.Host]*consumer{}}
+	}
+	for w := range k.accounts {
+		if !kept[w] {
+			delete(k.accounts, w)
+		}
+	}
+}
+
+// advance integrates the loans up to now. If a loan has expired, all accounts are reduced to their
+// new depth, because the lender has used the share itself since then.
+func (k *keeper) advance(now types.Time) {
+	if !k.advancedAt.Before(now) {
+		return
+	}
+	expired, lent := false, 0.0
+	for _, r := range k.reporters {
+		if r.share == 0 {
+			continue
+		}
+		k.lentSeconds += r.share * max(min(now, r.lentUntil).Sub(k.advancedAt), 0).Seconds()
+		if now.Before(r.lentUntil) {
+			lent += r.share
+		} else {
+			r.share, expired = 0, true
+		}
+	}
+	k.lent, k.advancedAt = lent, now
+	if expired {
+		k.clipAll(now)
+	}
+}
+
+func (k *keeper) clipAll(now types.Time) {
+	for _, a := range k.accounts {
+		k.advanceAccount(a, now)
+	}
+}
+
+// advanceAccount adds the tokens up to now, to which the keeper has been advanced. The outstanding
+// shares have not increased since the last time.
+func (k *keeper) advanceAccount(a *account, now types.Time) {
+	added := k.lentSeconds - a.lentSeconds - a.granted*now.Sub(a.advancedAt).Seconds()
+	a.tokens += max(added, 0) * a.limit.Rate
+	a.advancedAt, a.lentSeconds = now, k.lentSeconds
+	granted, tokens := 0.0, 0
+	for h, c := range a.consumers {
+		share, n := k.outstanding(h, c, now)
+		granted += share
+		tokens += n
+	}
+	a.granted = granted
+	depth := a.limit.depth()*(k.lent-grantDepthFraction*granted) - float64(tokens)
+	a.tokens = min(a.tokens, max(depth, 0))
+}
+
+// outstanding returns the highest share and the tokens that a host may use. A grant has been
+// replaced if the host has reported a later one.
+func (k *keeper) outstanding(h types.Host, c *consumer, now types.Time) (share float64, tokens int) {
+	confirmed := k.reporters[h].clock
+	c.grants = slices.DeleteFunc(c.grants, func(g outstandingGrant) bool {
+		return !now.Before(g.tokensUntil) && (g.clock.Before(confirmed) || !now.Before(g.until))
+	})
+	for _, g := range c.grants {
+		if !g.clock.Before(confirmed) && now.Before(g.until) {
+			share = max(share, g.share)
+		}
+		if now.Before(g.tokensUntil) {
+			tokens += g.tokens
+		}
+	}
+	return share, tokens
+}
+
+// lentFor returns the sum of the loans that last for a time from now.
+func (k *keeper) lentFor(now types.Time, d time.Duration) float64 {
+	sum := 0.0
+	for _, r := range k.reporters {
+		if !r.lentUntil.Before(now.Add(d)) {
+			sum += r.share
+		}
+	}
+	return sum
+}
+
+// HandleReport handles a host's report and replies to it.
+func (m *Machine) HandleReport(now types.Time, from types.Host, msg *Report) {
+	m.start(now)
+	if msg.Group < 0 || msg.Group >= groupCount {
+		return
+	}
+	g := &m.groups[msg.Group]
+	k := &g.keeper
+	k.advance(now)
+	r := k.reporters[from]
+	if r == nil {
+		r = &reporter{}
+		k.reporters[from] = r
+	}
+	clock := types.Time(0)
+	if msg.KeeperProcess == m.process && !msg.KeeperClock.After(k.lastClock) {
+		clock = msg.KeeperClock
+	}
+	if clock.Before(r.clock) && clock != 0 || clock != 0 && clock == r.clock && msg.Seq <= r.seq {
+		return // delayed or duplicated
+	}
+	if clock != 0 {
+		r.clock, r.seq = clock, msg.Seq
+		k.setLoan(now, r, clock, msg)
+	}
+	r.reportedAt, r.hosts = now, msg.Hosts
+	m.noteHostCount(now, msg.Hosts)
+	k.lastClock = max(now, k.lastClock+1)
+	reply := &Grants{Seq: msg.Seq, Group: g.number, KeeperProcess: m.process, KeeperClock: k.lastClock, ValidFor: grantTime, Hosts: k.maxHosts(now, m.membership.count)}
+	lent := k.lentFor(now, grantTime)
+	for _, d := range msg.Demands {
+		if a := k.accounts[d.Workspace]; a != nil {
+			reply.Grants = append(reply.Grants, k.grant(now, a, from, d, lent))
+		}
+	}
+	m.messages = append(m.messages, Message{To: from, Grants: reply})
+}
+
+// setLoan records the loan of a report, which counts from the keeper's clock in it.
+func (k *keeper) setLoan(now types.Time, r *reporter, clock types.Time, msg *Report) {
+	until := clock.Add(min(msg.LendFor, loanTime))
+	if msg.LendFor <= 0 || !now.Before(until) {
+		return
+	}
+	isLower := msg.Share < r.share
+	k.lent += msg.Share - r.share
+	r.share, r.lentUntil = max(msg.Share, 0), max(r.lentUntil, until)
+	if isLower {
+		k.clipAll(now)
+	}
+}
+
+// maxHosts returns the highest number of eligible hosts that a host has recently reported.
+func (k *keeper) maxHosts(now types.Time, own int) int {
+	for h, r := range k.reporters {
+		if now.Sub(r.reportedAt) < hostCountValidity {
+			own = max(own, r.hosts)
+		} else if now.Sub(r.reportedAt) > 2*hostCountValidity {
+			delete(k.reporters, h)
+			for _, a := range k.accounts {
+				delete(a.consumers, h)
+			}
+		}
+	}
+	return own
+}
+
+// grant decides on a host's demand. lent is the sum of the loans that outlast the grant.
+func (k *keeper) grant(now types.Time, a *account, from types.Host, d Demand, lent float64) Grant {
+	k.advanceAccount(a, now)
+	c := a.consumers[from]
+	if c == nil {
+		c = &consumer{}
+		a.consumers[from] = c
+	}
+	c.demand, c.reportedAt = d.Rate, now
+	own, _ := k.outstanding(from, c, now)
+	others := a.granted - own
+	share := min(k.fairShare(now, a, c, lent), max(lent-others, 0))
+	if a.limit.depth()*grantDepthFraction*share < minGrantDepth {
+		share = 0
+	}
+	out := Grant{Workspace: d.Workspace, Share: share, Tokens: min(d.Need, int(a.tokens))}
+	a.tokens -= float64(out.Tokens)
+	c.grants = append(c.grants, outstandingGrant{
+		clock: k.lastClock, share: share, until: now.Add(grantTime), tokens: out.Tokens, tokensUntil: now.Add(tokenTime),
+	})
+	k.advanceAccount(a, now)
+	return out
+}
+
+// fairShare returns the share of a consumer by max-min fairness between the demands. If they are
+// below what is lent, each gets a part of the rest in proportion, and half of the rest stays with
+// the keeper.
+func (k *keeper) fairShare(now types.Time, a *account, c *consumer, lent float64) float64 {
+	demands := make([]float64, 0, len(a.consumers))
+	sum := 0.0
+	for h, other := range a.consumers {
+		isStale := other.reportedAt.Before(k.reporters[h].reportedAt) || now.Sub(other.reportedAt) >= grantTime
+		if isStale && len(other.grants) == 0 {
+			delete(a.consumers, h)
+		}
+		if !isStale {
+			demands = append(demands, other.demand/a.limit.Rate)
+			sum += other.demand / a.limit.Rate
+		}
+	}
+	own := c.demand / a.limit.Rate
+	if sum <= lent {
+		return own + own*min(maxGrantSurplus, (lent-sum)/2/max(sum, 1e-9))
+	}
+	return min(own, waterLevel(demands, lent))
+}
+
+// waterLevel returns the level at which the demands, each bounded by it, add up to the capacity,
+// which is below their sum.
+func waterLevel(demands []float64, capacity float64) float64 {
+	slices.SortFunc(demands, cmp.Compare)
+	for i, d := range demands {
+		level := capacity / float64(len(demands)-i)
+		if d >= level {
+			return level
+		}
+		capacity -= d
+	}
+	return capacity
+}
--- /dev/null
+++ b/core/limits/limits.go
@@ -0,0 +1,357 @@
+// Package limits bounds the rate of each workspace's operations over all hosts. It is a state
+// machine without input or output.
+//
+// Each of at most maxHolders hosts holds an equal static share of every limit. A holder lends its
+// shares for a short time to the keeper of a group of workspaces. The keeper divides what was lent
+// between the hosts that report demand, as grants that expire, and keeps the rest in token buckets
+// of its own, from which it serves sudden demand with single tokens. A host that has no keeper
+// uses its static share once its loan has expired.
+//
+// At every time, the shares in use at all hosts add up to at most the shares of the holders. The
+// depth of a token bucket is proportional to its share, so that the depths have the same bound.
+package limits
+
+import (
+	"time"
+
+	"baobabfield.example/core/random"
+	"baobabfield.example/core/types"
+)
+
+const (
+	// maxHolders bounds the number of hosts that lend, and so the messages of a keeper.
+	maxHolders = 64
+	// groupCount is the number of groups of workspaces. Each has its own keeper.
+	groupCount = 4
+	// reportInterval is the time between the reports of a host to a keeper, and
+	// urgentReportInterval that between reports while operations are pending.
+	reportInterval       = 300 * time.Millisecond
+	urgentReportInterval = 50 * time.Millisecond
+	// loanTime is the time for which a report lends a host's static shares. A killed keeper
+	// makes the shares unusable for this time.
+	loanTime = 1200 * time.Millisecond
+	// grantTime is the time for which a grant is valid. A loan counts from the reply before the
+	// report and is renewed by the next one, so that up to two report intervals and two round
+	// trips of it have passed when a grant is decided. What remains covers the grant.
+	grantTime = 560 * time.Millisecond
+	// tokenTime is the time for which single tokens are valid.
+	tokenTime = 150 * time.Millisecond
+	// maxPendingTime is the time for which an operation waits for a grant.
+	maxPendingTime = 100 * time.Millisecond
+	// startDelay is the time after its start for which a process does not use or lend its
+	// static share, because an earlier process of the host may have lent it. What remains of
+	// loanTime adds 0.45 times the rate if all holders restart at once; the overshoot that the
+	// limit allows in 5 s is 0.5 times the rate.
+	startDelay = 750 * time.Millisecond
+	// shareRiseDelay is the time for which a higher static share is not used after a change of
+	// the hosts. Other hosts may learn of the change later and use their earlier shares until
+	// then.
+	shareRiseDelay = 5 * time.Second
+	// vanishedHostRetention is the time for which a host without a record counts as a holder,
+	// unless it had announced that it leaves. It may be partitioned and still use its share.
+	vanishedHostRetention = 2 * time.Minute
+	// hostCountValidity is the time for which the number of hosts that another host knows is
+	// taken into account.
+	hostCountValidity = 5 * time.Second
+	// keeperSilenceTimeout is the time without a reply after which another keeper is used.
+	keeperSilenceTimeout = 450 * time.Millisecond
+	// suspensionThreshold is the time without a tick after which this process must have been
+	// suspended, since a tick is due at keeperSilenceTimeout after an unanswered report.
+	suspensionThreshold = keeperSilenceTimeout + 250*time.Millisecond
+	// silentKeeperProbeInterval is the time between reports to a keeper that was silent.
+	silentKeeperProbeInterval = time.Second
+	// clockDriftPercent is added to the length of a loan at the lender, whose clock may run
+	// faster than the keeper's.
+	clockDriftPercent = 1
+	// exhaustedTime is the time after a grant below the demand in which operations above the
+	// grant are refused at once.
+	exhaustedTime = 200 * time.Millisecond
+	// demandTime is the time constant of the demand estimate. Demand that moves to another host
+	// is followed within about a second.
+	demandTime = 500 * time.Millisecond
+	// minDemand is the demand per second below which a host reports none.
+	minDemand = 0.05
+	// burstFraction and minDepth give the depth of all buckets of a workspace together:
+	// burstFraction of the burst, and minDepth operations so that low limits can be divided
+	// between hosts.
+	burstFraction = 0.6
+	minDepth      = 16
+	// grantDepthFraction is the part of the depth of a granted share that the host's bucket
+	// has. The rest is that of the keeper's bucket, which serves sudden demand on any host.
+	grantDepthFraction = 0.5
+	// minGrantDepth is the depth below which a share is not granted. A bucket that is less deep
+	// loses much of its share. The demand is served with single tokens instead.
+	minGrantDepth = 2
+	// maxGrantSurplus bounds the part of a host's demand by which a grant exceeds it.
+	maxGrantSurplus = 0.25
+	// confirmedReduction is the reduction of a share, as a part of the limit, after which a
+	// host reports early, so that the keeper can grant the difference to others.
+	confirmedReduction = 0.05
+	// minRetryAfter and maxRetryAfter bound the retry-after time.
+	minRetryAfter = 30 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// minRetryShare is the least part of the limit at whose rate retries are spread. A retry may
+	// arrive at a host with a larger share.
+	minRetryShare = 1.0 / 16
+	// limitedTime is the time after the last refusal for which a workspace counts as limited.
+	limitedTime = 5 * time.Second
+	// maxSentReports bounds the reports that are remembered for the replies to them.
+	maxSentReports = 16
+)
+
+// Limit is the limit of a workspace.
+type Limit struct {
+	Workspace types.Workspace
+	// Rate is the number of operations per second; 0 means that there is no limit. Burst is the
+	// number that may exceed it at once.
+	Rate, Burst float64
+}
+
+// depth returns the number of operations that all buckets of the workspace may hold together.
+func (l *Limit) depth() float64 { return burstFraction*l.Burst + minDepth }
+
+// Host is a host of the deployment.
+type Host struct {
+	ID types.Host
+	// Eligible is set if the host can own endpoints, Usable if it can be a keeper, and Leaving
+	// if it has announced that it leaves.
+	Eligible, Usable, Leaving bool
+}
+
+// Report is a host's message to the keeper of a group.
+type Report struct {
+	// Seq identifies the report. It is random for the first report of a process.
+	Seq   uint64
+	Group int
+	// KeeperProcess and KeeperClock are those of the last reply; zero if there is none.
+	KeeperProcess uint64
+	KeeperClock   types.Time
+	// LendFor is the time from KeeperClock for which the keeper has the sender's static Share
+	// of each limit; zero for no loan.
+	LendFor time.Duration
+	Share   float64
+	// Hosts is the number of eligible hosts that the sender knows.
+	Hosts   int
+	Demands []Demand
+}
+
+// Demand is the demand for a workspace at the sender of a report.
+type Demand struct {
+	Workspace types.Workspace
+	// Rate is the demand in operations per second, Need the number of pending operations.
+	Rate float64
+	Need int
+}
+
+// Grants is a keeper's reply to a Report. It replaces all earlier grants of the group. The grants
+// are valid for ValidFor from the sending of the report.
+type Grants struct {
+	Seq           uint64
+	Group         int
+	KeeperProcess uint64
+	KeeperClock   types.Time
+	ValidFor      time.Duration
+	// Hosts is the highest number of eligible hosts that a host has recently reported.
+	Hosts  int
+	Grants []Grant
+}
+
+// Grant is a part of a workspace's limit.
+type Grant struct {
+	Workspace types.Workspace
+	// Share is the fraction of the limit. Tokens is the number of single operations beside it,
+	// which are valid for tokenTime.
+	Share  float64
+	Tokens int
+}
+
+// Message is a message to another host, or to this host: either Report or Grants is set.
+type Message struct {
+	To     types.Host
+	Report *Report
+	Grants *Grants
+}
+
+// Verdict is what happens to an operation.
+type Verdict uint8
+
+// The verdicts on an operation.
+const (
+	// Admitted operations run.
+	Admitted Verdict = iota
+	// Refused operations must not run.
+	Refused
+	// Pending operations wait for a Resolution.
+	Pending
+)
+
+// Decision is the decision on an operation. The fields after RetryAfter describe the state that it
+// was based on.
+type Decision struct {
+	Verdict Verdict
+	// RetryAfter is when a refused operation can be repeated.
+	RetryAfter time.Duration
+	Limit      float64
+	// Tokens is the number of operations left, Share the granted fraction of the limit.
+	Tokens, Share float64
+	// GrantAge is the time since the report that the grant answers was sent; zero for no grant.
+	GrantAge time.Duration
+	Keeper   types.Host
+}
+
+// Resolution is the decision on a pending operation.
+type Resolution struct {
+	Operation uint64
+	Decision  Decision
+}
+
+// KeeperChange is a change of the keeper that this host uses for a group.
+type KeeperChange struct {
+	Group    int
+	From, To types.Host
+	Silent   bool
+}
+
+// LimitedChange tells that a workspace begins or ends to be limited on this host.
+type LimitedChange struct {
+	Workspace types.Workspace
+	Limited   bool
+	// Refused is the number of operations that were refused while it was limited.
+	Refused int
+}
+
+// Settings describes the host of a Machine.
+type Settings struct {
+	Host types.Host
+	// Seed must differ between the processes that a host runs one after the other.
+	Seed uint64
+}
+
+// Machine is the state machine of one host. A single task must own it.
+type Machine struct {
+	settings Settings
+	rng      random.Source
+	process  uint64
+	// startedAt is the time of the first event.
+	startedAt types.Time
+	started   bool
+	nextSeq   uint64
+	// lastTickAt is the time of the last Tick.
+	lastTickAt types.Time
+
+	buckets map[types.Workspace]*bucket
+	groups  [groupCount]group
+	// limited holds the buckets that have refused operations recently.
+	limited []*bucket
+
+	membership membership
+	// share is the static share of this host.
+	share float64
+
+	messages       []Message
+	resolutions    []Resolution
+	keeperChanges  []KeeperChange
+	limitedChanges []LimitedChange
+}
+
+// New returns a Machine without limits and hosts.
+func New(settings Settings) *Machine {
+	rng := random.New(settings.Seed)
+	m := &Machine{settings: settings, rng: rng, buckets: map[types.Workspace]*bucket{}}
+	m.process, m.nextSeq = m.rng.Uint64()|1, m.rng.Uint64()>>1
+	for i := range m.groups {
+		m.groups[i].init(i)
+	}
+	return m
+}
+
+// GroupOf returns the group of a workspace.
+func GroupOf(w types.Workspace) int { return int(random.Hash(0, string(w)) % groupCount) }
+
+func (m *Machine) start(now types.Time) {
+	if !m.started {
+		m.started, m.startedAt = true, now
+		for i := range m.groups {
+			m.groups[i].staticFrom = now.Add(startDelay)
+		}
+	}
+}
+
+// Active reports whether a workspace has a limit.
+func (m *Machine) Active() bool { return len(m.buckets) > 0 }
+
+// HasLimit reports whether a workspace has a limit.
+func (m *Machine) HasLimit(w types.Workspace) bool { return m.buckets[w] != nil }
+
+// Configure replaces the limits. Workspaces with a rate of 0 have none.
+func (m *Machine) Configure(now types.Time, list []Limit) {
+	m.start(now)
+	kept := map[types.Workspace]bool{}
+	for _, l := range list {
+		if l.Rate <= 0 {
+			continue
+		}
+		kept[l.Workspace] = true
+		if b := m.buckets[l.Workspace]; b != nil {
+			m.advance(b, now)
+			b.limit = l
+			b.clip(m, now)
+			continue
+		}
+		g := &m.groups[GroupOf(l.Workspace)]
+		b := &bucket{limit: l, group: g, advancedAt: now}
+		m.buckets[l.Workspace] = b
+		g.buckets = append(g.buckets, b)
+	}
+	for i := range m.groups {
+		g := &m.groups[i]
+		kept := func(w types.Workspace) bool { return kept[w] }
+		for _, b := range g.removeExcept(kept) {
+			delete(m.buckets, b.limit.Workspace)
+			for _, p := range b.pending {
+				m.resolutions = append(m.resolutions, Resolution{Operation: p.operation, Decision: Decision{Verdict: Admitted}})
+			}
+			b.pending = nil
+		}
+		g.keeper.configure(now, g.buckets)
+	}
+	m.limited = removeUnlimited(m.limited, kept)
+}
+
+func removeUnlimited(list []*bucket, kept map[types.Workspace]bool) []*bucket {
+	var out []*bucket
+	for _, b := range list {
+		if kept[b.limit.Workspace] {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// TakeMessages returns the messages since the last call.
+func (m *Machine) TakeMessages() []Message {
+	out := m.messages
+	m.messages = nil
+	return out
+}
+
+// TakeResolutions returns the decisions on pending operations since the last call.
+func (m *Machine) TakeResolutions() []Resolution {
+	out := m.resolutions
+	m.resolutions = nil
+	return out
+}
+
+// TakeKeeperChanges returns the changes of keepers since the last call.
+func (m *Machine) TakeKeeperChanges() []KeeperChange {
+	out := m.keeperChanges
+	m.keeperChanges = nil
+	return out
+}
+
+// TakeLimitedChanges returns the changes of the limited workspaces since the last call.
+func (m *Machine) TakeLimitedChanges() []LimitedChange {
+	out := m.limitedChanges
+	m.limitedChanges = nil
+	return out
+}
