--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -22,6 +22,10 @@
 	shareProcess uint64
 	stock        int
 	stockUntil   types.Time
+	// surplus are the tokens above the depth after a share was reduced. They can be returned until
+	// surplusUntil, when the earlier share would have expired.
+	surplus      float64
+	surplusUntil types.Time
 	// demand counts the operations, decaying with demandTime, as of demandAt.
 	demand   float64
 	demandAt types.Time
@@ -112,7 +116,22 @@
 	if now.Before(b.shareUntil) {
 		rate -= b.share * b.limit.Rate
 	}
-	return len(b.pending) + int(max(rate, 0)*urgentReportInterval.Seconds())
+	return len(b.pending)
+}
+
+// takeSurplus removes the granted tokens for which there is no demand and returns their number.
+func (m *Machine) takeSurplus(b *bucket, now types.Time, rate float64) int {
+	m.advance(b, now)
+	returned := 0
+	if now.Before(b.surplusUntil) {
+		returned = int(b.surplus)
+	}
+	b.surplus, b.surplusUntil = 0, 0
+	if n := int(b.tokens - rate*keptTime.Seconds() - minKeptTokens); n > 0 && now.Before(b.shareUntil) {
+		b.tokens -= float64(n)
+		returned += n
+	}
+	return returned
 }
 
 func (b *bucket) countDemand(now types.Time) {
@@ -151,8 +170,12 @@
 		return
 	}
 	m.advance(b, now)
-	b.tokens++
-	b.clip(m, now)
+	if now.Before(b.stockUntil) {
+		b.stock++
+	} else {
+		b.tokens++
+		b.clip(m, now)
+	}
 	m.servePending(b, now, false)
 }
 
--- a/core/limits/fleet_test.go
+++ b/core/limits/fleet_test.go
@@ -105,7 +105,7 @@
 		f.workspaces[l.Workspace] = &workspaceSim{name: l.Workspace, limits: []limitSince{{l, 0}}}
 	}
 	for range hosts {
-		f.addHost()
+		f.addHost().alive = true
 	}
 	for _, h := range f.hosts {
 		f.start(h)
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -182,9 +182,13 @@
 			b.listed = false
 			return true
 		}
-		if rate >= minDemand || len(b.pending) > 0 {
+		returned := 0
+		if r.KeeperProcess != 0 {
+			returned = m.takeSurplus(b, now, rate)
+		}
+		if rate >= minDemand || len(b.pending) > 0 || returned > 0 {
 			b.asked = len(b.pending)
-			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: b.need(now, rate)})
+			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: b.need(now, rate), Returned: returned})
 		}
 		return false
 	})
@@ -282,9 +286,13 @@
 		if b.shareProcess != process && b.share > share {
 			return
 		}
-		if share < b.share-confirmedReduction {
+		if share < b.share*confirmedReduction {
 			b.group.urgent = true
 		}
+		_, static := b.shareAt(m, now)
+		if excess := b.tokens - b.depth(share, static); excess > 0 {
+			b.surplus, b.surplusUntil = b.surplus+excess, b.shareUntil
+		}
 	}
 	b.share, b.shareUntil, b.shareProcess = share, until, process
 	b.clip(m, now)
@@ -314,6 +322,7 @@
 			if len(b.pending) > 0 {
 				m.servePending(b, now, false)
 			}
+			g.urgent = g.urgent || m.isNearlyFull(b, now)
 		}
 	}
 	m.sendDueReports(now)
@@ -327,6 +336,15 @@
 	})
 }
 
+// isNearlyFull reports whether a bucket is about to lose tokens of a granted share.
+func (m *Machine) isNearlyFull(b *bucket, now types.Time) bool {
+	if !now.Before(b.shareUntil) || b.share == 0 {
+		return false
+	}
+	m.advance(b, now)
+	return b.tokens > nearlyFullFraction*b.depth(b.shareAt(m, now))
+}
+
 // checkKeeper replaces a keeper that does not reply, and probes the preferred ones that did not.
 func (m *Machine) checkKeeper(now types.Time, g *group) {
 	if !m.needsReports(g) {
@@ -363,6 +381,9 @@
 		g := &m.groups[i]
 		if m.needsReports(g) {
 			consider(g.nextReportAt())
+			if check := g.lastReportAt.Add(reportInterval / 2); len(g.active) > 0 && check.After(now) {
+				consider(check)
+			}
 			if g.unansweredSince != 0 {
 				consider(g.unansweredSince.Add(keeperSilenceTimeout))
 			}
--- a/core/limits/keeper.go
+++ b/core/limits/keeper.go
@@ -197,6 +197,9 @@
 	lent := k.lentFor(now, grantTime)
 	for _, d := range msg.Demands {
 		if a := k.accounts[d.Workspace]; a != nil {
+			if clock == 0 {
+				d.Returned = 0 // the report may be a duplicate
+			}
 			reply.Grants = append(reply.Grants, k.grant(now, a, from, d, lent))
 		}
 	}
@@ -235,6 +238,8 @@
 // grant decides on a host's demand. lent is the sum of the loans that outlast the grant.
 func (k *keeper) grant(now types.Time, a *account, from types.Host, d Demand, lent float64) Grant {
 	k.advanceAccount(a, now)
+	a.tokens += float64(max(d.Returned, 0))
+	k.advanceAccount(a, now) // limits the tokens to the depth
 	c := a.consumers[from]
 	if c == nil {
 		c = &consumer{}
@@ -244,7 +249,11 @@
 	own, _ := k.outstanding(from, c, now)
 	others := a.granted - own
 	share := min(k.fairShare(now, a, c, lent), max(lent-others, 0))
-	if a.limit.depth()*grantDepthFraction*share < minGrantDepth {
+	least := float64(minGrantedDemand)
+	if own > 0 {
+		least = minKeptDemand
+	}
+	if d.Rate < least || a.limit.depth()*grantDepthFraction*share < minGrantDepth {
 		share = 0
 	}
 	out := Grant{Workspace: d.Workspace, Share: share, Tokens: min(d.Need, int(a.tokens))}
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -68,7 +68,7 @@
 	exhaustedTime = 200 * time.Millisecond
 	// demandTime is the time constant of the demand estimate. Demand that moves to another host
 	// is followed within about a second.
-	demandTime = 500 * time.Millisecond
+	demandTime = 300 * time.Millisecond
 	// minDemand is the demand per second below which a host reports none.
 	minDemand = 0.05
 	// burstFraction and minDepth give the depth of all buckets of a workspace together:
@@ -79,14 +79,25 @@
 	// grantDepthFraction is the part of the depth of a granted share that the host's bucket
 	// has. The rest is that of the keeper's bucket, which serves sudden demand on any host.
 	grantDepthFraction = 0.5
+	// keptTime is the time of the estimated demand for which a host keeps tokens in addition to
+	// minKeptTokens. It returns the others to the keeper with each report.
+	keptTime      = 150 * time.Millisecond
+	minKeptTokens = 2
+	// nearlyFullFraction is the part of its depth at which a bucket causes an early report.
+	nearlyFullFraction = 0.7
 	// minGrantDepth is the depth below which a share is not granted. A bucket that is less deep
 	// loses much of its share. The demand is served with single tokens instead.
 	minGrantDepth = 2
+	// minGrantedDemand is the demand per second from which a share is granted, and minKeptDemand
+	// that below which it is withdrawn. The operations of a lower demand come so irregularly that
+	// most of a share would be unused.
+	minGrantedDemand = 12
+	minKeptDemand    = 6
 	// maxGrantSurplus bounds the part of a host's demand by which a grant exceeds it.
 	maxGrantSurplus = 0.25
-	// confirmedReduction is the reduction of a share, as a part of the limit, after which a
-	// host reports early, so that the keeper can grant the difference to others.
-	confirmedReduction = 0.05
+	// confirmedReduction is the part of the earlier share below which a share causes an early
+	// report, so that the keeper can grant the difference to others.
+	confirmedReduction = 0.75
 	// minRetryAfter and maxRetryAfter bound the retry-after time.
 	minRetryAfter = 30 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -138,9 +149,12 @@
 // Demand is the demand for a workspace at the sender of a report.
 type Demand struct {
 	Workspace types.Workspace
-	// Rate is the demand in operations per second, Need the number of pending operations.
+	// Rate is the demand in operations per second, Need the number of single tokens that the
+	// sender requests.
 	Rate float64
 	Need int
+	// Returned is the number of tokens that the sender gives up, since it has no use for them.
+	Returned int
 }
 
 // Grants is a keeper's reply to a Report. It replaces all earlier grants of the group. The grants
