--- a/core/limits/keeper.go
+++ b/core/limits/keeper.go
@@ -12,7 +12,10 @@
 type keeper struct {
 	// lastClock is the clock value of the last reply. Every reply has a higher one.
 	lastClock types.Time
-	reporters map[types.Host]*reporter
+	// reporters are in the order of their first report, so that sums do not depend on the order of
+	// a map.
+	reporters      []*reporter
+	reporterByHost map[types.Host]*reporter
 	// lent is the sum of the valid loans at advancedAt, and lentSeconds its integral over time.
 	lent        float64
 	lentSeconds float64
@@ -22,6 +25,7 @@
 
 // reporter is what the keeper knows of a host that reports.
 type reporter struct {
+	host types.Host
 	// clock and seq are those of its last report, which tells the newest grants that it uses.
 	clock types.Time
 	seq   uint64
@@ -43,12 +47,17 @@
 	advancedAt  types.Time
 	lentSeconds float64
 	granted     float64
-	consumers   map[types.Host]*consumer
+	// outstandingTokens is the number of valid single tokens.
+	outstandingTokens int
+	// consumers are in the order of their first demand.
+	consumers      []*consumer
+	consumerByHost map[types.Host]*consumer
 }
 
 // consumer is a host that has demand for a workspace or holds grants of it.
 type consumer struct {
-	demand float64
+	reporter *reporter
+	demand   float64
 	// reportedAt is the time of the report with the demand.
 	reportedAt types.Time
 	grants     []outstandingGrant
@@ -65,7 +74,7 @@
 }
 
 func (k *keeper) init() {
-	k.reporters, k.accounts = map[types.Host]*reporter{}, map[types.Workspace]*account{}
+	k.reporterByHost, k.accounts = map[types.Host]*reporter{}, map[types.Workspace]*account{}
 }
 
 // configure replaces the accounts. A new account begins without tokens.
@@ -80,7 +89,7 @@
 			a.limit = b.limit
 			continue
 		}
-		k.accounts[w] = &account{limit: b.limit, advancedAt: now, lentSeconds: k.lentSeconds, consumers: map[types.Host]*consumer{}}
+		k.accounts[w] = &account{limit: b.limit, advancedAt: now, lentSeconds: k.lentSeconds, consumerByHost: map[types.Host]*consumer{}}
 	}
 	for w := range k.accounts {
 		if !kept[w] {
@@ -126,20 +135,20 @@
 	a.tokens += max(added, 0) * a.limit.Rate
 	a.advancedAt, a.lentSeconds = now, k.lentSeconds
 	granted, tokens := 0.0, 0
-	for h, c := range a.consumers {
-		share, n := k.outstanding(h, c, now)
+	for _, c := range a.consumers {
+		share, n := c.outstanding(now)
 		granted += share
 		tokens += n
 	}
-	a.granted = granted
+	a.granted, a.outstandingTokens = granted, tokens
 	depth := a.limit.depth()*(k.lent-grantDepthFraction*granted) - float64(tokens)
 	a.tokens = min(a.tokens, max(depth, 0))
 }
 
 // outstanding returns the highest share and the tokens that a host may use. A grant has been
 // replaced if the host has reported a later one.
-func (k *keeper) outstanding(h types.Host, c *consumer, now types.Time) (share float64, tokens int) {
-	confirmed := k.reporters[h].clock
+func (c *consumer) outstanding(now types.Time) (share float64, tokens int) {
+	confirmed := c.reporter.clock
 	c.grants = slices.DeleteFunc(c.grants, func(g outstandingGrant) bool {
 		return !now.Before(g.tokensUntil) && (g.clock.Before(confirmed) || !now.Before(g.until))
 	})
@@ -174,10 +183,12 @@
 	g := &m.groups[msg.Group]
 	k := &g.keeper
 	k.advance(now)
-	r := k.reporters[from]
+	k.dropReporters(now)
+	r := k.reporterByHost[from]
 	if r == nil {
-		r = &reporter{}
-		k.reporters[from] = r
+		r = &reporter{host: from}
+		k.reporterByHost[from] = r
+		k.reporters = append(k.reporters, r)
 	}
 	clock := types.Time(0)
 	if msg.KeeperProcess == m.process && !msg.KeeperClock.After(k.lastClock) {
@@ -200,7 +211,7 @@
 			if clock == 0 {
 				d.Returned = 0 // the report may be a duplicate
 			}
-			reply.Grants = append(reply.Grants, k.grant(now, a, from, d, lent))
+			reply.Grants = append(reply.Grants, k.grant(now, a, r, d, lent))
 		}
 	}
 	m.messages = append(m.messages, Message{To: from, Grants: reply})
@@ -222,33 +233,50 @@
 
 // maxHosts returns the highest number of eligible hosts that a host has recently reported.
 func (k *keeper) maxHosts(now types.Time, own int) int {
-	for h, r := range k.reporters {
+	for _, r := range k.reporters {
 		if now.Sub(r.reportedAt) < hostCountValidity {
 			own = max(own, r.hosts)
-		} else if now.Sub(r.reportedAt) > 2*hostCountValidity {
-			delete(k.reporters, h)
-			for _, a := range k.accounts {
-				delete(a.consumers, h)
-			}
 		}
 	}
 	return own
 }
 
+// dropReporters removes the hosts that have not reported for some time.
+func (k *keeper) dropReporters(now types.Time) {
+	k.reporters = slices.DeleteFunc(k.reporters, func(r *reporter) bool {
+		if now.Sub(r.reportedAt) <= 2*hostCountValidity {
+			return false
+		}
+		delete(k.reporterByHost, r.host)
+		for _, a := range k.accounts {
+			a.dropConsumer(r)
+		}
+		return true
+	})
+}
+
+func (a *account) dropConsumer(r *reporter) {
+	delete(a.consumerByHost, r.host)
+	a.consumers = slices.DeleteFunc(a.consumers, func(c *consumer) bool { return c.reporter == r })
+}
+
 // grant decides on a host's demand. lent is the sum of the loans that outlast the grant.
-func (k *keeper) grant(now types.Time, a *account, from types.Host, d Demand, lent float64) Grant {
+func (k *keeper) grant(now types.Time, a *account, from *reporter, d Demand, lent float64) Grant {
 	k.advanceAccount(a, now)
 	a.tokens += float64(max(d.Returned, 0))
 	k.advanceAccount(a, now) // limits the tokens to the depth
-	c := a.consumers[from]
+	c := a.consumerByHost[from.host]
 	if c == nil {
-		c = &consumer{}
-		a.consumers[from] = c
+		c = &consumer{reporter: from}
+		a.consumerByHost[from.host] = c
+		a.consumers = append(a.consumers, c)
 	}
 	c.demand, c.reportedAt = d.Rate, now
-	own, _ := k.outstanding(from, c, now)
+	own, _ := c.outstanding(now)
 	others := a.granted - own
-	share := min(k.fairShare(now, a, c, lent), max(lent-others, 0))
+	// The depths of the shares and the single tokens together stay within the depth.
+	freeDepth := (lent - float64(a.outstandingTokens)/a.limit.depth()) / grantDepthFraction
+	share := min(k.fairShare(now, a, c, lent), max(min(lent, freeDepth)-others, 0))
 	least := float64(minGrantedDemand)
 	if own > 0 {
 		least = minKeptDemand
@@ -271,16 +299,18 @@
 func (k *keeper) fairShare(now types.Time, a *account, c *consumer, lent float64) float64 {
 	demands := make([]float64, 0, len(a.consumers))
 	sum := 0.0
-	for h, other := range a.consumers {
-		isStale := other.reportedAt.Before(k.reporters[h].reportedAt) || now.Sub(other.reportedAt) >= grantTime
-		if isStale && len(other.grants) == 0 {
-			delete(a.consumers, h)
-		}
-		if !isStale {
-			demands = append(demands, other.demand/a.limit.Rate)
-			sum += other.demand / a.limit.Rate
+	a.consumers = slices.DeleteFunc(a.consumers, func(other *consumer) bool {
+		if other.reportedAt.Before(other.reporter.reportedAt) || now.Sub(other.reportedAt) >= grantTime {
+			if len(other.grants) > 0 {
+				return false
+			}
+			delete(a.consumerByHost, other.reporter.host)
+			return true
 		}
-	}
+		demands = append(demands, other.demand/a.limit.Rate)
+		sum += other.demand / a.limit.Rate
+		return false
+	})
 	own := c.demand / a.limit.Rate
 	if sum <= lent {
 		return own + own*min(maxGrantSurplus, (lent-sum)/2/max(sum, 1e-9))
--- a/core/limits/model_test.go
+++ b/core/limits/model_test.go
@@ -4,24 +4,72 @@
 	"testing"
 )
 
-// This file checks the rules of loans and grants exhaustively in a small model: one lender with one
-// share, one keeper that may restart, and two hosts that get grants. Messages are delivered at any
-// later time, any number of times or never. Time is in ticks; the clocks of the keeper's two
-// processes differ. At no time may the share be used twice.
+// This file checks the rules of loans and grants exhaustively in two small models. Both have one
+// lender with one share, which must never be used twice at a time. Messages are delivered at any
+// later time, any number of times or never. Time is in ticks.
 //
-// A loan lasts modelLoan and a grant modelGrant ticks, as loanTime and grantTime do in the package.
+// A loan lasts modelLoan and a grant at most modelGrant ticks, as loanTime and grantTime do in the
+// package.
 
 const (
-	modelLoan  = 3
+	modelLoan  = 4
 	modelGrant = 2
-	modelEnd   = 8
-	// modelReports bounds the reports of the lender, modelRequests those of each other host.
-	modelReports  = 3
-	modelRequests = 2
 )
 
-// guards are the rules whose removal must lead to a violation.
-type guards struct {
+// modelState is a state of a model.
+type modelState[S any] interface {
+	comparable
+	// users returns how often the share is used.
+	users() int
+	// next returns the states that can follow.
+	next() []S
+}
+
+// explore visits the states that can be reached and returns their number. It stops at the first one
+// in which the share is used twice.
+func explore[S modelState[S]](first S) (states int, violated bool) {
+	seen := map[S]bool{first: true}
+	queue := []S{first}
+	for len(queue) > 0 {
+		s := queue[len(queue)-1]
+		queue = queue[:len(queue)-1]
+		if s.users() > 1 {
+			return len(seen), true
+		}
+		for _, n := range s.next() {
+			if !seen[n] {
+				seen[n] = true
+				queue = append(queue, n)
+			}
+		}
+	}
+	return len(seen), false
+}
+
+// checkModel fails the test if the share is used twice with all guards, or if the removal of a guard
+// goes unnoticed.
+func checkModel[S modelState[S]](t *testing.T, full S, without map[string]S) {
+	states, violated := explore(full)
+	t.Logf("all guards: %d states", states)
+	if violated {
+		t.Error("the share is used twice")
+	}
+	for name, s := range without {
+		states, violated := explore(s)
+		t.Logf("without %q: violated %v, %d states", name, violated, states)
+		if !violated {
+			t.Errorf("no violation without the guard %q", name)
+		}
+	}
+}
+
+const (
+	loanModelEnd     = 9
+	loanModelReports = 3
+)
+
+// loanGuards are the rules of loans.
+type loanGuards struct {
 	// lenderWaits: the lender uses its share only after the loan has expired.
 	lenderWaits bool
 	// loanExpires: the keeper uses no expired loan.
@@ -35,65 +83,35 @@
 	keeperProcess bool
 	// oneLoan: the lender lends to another process only after the loan has expired.
 	oneLoan bool
-	// outstandingCounts: grants count until they have expired or their replacement is confirmed.
-	outstandingCounts bool
-	// confirmedOnly: a grant counts as replaced once the host confirms a later one, not when the
-	// later one is sent.
-	confirmedOnly bool
-	// grantFromSending: a grant counts from the sending of the report that it answers.
-	grantFromSending bool
 }
 
-func allGuards() guards {
-	return guards{true, true, true, true, true, true, true, true, true}
+// loanState is the state of a lender and a keeper that restarts once. The clock of the second
+// process is two ticks ahead.
+type loanState struct {
+	guards  loanGuards
+	now     int8
+	process int8
+	reports [loanModelReports]loanReport
+	sent    int8
+	// staticFrom is when the lender uses its share. lentTo is the process with the loan, and
+	// knownProcess and knownClock are those of the last reply; processes count from 1.
+	staticFrom, lentTo       int8
+	knownProcess, knownClock int8
+	// replyProcess and replyClock are those of the keeper's last reply.
+	replyProcess, replyClock int8
+	// loanUntil is the end of the loan at the keeper, loanClock the clock in the report.
+	loanUntil, loanClock int8
+	// grantUntil holds the ends of the grants of the two processes.
+	grantUntil [2]int8
 }
 
-// clockOffsets are the differences of the clocks of the keeper's processes to the time.
-var clockOffsets = [2]int8{0, 2}
-
 // loanReport is a report of the lender.
 type loanReport struct {
-	sent           bool
 	process, clock int8
 	lends          bool
 }
 
-// requestMessage is a report of another host, and the reply to it.
-type requestMessage struct {
-	sent     bool
-	sentAt   int8
-	confirms int8 // the number of the reply that the host uses; 0 for none
-	process  int8
-	replied  bool
-	until    int8 // the end of the grant in the time of the keeper, as a time
-	share    bool
-	length   int8
-}
-
-// modelState is a state of the model. All times are in ticks since the start.
-type modelState struct {
-	now     int8
-	process int8
-	// The lender.
-	reports       [modelReports]loanReport
-	reportCount   int8
-	staticFrom    int8
-	lentTo        int8 // the process with the loan plus one; 0 for none
-	knownProcess  int8 // that of the last reply plus one; 0 for none
-	knownClock    int8
-	replyProcess  int8 // the last reply of the keeper to the lender, which may be delivered any time
-	replyClock    int8
-	loanUntil     int8 // the end of the loan as the keeper sees it
-	loanClock     int8
-	requests      [2][modelRequests]requestMessage
-	requestCount  [2]int8
-	applied       [2]int8 // the number of the reply that the host uses; 0 for none
-	grantUntil    [2]int8
-	keeperEnds    [2][modelRequests]int8 // the ends of the grants as the keeper counts them
-	keeperConfirm [2]int8
-}
-
-func (s *modelState) users() int {
+func (s loanState) users() int {
 	n := 0
 	if s.now >= s.staticFrom {
 		n++
@@ -106,211 +124,259 @@
 	return n
 }
 
-// outstanding reports whether a host may use a grant of the keeper's process.
-func (s *modelState) outstanding(h int, g guards) bool {
-	if !g.outstandingCounts {
-		return false
-	}
-	last := int8(0)
-	for i, end := range s.keeperEnds[h] {
-		if end != 0 {
-			last = int8(i + 1)
-		}
-	}
-	for i, end := range s.keeperEnds[h] {
-		number := int8(i + 1)
-		replaced := number < s.keeperConfirm[h]
-		if !g.confirmedOnly {
-			replaced = number < last
-		}
-		if s.now < end && !replaced {
-			return true
-		}
-	}
-	return false
-}
+// offset returns the difference of the keeper's clock to the time.
+func (s loanState) offset() int8 { return 2 * s.process }
 
-// next returns the states that can follow.
-func (s modelState) next(g guards) []modelState {
-	var out []modelState
-	if s.now < modelEnd {
+func (s loanState) next() []loanState {
+	var out []loanState
+	if s.now < loanModelEnd {
 		n := s
 		n.now++
 		out = append(out, n)
 	}
-	if s.process == 0 { // the keeper restarts
+	if s.process == 0 {
 		n := s
 		n.process, n.loanUntil, n.loanClock = 1, 0, 0
-		n.keeperEnds, n.keeperConfirm = [2][modelRequests]int8{}, [2]int8{}
 		out = append(out, n)
 	}
-	out = append(out, s.nextOfLender(g)...)
-	for h := range 2 {
-		out = append(out, s.nextOfHost(g, h)...)
+	if s.sent < loanModelReports {
+		out = append(out, s.withReport())
 	}
-	return out
-}
-
-// nextOfLender returns the states that follow a step of the loans.
-func (s modelState) nextOfLender(g guards) []modelState {
-	var out []modelState
-	if s.reportCount < modelReports { // the lender reports
-		n := s
-		r := loanReport{sent: true, process: s.knownProcess, clock: s.knownClock}
-		mayLend := s.now >= s.staticFrom || s.lentTo == s.knownProcess || !g.oneLoan
-		if s.knownProcess != 0 && mayLend {
-			r.lends = true
-			n.lentTo = s.knownProcess
-			if g.lenderWaits {
-				n.staticFrom = max(n.staticFrom, s.now+modelLoan)
-			} else {
-				n.staticFrom = max(n.staticFrom, s.now+1)
-			}
-		}
-		n.reports[n.reportCount] = r
-		n.reportCount++
-		out = append(out, n)
+	for i := range s.sent {
+		out = append(out, s.withReceived(s.reports[i]))
 	}
-	for _, r := range s.reports { // the keeper receives a report, and replies
-		if !r.sent {
-			continue
-		}
+	if s.replyProcess != 0 && (s.replyProcess > s.knownProcess || s.replyClock > s.knownClock) {
 		n := s
-		clock := s.now + clockOffsets[s.process]
-		valid := r.process == s.process+1 || (r.process != 0 && !g.keeperProcess)
-		if r.lends && valid && r.clock <= clock && r.clock >= s.loanClock {
-			start := r.clock
-			if !g.keeperClock {
-				start = clock
-			}
-			n.loanClock = r.clock
-			n.loanUntil = max(s.loanUntil, start-clockOffsets[s.process]+modelLoan)
-		}
-		n.replyProcess, n.replyClock = s.process+1, clock
+		n.knownProcess, n.knownClock = s.replyProcess, s.replyClock
 		out = append(out, n)
 	}
-	if s.replyProcess != 0 { // the lender receives the reply
+	if length := s.grantLength(); length > 0 {
 		n := s
-		n.knownProcess, n.knownClock = s.replyProcess, s.replyClock
+		n.grantUntil[s.process] = max(n.grantUntil[s.process], s.now+length)
 		out = append(out, n)
 	}
 	return out
 }
 
-// nextOfHost returns the states that follow a step of the grants of a host.
-func (s modelState) nextOfHost(g guards, h int) []modelState {
-	var out []modelState
-	if c := s.requestCount[h]; c < modelRequests { // the host reports
-		n := s
-		n.requests[h][c] = requestMessage{sent: true, sentAt: s.now, confirms: s.applied[h]}
-		n.requestCount[h]++
-		out = append(out, n)
-	}
-	for i, r := range s.requests[h] {
-		if r.sent && !r.replied { // the keeper replies, with or without a grant
-			out = append(out, s.withReply(h, i, false, g))
-			length, ok := s.grantLength(g, h)
-			if ok {
-				n := s.withReply(h, i, true, g)
-				n.requests[h][i].length = length
-				n.keeperEnds[h][i] = s.now + length
-				out = append(out, n)
-			}
-		}
-		if r.replied && int8(i+1) > s.applied[h] { // the host receives the reply
-			n := s
-			n.applied[h] = int8(i + 1)
-			n.grantUntil[h] = 0
-			if r.share {
-				start := r.sentAt
-				if !g.grantFromSending {
-					start = s.now
-				}
-				n.grantUntil[h] = start + r.length
-			}
-			out = append(out, n)
+// withReport returns the state after the lender has sent a report.
+func (s loanState) withReport() loanState {
+	r := loanReport{process: s.knownProcess, clock: s.knownClock}
+	mayLend := s.now >= s.staticFrom || s.lentTo == s.knownProcess || !s.guards.oneLoan
+	if s.knownProcess != 0 && mayLend {
+		r.lends = true
+		s.lentTo = s.knownProcess
+		until := s.now + modelLoan
+		if !s.guards.lenderWaits {
+			until = s.now + 1
 		}
+		s.staticFrom = max(s.staticFrom, until)
 	}
-	return out
+	s.reports[s.sent] = r
+	s.sent++
+	return s
 }
 
-// withReply returns the state after the keeper has replied to a request.
-func (s modelState) withReply(h, i int, share bool, _ guards) modelState {
-	r := &s.requests[h][i]
-	r.replied, r.share, r.process = true, share, s.process
-	// A host confirms the replies of this process only.
-	if c := r.confirms; c != 0 && s.requests[h][c-1].process == s.process {
-		s.keeperConfirm[h] = max(s.keeperConfirm[h], c)
-	}
-	if !share {
-		s.keeperEnds[h][i] = -1
+// withReceived returns the state after the keeper has received a report.
+func (s loanState) withReceived(r loanReport) loanState {
+	clock := s.now + s.offset()
+	valid := r.process == s.process+1 || (r.process != 0 && !s.guards.keeperProcess)
+	if r.lends && valid && r.clock <= clock && r.clock >= s.loanClock {
+		start := r.clock
+		if !s.guards.keeperClock {
+			start = clock
+		}
+		s.loanClock = r.clock
+		s.loanUntil = max(s.loanUntil, start-s.offset()+modelLoan)
 	}
+	s.replyProcess, s.replyClock = s.process+1, clock
 	return s
 }
 
-// grantLength returns how long the keeper can grant the share to a host.
-func (s *modelState) grantLength(g guards, h int) (int8, bool) {
+// grantLength returns the length of the grant that the keeper can make.
+func (s loanState) grantLength() int8 {
 	left := s.loanUntil - s.now
-	if !g.loanExpires && s.loanUntil != 0 {
-		left = modelGrant
+	switch {
+	case s.loanUntil == 0:
+		return 0
+	case left <= 0 && s.guards.loanExpires:
+		return 0
+	case !s.guards.grantWithinLoan || !s.guards.loanExpires:
+		return modelGrant
 	}
-	if left <= 0 || s.outstanding(1-h, g) {
-		return 0, false
-	}
-	if !g.grantWithinLoan {
-		return modelGrant, true
+	return min(left, modelGrant)
+}
+
+// A share must never be used by its lender and a keeper, or by two processes of the keeper. The
+// removal of each guard must be noticed; otherwise the model proves nothing about it.
+func TestModelOfLoans(t *testing.T) {
+	full := loanState{guards: loanGuards{true, true, true, true, true, true}}
+	without := map[string]loanState{}
+	for name, remove := range map[string]func(*loanGuards){
+		"the lender waits for the end of its loan": func(g *loanGuards) { g.lenderWaits = false },
+		"loans expire at the keeper":               func(g *loanGuards) { g.loanExpires = false },
+		"grants are shorter than loans":            func(g *loanGuards) { g.grantWithinLoan = false },
+		"loans count from the keeper's clock":      func(g *loanGuards) { g.keeperClock = false },
+		"clocks of earlier processes are ignored":  func(g *loanGuards) { g.keeperProcess = false },
+		"one loan at a time":                       func(g *loanGuards) { g.oneLoan = false },
+	} {
+		s := full
+		remove(&s.guards)
+		without[name] = s
 	}
-	return min(left, modelGrant), true
+	checkModel(t, full, without)
 }
 
-// explore visits the states that can be reached and returns their number. It stops at the first one
-// in which the share is used twice.
-func explore(g guards) (states int, violated bool) {
-	first := modelState{}
-	seen := map[modelState]bool{first: true}
-	queue := []modelState{first}
-	for len(queue) > 0 {
-		s := queue[len(queue)-1]
-		queue = queue[:len(queue)-1]
-		if s.users() > 1 {
-			return len(seen), true
+const (
+	grantModelEnd      = 6
+	grantModelRequests = 3
+)
+
+// grantModelLimits bounds the reports of the two hosts. One report of the second host is enough to
+// use the share twice.
+var grantModelLimits = [2]int8{grantModelRequests, 1}
+
+// grantGuards are the rules of grants.
+type grantGuards struct {
+	// outstandingCounts: grants count until they have expired or their replacement is confirmed.
+	outstandingCounts bool
+	// confirmedOnly: a grant counts as replaced once the host confirms a later one, not when the
+	// later one is sent.
+	confirmedOnly bool
+	// fromSending: a grant counts from the sending of the report that it answers.
+	fromSending bool
+	// withinLoan: a grant ends no later than the loan.
+	withinLoan bool
+	// inOrder: a host ignores a reply that is older than the last one that it has used.
+	inOrder bool
+}
+
+// grantState is the state of a keeper with a loan until modelLoan, and two hosts with demand.
+type grantState struct {
+	guards grantGuards
+	now    int8
+	hosts  [2]grantHost
+}
+
+type grantHost struct {
+	requests [grantModelRequests]grantRequest
+	sent     int8
+	// applied is the number of the reply that the host uses, which ends at until.
+	applied, until int8
+	// confirmed is the number of the last reply that the keeper knows to be used.
+	confirmed int8
+}
+
+// grantRequest is a report of a host, and the reply to it.
+type grantRequest struct {
+	sentAt, confirms int8
+	replied, granted bool
+	// length is that of the grant, end its end as the keeper counts it.
+	length, end int8
+}
+
+func (s grantState) users() int {
+	n := 0
+	if s.now >= modelLoan {
+		n++ // the lender
+	}
+	for _, h := range s.hosts {
+		if s.now < h.until {
+			n++
 		}
-		for _, n := range s.next(g) {
-			if !seen[n] {
-				seen[n] = true
-				queue = append(queue, n)
+	}
+	return n
+}
+
+// outstanding reports whether a host may use a grant, as the keeper knows.
+func (h *grantHost) outstanding(now int8, g grantGuards) bool {
+	last := h.confirmed
+	if !g.confirmedOnly {
+		for i, r := range h.requests {
+			if r.replied {
+				last = max(last, int8(i+1))
 			}
 		}
 	}
-	return len(seen), false
+	for i, r := range h.requests {
+		if r.granted && now < r.end && int8(i+1) >= last {
+			return g.outstandingCounts
+		}
+	}
+	return false
 }
 
-// The share must never be used twice while all guards are in place.
-func TestModelOfLoansHolds(t *testing.T) {
-	states, violated := explore(allGuards())
-	t.Logf("%d states", states)
-	if violated {
-		t.Error("the share is used twice")
+func (s grantState) next() []grantState {
+	var out []grantState
+	if s.now < grantModelEnd {
+		n := s
+		n.now++
+		out = append(out, n)
 	}
+	for i := range s.hosts {
+		h := &s.hosts[i]
+		if h.sent < grantModelLimits[i] {
+			n := s
+			n.hosts[i].requests[h.sent] = grantRequest{sentAt: s.now, confirms: h.applied}
+			n.hosts[i].sent++
+			out = append(out, n)
+		}
+		for j := range h.sent {
+			out = append(out, s.nextOfRequest(i, j)...)
+		}
+	}
+	return out
 }
 
-// The model must notice the removal of each guard; otherwise it proves nothing about it.
-func TestModelOfLoansNeedsEachGuard(t *testing.T) {
-	for name, remove := range map[string]func(*guards){
-		"the lender waits for the end of its loan": func(g *guards) { g.lenderWaits = false },
-		"loans expire at the keeper":               func(g *guards) { g.loanExpires = false },
-		"grants are shorter than loans":            func(g *guards) { g.grantWithinLoan = false },
-		"loans count from the keeper's clock":      func(g *guards) { g.keeperClock = false },
-		"clocks of earlier processes are ignored":  func(g *guards) { g.keeperProcess = false },
-		"one loan at a time":                       func(g *guards) { g.oneLoan = false },
-		"outstanding grants count":                 func(g *guards) { g.outstandingCounts = false },
-		"grants are replaced when confirmed":       func(g *guards) { g.confirmedOnly = false },
-		"grants count from the report":             func(g *guards) { g.grantFromSending = false },
-	} {
-		g := allGuards()
-		remove(&g)
-		if states, violated := explore(g); !violated {
-			t.Errorf("no violation without the guard %q in %d states", name, states)
+// nextOfRequest returns the states that follow a step of a request.
+func (s grantState) nextOfRequest(i int, j int8) []grantState {
+	h := &s.hosts[i]
+	r := h.requests[j]
+	if !r.replied {
+		n := s
+		n.hosts[i].requests[j].replied = true
+		n.hosts[i].confirmed = max(h.confirmed, r.confirms)
+		out := []grantState{n}
+		length := int8(modelGrant)
+		if s.guards.withinLoan {
+			length = min(length, modelLoan-s.now)
 		}
+		if s.now < modelLoan && length > 0 && !n.hosts[1-i].outstanding(s.now, s.guards) {
+			granted := &n.hosts[i].requests[j]
+			granted.granted, granted.length, granted.end = true, length, s.now+length
+			out = append(out, n)
+		}
+		return out
+	}
+	number := j + 1
+	if number <= h.applied && s.guards.inOrder || number == h.applied {
+		return nil
+	}
+	n := s
+	n.hosts[i].applied, n.hosts[i].until = number, 0
+	if r.granted {
+		start := r.sentAt
+		if !s.guards.fromSending {
+			start = s.now
+		}
+		n.hosts[i].until = start + r.length
+	}
+	return []grantState{n}
+}
+
+// A lent share must never be used by two hosts, or by a host and the lender.
+func TestModelOfGrants(t *testing.T) {
+	full := grantState{guards: grantGuards{true, true, true, true, true}}
+	without := map[string]grantState{}
+	for name, remove := range map[string]func(*grantGuards){
+		"outstanding grants count":         func(g *grantGuards) { g.outstandingCounts = false },
+		"grants are replaced if confirmed": func(g *grantGuards) { g.confirmedOnly = false },
+		"grants count from the report":     func(g *grantGuards) { g.fromSending = false },
+		"grants are shorter than the loan": func(g *grantGuards) { g.withinLoan = false },
+		"replies are used in their order":  func(g *grantGuards) { g.inOrder = false },
+	} {
+		s := full
+		remove(&s.guards)
+		without[name] = s
 	}
+	checkModel(t, full, without)
 }
--- /dev/null
+++ b/core/limits/tokens_model_test.go
@@ -0,0 +1,129 @@
+package limits_test
+
+import "testing"
+
+// The model of this file has one workspace with a share that is either at its keeper or granted to
+// one host. The buckets together hold at most tokenModelDepth tokens. Every operation takes one.
+
+const (
+	tokenModelDepth = 2
+	// tokenModelGranted is the part of the depth that moves to the host with the share.
+	tokenModelGranted = 1
+)
+
+// tokenGuards are the rules of tokens.
+type tokenGuards struct {
+	// emptyAtStart: the bucket of a new process is empty.
+	emptyAtStart bool
+	// clipped: a host drops its tokens when its share ends.
+	clipped bool
+	// returnedOnce: the keeper credits returned tokens once, although the report may arrive twice.
+	returnedOnce bool
+	// outstandingCount: single tokens count towards the depth until they have expired.
+	outstandingCount bool
+	// depthLeft: a share is granted only if outstanding single tokens leave its part of the depth.
+	depthLeft bool
+}
+
+// tokenState is the state of the buckets.
+type tokenState struct {
+	guards tokenGuards
+	// keeper and host are the tokens of the buckets, stock the single tokens of the host.
+	keeper, host, stock int8
+	granted             bool
+	// outstanding is the number of single tokens that the keeper counts.
+	outstanding int8
+	// returned is the number of tokens in a report that is on its way, and credited is set once it
+	// has arrived.
+	returned int8
+	credited bool
+	// unused is the number of tokens that have been added and not used, as far as it matters.
+	unused int8
+}
+
+func (s tokenState) users() int {
+	saved := s.keeper + s.host + s.stock
+	if saved > tokenModelDepth || saved > s.unused {
+		return 2
+	}
+	return 1
+}
+
+func (s tokenState) keeperDepth() int8 {
+	depth := int8(tokenModelDepth)
+	if s.granted {
+		depth -= tokenModelGranted
+	}
+	if s.guards.outstandingCount {
+		depth -= s.outstanding
+	}
+	return max(depth, 0)
+}
+
+func (s tokenState) hostDepth() int8 {
+	if s.granted {
+		return tokenModelGranted
+	}
+	return 0
+}
+
+func (s tokenState) next() []tokenState {
+	var out []tokenState
+	step := func(possible bool, change func(n *tokenState)) {
+		if !possible {
+			return
+		}
+		n := s
+		change(&n)
+		n.keeper = min(n.keeper, n.keeperDepth())
+		if n.guards.clipped {
+			n.host = min(n.host, n.hostDepth())
+		}
+		out = append(out, n)
+	}
+	step(true, func(n *tokenState) { // time passes
+		n.unused = min(n.unused+1, 2*tokenModelDepth)
+		if s.granted {
+			n.host = min(n.host+1, n.hostDepth())
+		} else {
+			n.keeper++
+		}
+	})
+	step(s.host > 0, func(n *tokenState) { n.host--; n.unused-- })
+	step(s.stock > 0, func(n *tokenState) { n.stock--; n.unused-- })
+	hasDepth := s.outstanding+tokenModelGranted <= tokenModelDepth
+	step(!s.granted && (hasDepth || !s.guards.depthLeft), func(n *tokenState) { n.granted = true })
+	step(s.granted, func(n *tokenState) { n.granted = false })
+	step(s.keeper > 0, func(n *tokenState) { n.keeper--; n.stock++; n.outstanding++ })
+	step(s.stock > 0, func(n *tokenState) { n.stock-- }) // a single token expires
+	step(s.outstanding > s.stock, func(n *tokenState) { n.outstanding-- })
+	step(s.host > 0 && s.returned == 0, func(n *tokenState) { n.host--; n.returned, n.credited = 1, false })
+	step(s.returned > 0 && !(s.credited && s.guards.returnedOnce), func(n *tokenState) { n.keeper += n.returned; n.credited = true })
+	step(s.returned > 0, func(n *tokenState) { n.returned = 0 }) // no copy of the report arrives any more
+	step(true, func(n *tokenState) {                             // the host restarts
+		n.host, n.stock = 0, 0
+		if !n.guards.emptyAtStart {
+			n.host = n.hostDepth()
+		}
+	})
+	return out
+}
+
+// The buckets must never hold more tokens than their depth, or tokens that nothing has added. The
+// removal of each guard must be noticed.
+func TestModelOfTokens(t *testing.T) {
+	full := tokenState{guards: tokenGuards{true, true, true, true, true}}
+	without := map[string]tokenState{}
+	for name, remove := range map[string]func(*tokenGuards){
+		"buckets are empty at start":      func(g *tokenGuards) { g.emptyAtStart = false },
+		"tokens are dropped with a share": func(g *tokenGuards) { g.clipped = false },
+		"returned tokens count once":      func(g *tokenGuards) { g.returnedOnce = false },
+		"outstanding tokens count":        func(g *tokenGuards) { g.outstandingCount = false },
+		"shares need depth":               func(g *tokenGuards) { g.depthLeft = false },
+	} {
+		s := full
+		remove(&s.guards)
+		without[name] = s
+	}
+	checkModel(t, full, without)
+}
