--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -56,10 +56,12 @@
 
 // callerSim is one session.
 type callerSim struct {
-	name           string
-	host           *hostSim
-	session        proxy.SessionID
-	db             types.Database
+	name    string
+	host    *hostSim
+	session proxy.SessionID
+	db      types.Database
+	// key is the caller's API key; empty for none.
+	key            string
 	ready          bool
 	closed         bool
 	statementCount int
@@ -78,6 +80,11 @@
 	draining  bool
 	unread    proxy.Event
 	modeValue string
+	// okAt holds the times of the successful operations. refused is the number of the refused ones
+	// and lastRefusal the text of the last refusal.
+	okAt        []types.Time
+	refused     int
+	lastRefusal string
 }
 
 func newCallers(sim *simulation) *callers {
@@ -93,8 +100,13 @@
 // openSession opens a session at a host. It repeats operations of one kind: "read", "write",
 // "tx", "readtx" or "set".
 func (c *callers) openSession(h types.Host, db types.Database, kind string) *callerSim {
+	return c.openSessionWithKey(h, db, kind, "")
+}
+
+// openSessionWithKey opens a session with an API key.
+func (c *callers) openSessionWithKey(h types.Host, db types.Database, kind, key string) *callerSim {
 	c.nextID++
-	s := &callerSim{name: fmt.Sprintf("c%d", c.nextID), host: c.sim.hosts[h], db: db, kind: kind}
+	s := &callerSim{name: fmt.Sprintf("c%d", c.nextID), host: c.sim.hosts[h], db: db, kind: kind, key: key}
 	c.sessions[s.name] = s
 	c.connect(s)
 	return s
@@ -111,7 +123,7 @@
 	c.nextID++
 	s.session = proxy.SessionID(c.nextID)
 	s.ready, s.closed, s.currentID = false, false, ""
-	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db})
+	c.sim.deliver(s.host, proxy.CallerStarted{Session: s.session, Database: s.db, Key: s.key})
 }
 
 // selectHost selects a ready host for a session: its present one, or one of the same data
@@ -321,6 +333,7 @@
 	}
 	s.currentID = ""
 	if r.Code != statement.CodeOK {
+		s.lastRefusal = r.Text
 		notRun := r.Code == statement.CodeBusy || r.Code == statement.CodeAborted || r.Code == statement.CodeLagging || r.Code == statement.CodeReadOnly
 		c.recordOutcome(s, false, !notRun)
 		if r.State != statement.StateIdle {
@@ -381,6 +394,7 @@
 	case ok:
 		c.ok++
 		c.lastOK = c.sim.now
+		s.okAt = append(s.okAt, c.sim.now)
 		if wrote {
 			c.longestWriteGap = max(c.longestWriteGap, c.sim.now.Sub(c.lastWrite))
 			c.lastWrite = c.sim.now
@@ -389,6 +403,7 @@
 		c.unknown++
 	default:
 		c.refused++
+		s.refused++
 	}
 	s.sentIDs = nil
 }
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -120,6 +120,7 @@
 		if m.catalog.SetConfig(*change.Config) {
 			m.log(Info, "configuration in force", field("version", change.Config.Version), field("revision", o.Revision.Number()), field("era", o.Revision.Era()), field("routes", len(change.Config.Routes)))
 			m.updatePoolLimits()
+			m.configureLimits()
 			m.clearOwnerCache()
 			m.closeWithdrawnSessions()
 		}
--- /dev/null
+++ b/core/proxy/limits_test.go
@@ -0,0 +1,152 @@
+package proxy_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/proxy"
+	"baobabfield.example/core/types"
+)
+
+// newLimitedSimulation returns a simulation with two workspaces, each with its key, and the limit of
+// one of them.
+func newLimitedSimulation(t *testing.T, seed uint64, rate, burst float64) *simulation {
+	sim := newSimulation(t, seed, 3)
+	sim.configureWorkspaces(2, []catalog.Workspace{
+		{Name: "limited", Keys: []string{"key-1"}, Rate: rate, Burst: burst},
+		{Name: "small", Keys: []string{"key-2"}, Rate: 200, Burst: 200},
+		{Name: "free", Keys: []string{"key-3"}},
+	}, "primary-db", "bounded-db", "own-db")
+	sim.runFor(maxConfigDelay)
+	return sim
+}
+
+// openWorkspace opens sessions of all kinds of operations on all hosts.
+func (sim *simulation) openWorkspace(key string, perHost int) []*callerSim {
+	var out []*callerSim
+	kinds := []string{"read", "write", "tx", "readtx"}
+	for i, h := range sim.sortedHosts() {
+		for j := range perHost {
+			kind := kinds[(i+j)%len(kinds)]
+			out = append(out, sim.callers.openSessionWithKey(h.id, "primary-db", kind, key))
+		}
+	}
+	return out
+}
+
+// totals returns the times of the successful operations and the number of the refused ones.
+func totals(sessions []*callerSim) (okAt []types.Time, refused int) {
+	for _, s := range sessions {
+		okAt = append(okAt, s.okAt...)
+		refused += s.refused
+	}
+	slices.Sort(okAt)
+	return okAt, refused
+}
+
+// checkLimit fails the test if more operations succeeded in 5 s than the limit allows.
+func checkLimit(t *testing.T, okAt []types.Time, rate, burst float64) {
+	t.Helper()
+	bound := int((rate*5+burst)*1.1 + 20)
+	for i := bound; i < len(okAt); i++ {
+		if okAt[i].Sub(okAt[i-bound]) < 5*time.Second {
+			t.Errorf("%d operations succeeded within %v, the limit allows %d in 5 s", bound+1, okAt[i].Sub(okAt[i-bound]), bound)
+			return
+		}
+	}
+}
+
+// A workspace above its limit must be refused, without running the refused operations, and get about
+// its limit. The others must be served as before.
+func TestWorkspaceAboveItsLimitIsRefused(t *testing.T) {
+	const rate, burst = 40, 10
+	sim := newLimitedSimulation(t, 61, rate, burst)
+	above, small, free := sim.openWorkspace("key-1", 3), sim.openWorkspace("key-2", 1), sim.openWorkspace("key-3", 1)
+	sim.runFor(3 * time.Second)
+	_, smallBefore := totals(small)
+	sim.runFor(15 * time.Second)
+	sim.reportViolations()
+	okAt, refused := totals(above)
+	checkLimit(t, okAt, rate, burst)
+	if perSecond := len(okAt) / 18; refused < 100 || perSecond < rate*3/4 {
+		t.Errorf("%d operations of the workspace above its limit were refused, %d a second succeeded", refused, perSecond)
+	}
+	if s := above[0]; !strings.Contains(s.lastRefusal, "retry after") {
+		t.Errorf("the refusal is %q", s.lastRefusal)
+	}
+	smallOK, smallRefused := totals(small)
+	if len(smallOK) < 500 || smallRefused > smallBefore {
+		t.Errorf("%d operations below the limit succeeded, %d were refused", len(smallOK), smallRefused-smallBefore)
+	}
+	if freeOK, freeRefused := totals(free); len(freeOK) < 500 || freeRefused > 0 {
+		t.Errorf("%d operations without a limit succeeded, %d were refused", len(freeOK), freeRefused)
+	}
+	sim.checkLimitLogs(t)
+}
+
+// checkLimitLogs checks that the refusals and the limited workspace appear in the logs, and no key.
+func (sim *simulation) checkLimitLogs(t *testing.T) {
+	t.Helper()
+	events := map[string]int{}
+	for _, h := range sim.sortedHosts() {
+		for _, l := range h.logs {
+			events[l.Event]++
+			if text := fmt.Sprint(l.Fields); strings.Contains(text, "key-") {
+				t.Errorf("the log line %q holds a key: %s", l.Event, text)
+			}
+		}
+	}
+	for _, event := range []string{"operation above the limit", "workspace above its limit", "limit keeper changed"} {
+		if events[event] == 0 {
+			t.Errorf("no log line %q", event)
+		}
+	}
+}
+
+// The limit must hold, and refused operations must not run, while keepers and owners are killed,
+// suspended and partitioned.
+func TestLimitHoldsWithFaults(t *testing.T) {
+	const rate, burst = 40, 10
+	for seed := uint64(62); seed < 66; seed++ {
+		sim := newLimitedSimulation(t, seed, rate, burst)
+		above := sim.openWorkspace("key-1", 3)
+		for range 8 {
+			injectFault(sim)
+			sim.runFor(time.Duration(sim.rng.IntN(1500)) * time.Millisecond)
+		}
+		sim.heal()
+		sim.runFor(5 * time.Second)
+		sim.reportViolations()
+		okAt, _ := totals(above)
+		checkLimit(t, okAt, rate, burst)
+		sim.expectRecentWriteOrRead(time.Second)
+	}
+}
+
+// Without a limit, no message about limits is sent.
+func TestNoLimitMessagesWithoutLimits(t *testing.T) {
+	sim := newLimitedSimulation(t, 67, 0, 0)
+	sim.configureWorkspaces(3, []catalog.Workspace{{Name: "free", Keys: []string{"key-3"}}}, "primary-db", "bounded-db", "own-db")
+	sim.runFor(maxConfigDelay)
+	sent := 0
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		switch msg.(type) {
+		case proxy.LimitReport, proxy.LimitGrant:
+			sent++
+		}
+		return false
+	}
+	free := sim.openWorkspace("key-3", 2)
+	sim.runFor(5 * time.Second)
+	sim.reportViolations()
+	if ok, refused := totals(free); len(ok) < 200 || refused > 0 {
+		t.Errorf("%d operations succeeded, %d were refused", len(ok), refused)
+	}
+	if sent > 0 {
+		t.Errorf("%d messages about limits were sent", sent)
+	}
+}
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -92,6 +92,7 @@
 	refresh refreshState
 	restore restoreState
 	stop    stopState
+	limits  limitState
 	// dataCentres describes the paths to the other data centres. isolatedSince is the time at
 	// which this host became isolated; zero if it is not.
 	dataCentres   map[types.DataCentre]*dataCentreState
@@ -155,6 +156,7 @@
 		gossip:  gossipState{gaps: map[feed.Kind]*revisionGap{}},
 		refresh: newRefreshState(),
 		restore: restoreState{rewrittenAt: map[types.Service]types.Time{}},
+		limits:  newLimitState(settings),
 
 		dataCentres: map[types.DataCentre]*dataCentreState{},
 
@@ -218,6 +220,7 @@
 		for _, o := range m.ownedInOrder {
 			progressed = m.applyPoolEffects(o) || progressed
 		}
+		progressed = m.applyLimitOutput() || progressed
 		local := m.localMessages
 		m.localMessages = nil
 		for _, msg := range local {
@@ -277,6 +280,7 @@
 	m.tickIsolation()
 	m.tickGossip()
 	m.tickRefresh()
+	m.tickLimits()
 	m.tickStop()
 }
 
@@ -298,6 +302,9 @@
 			at = wake
 		}
 	}
+	if wake, ok := m.limits.machine.NextWake(m.now); ok && wake.Before(at) {
+		at = wake
+	}
 	return at
 }
 
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/limits"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/statement"
 	"baobabfield.example/core/types"
@@ -18,7 +19,8 @@
 
 // Message is a message between hosts: Hello, ExecRequest, ExecResult, EndTx, PositionRequest,
 // PositionResponse, Ping, Pong, ReopenLink, OutstandingRequests, RequestsNotReceived, Leaving,
-// Digest, ChangesRequest, ChangesResponse, ReachabilityRequest or ReachabilityResponse.
+// Digest, ChangesRequest, ChangesResponse, ReachabilityRequest, ReachabilityResponse, LimitReport
+// or LimitGrant.
 type Message interface{ isMessage() }
 
 // Hello introduces the sender. It is the first message on every link, since the sender's
@@ -161,6 +163,12 @@
 	IsPrimary bool
 }
 
+// LimitReport reports a host's demand for workspaces with a limit to their keeper.
+type LimitReport limits.Report
+
+// LimitGrant is the reply to a LimitReport.
+type LimitGrant limits.Grants
+
 func (Hello) isMessage()                {}
 func (ExecRequest) isMessage()          {}
 func (ExecResult) isMessage()           {}
@@ -176,3 +184,5 @@
 func (ChangesResponse) isMessage()      {}
 func (ReachabilityRequest) isMessage()  {}
 func (ReachabilityResponse) isMessage() {}
+func (LimitReport) isMessage()          {}
+func (LimitGrant) isMessage()           {}
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -71,6 +71,8 @@
 	arrivedAt types.Time
 	deadline  types.Time
 	due       types.Time
+	// isCounted is set if the operation counts towards the limit of its workspace.
+	isCounted bool
 }
 
 // continuesTx reports whether the statement belongs to a transaction that has already begun.
@@ -143,7 +145,9 @@
 		return
 	}
 	m.executions[ex.id] = ex
-	m.admitExecution(o, ex)
+	if m.countOperation(o, ex) {
+		m.admitExecution(o, ex)
+	}
 }
 
 // admitExecution submits an execution to the pool, or keeps it waiting until its authority or
@@ -233,6 +237,7 @@
 // finishExecution removes an execution and sends its result.
 func (m *Machine) finishExecution(o *ownedEndpoint, ex *execution, res ExecResult) {
 	delete(m.executions, ex.id)
+	m.refundOperation(ex, &res)
 	waiting, running := o.pool.Load()
 	res.Load = waiting + running + len(o.waitingExecutions)
 	if ex.tx != 0 && !res.TxOpen {
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -60,7 +60,7 @@
 		s.failedAt = 0
 	case res.Reason == types.ReasonBehind || res.Reply.Code.NotRun():
 		s.laggedAt = now
-	case res.Reason != types.ReasonLate && res.Reason != types.ReasonQueueFull:
+	case res.Reason != types.ReasonLate && res.Reason != types.ReasonQueueFull && res.Reason != types.ReasonLimited:
 		s.failedAt = now
 	}
 }
@@ -223,4 +223,5 @@
 func (m *Machine) clearOwnerCache() {
 	clear(m.ownerCache)
 	m.cachedReadOrder = nil
+	m.limits.hostsChanged = true
 }
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -190,7 +190,12 @@
 }
 
 func (sim *simulation) configureRoutes(version uint64, databases ...types.Database) {
-	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
+	sim.configureWorkspaces(version, nil, databases...)
+}
+
+// configureWorkspaces stores a version of the configuration with workspaces.
+func (sim *simulation) configureWorkspaces(version uint64, workspaces []catalog.Workspace, databases ...types.Database) {
+	cfg := catalog.Config{Version: version, TxIdleTimeout: testTxIdleTimeout, Workspaces: workspaces, Services: []catalog.Service{{Name: testService, MaxConnections: 40}}}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
@@ -214,7 +219,7 @@
 	h.machine = proxy.New(proxy.Settings{
 		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
@@ -363,7 +368,7 @@
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -64,6 +64,10 @@
 	case *meshpb.ProxyMessage_Reach:
 		r := b.Reach
 		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}, nil
+	case *meshpb.ProxyMessage_LimitReport:
+		return decodeLimitReport(b.LimitReport)
+	case *meshpb.ProxyMessage_LimitGrant:
+		return decodeLimitGrant(b.LimitGrant)
 	}
 	return nil, fmt.Errorf("frame holds %T, not a proxy message", f.GetBody())
 }
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -73,6 +73,10 @@
 		p.Body = &meshpb.ProxyMessage_Reach{Reach: &meshpb.ReachAnswer{
 			Number: m.Seq, Service: string(m.Service), Endpoint: string(m.Endpoint), Primary: m.IsPrimary,
 		}}
+	case proxy.LimitReport:
+		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
+	case proxy.LimitGrant:
+		p.Body = &meshpb.ProxyMessage_LimitGrant{LimitGrant: encodeLimitGrant(&m)}
 	default:
 		panic(fmt.Sprintf("peerwire: message has unknown type %T", msg))
 	}
--- /dev/null
+++ b/wire/peerwire/limits.go
@@ -0,0 +1,85 @@
+package peerwire
+
+import (
+	"fmt"
+	"time"
+
+	"baobabfield.example/core/limits"
+	"baobabfield.example/core/proxy"
+	"baobabfield.example/core/types"
+	"baobabfield.example/wire/meshpb"
+)
+
+const (
+	// maxLimitTokens and maxLimitRate bound the numbers in messages about limits, so that a
+	// faulty host cannot make sums of them overflow.
+	maxLimitTokens = 1 << 24
+	maxLimitRate   = 1e9
+)
+
+func encodeLimitReport(r *proxy.LimitReport) *meshpb.LimitReport {
+	out := &meshpb.LimitReport{
+		Number: r.Seq, Group: uint32(r.Group), KeeperProcess: r.KeeperProcess, KeeperClockNs: int64(r.KeeperClock),
+		LendUs: uint64(r.LendFor.Microseconds()), Share: r.Share, Hosts: uint32(r.Hosts),
+	}
+	for _, d := range r.Demands {
+		out.Demands = append(out.Demands, &meshpb.LimitDemand{
+			Workspace: string(d.Workspace), Rate: float32(d.Rate), Need: uint32(d.Need), Returned: uint32(d.Returned),
+		})
+	}
+	return out
+}
+
+func encodeLimitGrant(g *proxy.LimitGrant) *meshpb.LimitGrant {
+	out := &meshpb.LimitGrant{
+		Number: g.Seq, Group: uint32(g.Group), KeeperProcess: g.KeeperProcess, KeeperClockNs: int64(g.KeeperClock),
+		ValidUs: uint64(g.ValidFor.Microseconds()), Hosts: uint32(g.Hosts),
+	}
+	for _, w := range g.Grants {
+		out.Grants = append(out.Grants, &meshpb.WorkspaceGrant{Workspace: string(w.Workspace), Share: w.Share, Tokens: uint32(w.Tokens)})
+	}
+	return out
+}
+
+func decodeLimitReport(r *meshpb.LimitReport) (proxy.Message, error) {
+	if !isShare(r.GetShare()) {
+		return nil, fmt.Errorf("limit report %d has invalid share %v", r.GetNumber(), r.GetShare())
+	}
+	out := proxy.LimitReport{
+		Seq: r.GetNumber(), Group: int(r.GetGroup()), KeeperProcess: r.GetKeeperProcess(), KeeperClock: types.Time(r.GetKeeperClockNs()),
+		LendFor: limitTime(r.GetLendUs()), Share: r.GetShare(), Hosts: int(r.GetHosts()),
+	}
+	for _, d := range r.GetDemands() {
+		rate := float64(d.GetRate())
+		if !(rate >= 0 && rate <= maxLimitRate) || d.GetNeed() > maxLimitTokens || d.GetReturned() > maxLimitTokens {
+			return nil, fmt.Errorf("limit report %d has invalid demand %v, %d, %d", r.GetNumber(), rate, d.GetNeed(), d.GetReturned())
+		}
+		out.Demands = append(out.Demands, limits.Demand{
+			Workspace: types.Workspace(d.GetWorkspace()), Rate: rate, Need: int(d.GetNeed()), Returned: int(d.GetReturned()),
+		})
+	}
+	return out, nil
+}
+
+func decodeLimitGrant(g *meshpb.LimitGrant) (proxy.Message, error) {
+	out := proxy.LimitGrant{
+		Seq: g.GetNumber(), Group: int(g.GetGroup()), KeeperProcess: g.GetKeeperProcess(), KeeperClock: types.Time(g.GetKeeperClockNs()),
+		ValidFor: limitTime(g.GetValidUs()), Hosts: int(g.GetHosts()),
+	}
+	for _, w := range g.GetGrants() {
+		if !isShare(w.GetShare()) || w.GetTokens() > maxLimitTokens {
+			return nil, fmt.Errorf("limit grant %d has invalid share %v or tokens %d", g.GetNumber(), w.GetShare(), w.GetTokens())
+		}
+		out.Grants = append(out.Grants, limits.Grant{Workspace: types.Workspace(w.GetWorkspace()), Share: w.GetShare(), Tokens: int(w.GetTokens())})
+	}
+	return out, nil
+}
+
+// isShare reports whether a number is a fraction; it is false for NaN.
+func isShare(x float64) bool { return x >= 0 && x <= 1 }
+
+// limitTime converts a time in microseconds. Longer ones than a minute are shortened, since no
+// loan or grant is that long.
+func limitTime(us uint64) time.Duration {
+	return microseconds(min(us, uint64(time.Minute.Microseconds())))
+}
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"baobabfield.example/core/feed"
+	"baobabfield.example/core/limits"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/statement"
@@ -54,6 +56,14 @@
 		}}}},
 		proxy.ReachabilityRequest{Seq: 3, Service: "s", Endpoint: "e"},
 		proxy.ReachabilityResponse{Seq: 3, Service: "s", Endpoint: "e", IsPrimary: true},
+		proxy.LimitReport{
+			Seq: 7, Group: 3, KeeperProcess: 1 << 63, KeeperClock: types.Time(-5), LendFor: time.Second, Share: 1.0 / 30, Hosts: 30,
+			Demands: []limits.Demand{{Workspace: "w", Rate: 0.5, Need: 2, Returned: 3}},
+		},
+		proxy.LimitGrant{
+			Seq: 7, Group: 3, KeeperProcess: 1, KeeperClock: types.Time(time.Hour), ValidFor: time.Second, Hosts: 30,
+			Grants: []limits.Grant{{Workspace: "w", Share: 1.0 / 3, Tokens: 4}},
+		},
 	} {
 		buf, err := proto.Marshal(peerwire.NewEncoder().Encode(msg))
 		if err != nil {
@@ -100,6 +110,11 @@
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{Reason: 999}}},
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{Code: 999}}},
 		{Body: &meshpb.ProxyMessage_Done{Done: &meshpb.Done{State: 9}}},
+		{Body: &meshpb.ProxyMessage_LimitReport{LimitReport: &meshpb.LimitReport{Share: math.NaN()}}},
+		{Body: &meshpb.ProxyMessage_LimitReport{LimitReport: &meshpb.LimitReport{Share: 1.5}}},
+		{Body: &meshpb.ProxyMessage_LimitReport{LimitReport: &meshpb.LimitReport{Demands: []*meshpb.LimitDemand{{Rate: float32(math.Inf(1))}}}}},
+		{Body: &meshpb.ProxyMessage_LimitReport{LimitReport: &meshpb.LimitReport{Demands: []*meshpb.LimitDemand{{Returned: math.MaxUint32}}}}},
+		{Body: &meshpb.ProxyMessage_LimitGrant{LimitGrant: &meshpb.LimitGrant{Grants: []*meshpb.WorkspaceGrant{{Share: -1}}}}},
 		compressedObjectMessage([]byte("no deflate")),
 		compressedObjectMessage(peerwire.NewEncoder().Encode(largeChanges(1, 5<<20)).GetProxy().GetChanges().GetKinds()[0].GetObjects()[0].GetDeflated()),
 	} {
