--- a/core/limits/keeper.go
+++ b/core/limits/keeper.go
@@ -171,7 +171,7 @@
 			sum += r.share
 		}
 	}
-	return sum
+	return min(sum, 1) // without the rounding errors of the sum
 }
 
 // HandleReport handles a host's report and replies to it.
--- a/core/limits/membership.go
+++ b/core/limits/membership.go
@@ -14,6 +14,8 @@
 // membership is what this host knows of the hosts that divide the limits.
 type membership struct {
 	hosts map[types.Host]memberState
+	// firstListAt is the time of the first SetHosts.
+	firstListAt types.Time
 	// count is the number of eligible hosts; isHolder is set if this host is a holder.
 	count    int
 	isHolder bool
@@ -66,6 +68,9 @@
 			known[id] = old
 		}
 	}
+	if m.membership.hosts == nil {
+		m.membership.firstListAt = now
+	}
 	m.membership.hosts = known
 	m.countHolders()
 	m.updateShare(now)
@@ -136,8 +141,8 @@
 		}
 	}
 	ms.shareLimits = slices.DeleteFunc(ms.shareLimits, func(l shareLimit) bool { return !now.Before(l.until) })
-	// A new process has no earlier share: startDelay bounds it instead.
-	if ms.target < target && now.Sub(m.startedAt) >= startDelay {
+	// The first lists of the hosts may be incomplete, and no earlier share was in use.
+	if ms.target < target && now.Sub(ms.firstListAt) >= startDelay {
 		ms.shareLimits = append(ms.shareLimits, shareLimit{share: ms.target, until: now.Add(shareRiseDelay)})
 	}
 	ms.target = target
