--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -107,18 +107,6 @@
 	return b.demand * math.Exp(-now.Sub(b.demandAt).Seconds()/demandTime.Seconds()) / demandTime.Seconds()
 }
 
-// need returns the number of single tokens to request: those of the pending operations, and of those
-// that will arrive above the granted share until the next report.
-func (b *bucket) need(now types.Time, rate float64) int {
-	if len(b.pending) == 0 {
-		return 0
-	}
-	if now.Before(b.shareUntil) {
-		rate -= b.share * b.limit.Rate
-	}
-	return len(b.pending)
-}
-
 // takeSurplus removes the granted tokens for which there is no demand and returns their number.
 func (m *Machine) takeSurplus(b *bucket, now types.Time, rate float64) int {
 	m.advance(b, now)
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -100,7 +100,7 @@
 }
 
 // selectKeeper selects the first candidate that is not silent.
-func (m *Machine) selectKeeper(now types.Time, g *group, silent bool) {
+func (m *Machine) selectKeeper(g *group, silent bool) {
 	var selected types.Host
 	for _, h := range g.candidates {
 		if _, isSilent := g.silentUntil[h]; !isSilent {
@@ -188,7 +188,7 @@
 		}
 		if rate >= minDemand || len(b.pending) > 0 || returned > 0 {
 			b.asked = len(b.pending)
-			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: b.need(now, rate), Returned: returned})
+			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: len(b.pending), Returned: returned})
 		}
 		return false
 	})
@@ -217,7 +217,7 @@
 	}
 	g := &m.groups[msg.Group]
 	delete(g.silentUntil, from)
-	m.selectKeeper(now, g, false)
+	m.selectKeeper(g, false)
 	i := slices.IndexFunc(g.sent, func(s sentReport) bool { return s.seq == msg.Seq && s.to == from })
 	if i < 0 || msg.Seq <= g.appliedSeq || from != g.keeperHost {
 		return
@@ -353,7 +353,7 @@
 	if g.unansweredSince != 0 && now.Sub(g.unansweredSince) >= keeperSilenceTimeout {
 		g.silentUntil[g.keeperHost] = now.Add(silentKeeperProbeInterval)
 		g.unansweredSince = 0
-		m.selectKeeper(now, g, true)
+		m.selectKeeper(g, true)
 	}
 	for _, h := range g.candidates {
 		if h == g.keeperHost {
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -65,7 +65,7 @@
 	clockDriftPercent = 1
 	// exhaustedTime is the time after a grant below the demand in which operations above the
 	// grant are refused at once.
-	exhaustedTime = 200 * time.Millisecond
+	exhaustedTime = 100 * time.Millisecond
 	// demandTime is the time constant of the demand estimate. Demand that moves to another host
 	// is followed within about a second.
 	demandTime = 300 * time.Millisecond
--- a/core/limits/membership.go
+++ b/core/limits/membership.go
@@ -76,7 +76,7 @@
 	m.updateShare(now)
 	for i := range m.groups {
 		m.groups[i].setCandidates(candidates)
-		m.selectKeeper(now, &m.groups[i], false)
+		m.selectKeeper(&m.groups[i], false)
 	}
 }
 
--- a/core/limits/tokens_model_test.go
+++ b/core/limits/tokens_model_test.go
@@ -98,7 +98,7 @@
 	step(s.stock > 0, func(n *tokenState) { n.stock-- }) // a single token expires
 	step(s.outstanding > s.stock, func(n *tokenState) { n.outstanding-- })
 	step(s.host > 0 && s.returned == 0, func(n *tokenState) { n.host--; n.returned, n.credited = 1, false })
-	step(s.returned > 0 && !(s.credited && s.guards.returnedOnce), func(n *tokenState) { n.keeper += n.returned; n.credited = true })
+	step(s.returned > 0 && (!s.credited || !s.guards.returnedOnce), func(n *tokenState) { n.keeper += n.returned; n.credited = true })
 	step(s.returned > 0, func(n *tokenState) { n.returned = 0 }) // no copy of the report arrives any more
 	step(true, func(n *tokenState) {                             // the host restarts
 		n.host, n.stock = 0, 0
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -76,12 +76,13 @@
 	m.limits.machine.Tick(m.now)
 }
 
-func (m *Machine) handleLimitReport(from types.Host, msg LimitReport) {
-	m.limits.machine.HandleReport(m.now, from, (*limits.Report)(&msg))
-}
-
-func (m *Machine) handleLimitGrant(from types.Host, msg LimitGrant) {
-	m.limits.machine.HandleGrants(m.now, from, (*limits.Grants)(&msg))
+func (m *Machine) handleLimitMessage(from types.Host, msg Message) {
+	switch msg := msg.(type) {
+	case LimitReport:
+		m.limits.machine.HandleReport(m.now, from, (*limits.Report)(&msg))
+	case LimitGrant:
+		m.limits.machine.HandleGrants(m.now, from, (*limits.Grants)(&msg))
+	}
 }
 
 // countOperation counts an operation towards the limit of its workspace, with its first statement.
--- a/core/proxy/limits_test.go
+++ b/core/proxy/limits_test.go
@@ -123,7 +123,7 @@
 		sim.reportViolations()
 		okAt, _ := totals(above)
 		checkLimit(t, okAt, rate, burst)
-		sim.expectRecentWriteOrRead(time.Second)
+		sim.expectRecentWriteOrRead(500 * time.Millisecond)
 	}
 }
 
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -105,10 +105,8 @@
 		for _, c := range msg.Kinds {
 			m.applyChanges(c)
 		}
-	case LimitReport:
-		m.handleLimitReport(from, msg)
-	case LimitGrant:
-		m.handleLimitGrant(from, msg)
+	case LimitReport, LimitGrant:
+		m.handleLimitMessage(from, msg)
 	case ReachabilityRequest:
 		m.handleReachabilityRequest(from, msg)
 	case ReachabilityResponse:
