--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -80,6 +80,12 @@
 	draining  bool
 	unread    proxy.Event
 	modeValue string
+	// isRollingBack is set while a failed operation is rolled back.
+	isRollingBack bool
+	// okAt holds the times of the successful operations, limitedAt those of the ones that were
+	// refused for the limit of the workspace, and lastLimited the text of the last such refusal.
+	okAt, limitedAt []types.Time
+	lastLimited     string
 }
 
 func newCallers(sim *simulation) *callers {
@@ -98,6 +104,7 @@
 	return c.openSessionWithKey(h, db, kind, "")
 }
 
+// openSessionWithKey opens a session with an API key.
 func (c *callers) openSessionWithKey(h types.Host, db types.Database, kind, key string) *callerSim {
 	c.nextID++
 	s := &callerSim{name: fmt.Sprintf("c%d", c.nextID), host: c.sim.hosts[h], db: db, kind: kind, key: key}
@@ -235,7 +242,7 @@
 
 // beginOperation starts an operation.
 func (c *callers) beginOperation(s *callerSim) {
-	s.sentIDs, s.beganAt = nil, c.sim.now
+	s.sentIDs, s.beganAt, s.isRollingBack = nil, c.sim.now, false
 	item := fmt.Sprintf("%x", c.sim.rng.IntN(100))
 	switch s.kind {
 	case "read":
@@ -328,10 +335,13 @@
 	}
 	s.currentID = ""
 	if r.Code != statement.CodeOK {
+		if strings.Contains(r.Text, types.ReasonLimited.String()) {
+			s.limitedAt, s.lastLimited = append(s.limitedAt, c.sim.now), r.Text
+		}
 		notRun := r.Code == statement.CodeBusy || r.Code == statement.CodeAborted || r.Code == statement.CodeLagging || r.Code == statement.CodeReadOnly
 		c.recordOutcome(s, false, !notRun)
 		if r.State != statement.StateIdle {
-			s.remaining = []string{"ROLLBACK"}
+			s.remaining, s.isRollingBack = []string{"ROLLBACK"}, true
 			s.sentIDs = nil
 			c.sendNext(s)
 			return
@@ -388,6 +398,9 @@
 	case ok:
 		c.ok++
 		c.lastOK = c.sim.now
+		if !s.isRollingBack {
+			s.okAt = append(s.okAt, c.sim.now)
+		}
 		if wrote {
 			c.longestWriteGap = max(c.longestWriteGap, c.sim.now.Sub(c.lastWrite))
 			c.lastWrite = c.sim.now
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -196,6 +196,12 @@
 	sim.configureRoutes(version, "primary-db", "bounded-db", "own-db")
 }
 
+// configureWorkspaces stores a version of the configuration with workspaces.
+func (sim *simulation) configureWorkspaces(version uint64, workspaces []catalog.Workspace, databases ...types.Database) {
+	sim.workspaces = workspaces
+	sim.configureRoutes(version, databases...)
+}
+
 func (sim *simulation) configureRoutes(version uint64, databases ...types.Database) {
 	for _, w := range sim.workspaces {
 		for _, key := range w.Keys {
