--- a/core/limits/fleet_test.go
+++ b/core/limits/fleet_test.go
@@ -50,9 +50,11 @@
 	byID  map[types.Host]*hostSim
 	// lost, late and doubled are the probabilities of faults of a message.
 	lost, late, doubled float64
-	limits              []limits.Limit
-	workspaces          map[types.Workspace]*workspaceSim
-	messages, entries   int
+	// skew is the exponent with which operations are concentrated on few hosts.
+	skew              float64
+	limits            []limits.Limit
+	workspaces        map[types.Workspace]*workspaceSim
+	messages, entries int
 }
 
 // hostSim is a simulated host. Its clock has an offset and a drift.
@@ -100,7 +102,7 @@
 }
 
 func newFleet(t testing.TB, seed uint64, hosts int, list []limits.Limit) *fleet {
-	f := &fleet{t: t, rng: random.New(seed), byID: map[types.Host]*hostSim{}, limits: list, workspaces: map[types.Workspace]*workspaceSim{}}
+	f := &fleet{t: t, skew: 4, rng: random.New(seed), byID: map[types.Host]*hostSim{}, limits: list, workspaces: map[types.Workspace]*workspaceSim{}}
 	for _, l := range list {
 		f.workspaces[l.Workspace] = &workspaceSim{name: l.Workspace, limits: []limitSince{{l, 0}}}
 	}
@@ -315,8 +317,7 @@
 	out := make([]float64, len(f.hosts))
 	sum := 0.0
 	for i := range out {
-		x := f.rng.Float64()
-		out[i] = x * x * x * x
+		out[i] = math.Pow(f.rng.Float64(), f.skew)
 		sum += out[i]
 	}
 	for i := range out {
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -148,11 +148,20 @@
 	return g.lastReportAt.Add(reportInterval)
 }
 
-// sendDueReports sends the reports that are due.
+// sendDueReports sends the reports that are due, and with them those that will be due shortly, so
+// that the groups do not wake the host one after the other.
 func (m *Machine) sendDueReports(now types.Time) {
+	isDue := false
 	for i := range m.groups {
 		g := &m.groups[i]
-		if m.needsReports(g) && !now.Before(g.nextReportAt()) {
+		isDue = isDue || (m.needsReports(g) && !now.Before(g.nextReportAt()))
+	}
+	if !isDue {
+		return
+	}
+	for i := range m.groups {
+		g := &m.groups[i]
+		if m.needsReports(g) && !now.Add(reportAlignment).Before(g.nextReportAt()) {
 			m.sendReport(now, g)
 		}
 	}
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -27,6 +27,8 @@
 	// urgentReportInterval that between reports while operations are pending.
 	reportInterval       = 300 * time.Millisecond
 	urgentReportInterval = 50 * time.Millisecond
+	// reportAlignment is the time by which a report is sent early together with another one.
+	reportAlignment = 30 * time.Millisecond
 	// loanTime is the time for which a report lends a host's static shares. A killed keeper
 	// makes the shares unusable for this time.
 	loanTime = 1200 * time.Millisecond
--- a/core/limits/limits_test.go
+++ b/core/limits/limits_test.go
@@ -243,7 +243,8 @@
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rng := random.New(seed)
-			f := newFleet(t, seed, 30+rng.IntN(60), zipfLimits(3, 300))
+			f := newFleet(t, seed, 30+rng.IntN(60), zipfLimits(2, 2000))
+			f.skew = 40
 			f.generate(0.3 + 2*f.rng.Float64())
 			e := f.watchExcess()
 			f.runFor(3 * time.Second)
--- /dev/null
+++ b/core/limits/machine_test.go
@@ -0,0 +1,191 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/limits"
+	"baobabfield.example/core/types"
+)
+
+const testWorkspace = types.Workspace("w")
+
+// pair is a host and the keeper of testWorkspace, without a network.
+type pair struct {
+	host, keeper *limits.Machine
+	now          types.Time
+}
+
+// newPair returns two hosts with a limit of 1,000 a second that have run for two seconds.
+func newPair() *pair {
+	hosts := []limits.Host{{ID: "host", Eligible: true}, {ID: "keeper", Eligible: true, Usable: true}}
+	p := &pair{now: types.Time(time.Hour)}
+	p.host, p.keeper = limits.New(limits.Settings{Host: "host", Seed: 1}), limits.New(limits.Settings{Host: "keeper", Seed: 2})
+	for _, m := range []*limits.Machine{p.host, p.keeper} {
+		m.SetHosts(p.now, hosts)
+		m.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
+	}
+	for range 2000 {
+		p.step(time.Millisecond)
+		p.exchange()
+	}
+	return p
+}
+
+// step passes time and demands operations at the host.
+func (p *pair) step(d time.Duration) {
+	p.now = p.now.Add(d)
+	p.host.Admit(p.now, testWorkspace, 1)
+	p.host.Tick(p.now)
+	p.keeper.Tick(p.now)
+}
+
+// exchange delivers all messages.
+func (p *pair) exchange() {
+	for range 4 {
+		p.deliver(p.host.TakeMessages(), "host")
+		p.deliver(p.keeper.TakeMessages(), "keeper")
+	}
+}
+
+func (p *pair) deliver(messages []limits.Message, from types.Host) {
+	for _, msg := range messages {
+		to := p.host
+		if msg.To == "keeper" {
+			to = p.keeper
+		}
+		receive(&hostSim{machine: to}, p.now, from, msg)
+	}
+}
+
+func (p *pair) shareOfHost() float64 {
+	share, _ := p.host.InUse(p.now, testWorkspace)
+	return share
+}
+
+// takeReport steps until the host has sent a report with the given property.
+func (p *pair) takeReport(has func(*limits.Report) bool) *limits.Report {
+	for {
+		p.step(time.Millisecond)
+		messages := p.host.TakeMessages()
+		for _, msg := range messages {
+			if msg.Report != nil && msg.Report.Group == limits.GroupOf(testWorkspace) && has(msg.Report) {
+				return msg.Report
+			}
+		}
+		p.deliver(messages, "host")
+		p.deliver(p.keeper.TakeMessages(), "keeper")
+	}
+}
+
+func (p *pair) reply(r *limits.Report) *limits.Grants {
+	p.keeper.HandleReport(p.now, "host", r)
+	messages := p.keeper.TakeMessages()
+	return messages[len(messages)-1].Grants
+}
+
+func anyReport(*limits.Report) bool { return true }
+
+// A grant counts from the sending of the report. One that arrives after its time must not be used:
+// the loans behind it may have expired.
+func TestLateGrantIsNotUsed(t *testing.T) {
+	for _, c := range []struct {
+		delay time.Duration
+		used  bool
+	}{{100 * time.Millisecond, true}, {600 * time.Millisecond, false}} {
+		is := is.New(t)
+		p := newPair()
+		grants := p.reply(p.takeReport(anyReport))
+		is.True(grants.Grants[0].Share > 0.5)
+		p.now = p.now.Add(c.delay)
+		p.host.HandleGrants(p.now, "keeper", grants)
+		is.Equal(p.shareOfHost() > 0.5, c.used)
+	}
+}
+
+// A keeper must grant no share that is backed by a loan which expires earlier than the grant.
+func TestGrantIsBackedByItsLoans(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	r := p.takeReport(func(r *limits.Report) bool { return r.LendFor > 0 })
+	is.True(p.reply(r).Grants[0].Share > 0.5)
+	p.now = p.now.Add(700 * time.Millisecond) // the loans last for less than a grant
+	r.Seq, r.LendFor = r.Seq+1, 0
+	is.Equal(p.reply(r).Grants[0].Share, 0.0)
+}
+
+// A new process must not use its static share while the loans of an earlier one may be in use, and
+// must begin with an empty bucket.
+func TestNewProcessWaitsWithItsShare(t *testing.T) {
+	is := is.New(t)
+	now := types.Time(time.Hour)
+	m := limits.New(limits.Settings{Host: "host", Seed: 1})
+	m.SetHosts(now, []limits.Host{{ID: "host", Eligible: true}})
+	m.Configure(now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
+	is.Equal(m.Admit(now, testWorkspace, 1).Verdict, limits.Refused)
+	m.Tick(now.Add(700 * time.Millisecond))
+	is.Equal(m.Admit(now.Add(700*time.Millisecond), testWorkspace, 2).Verdict, limits.Refused)
+	share, tokens := m.InUse(now.Add(760*time.Millisecond), testWorkspace)
+	is.Equal(share, 1.0)
+	is.True(tokens < 11)
+	is.Equal(m.Admit(now.Add(800*time.Millisecond), testWorkspace, 3).Verdict, limits.Admitted)
+}
+
+// Operations that did not run must not use up the limit.
+func TestRefundedOperationsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	now := types.Time(time.Hour)
+	m := limits.New(limits.Settings{Host: "host", Seed: 1})
+	m.SetHosts(now, []limits.Host{{ID: "host", Eligible: true}})
+	m.Configure(now, []limits.Limit{{Workspace: testWorkspace, Rate: 10, Burst: 0}})
+	now = now.Add(5 * time.Second)
+	for i := range 1000 {
+		is.Equal(m.Admit(now, testWorkspace, uint64(i)).Verdict, limits.Admitted)
+		m.Refund(now, testWorkspace)
+	}
+}
+
+// A workspace with rate 0 has no limit, also after it had one.
+func TestRateZeroMeansNoLimit(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	p.now = p.now.Add(time.Millisecond)
+	p.host.Configure(p.now, []limits.Limit{{Workspace: testWorkspace}})
+	is.True(!p.host.Active())
+	for i := range 10000 {
+		is.Equal(p.host.Admit(p.now, testWorkspace, uint64(i)).Verdict, limits.Admitted)
+	}
+}
+
+// A lowered limit must bind at once, and a raised one be used soon.
+func TestChangedLimitIsUsed(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	admitted := func(rate float64, d time.Duration) int {
+		for _, m := range []*limits.Machine{p.host, p.keeper} {
+			m.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: rate}})
+		}
+		n := 0
+		for range d / (500 * time.Microsecond) {
+			p.now = p.now.Add(500 * time.Microsecond)
+			if p.host.Admit(p.now, testWorkspace, 1).Verdict == limits.Admitted {
+				n++
+			}
+			p.host.Tick(p.now)
+			p.keeper.Tick(p.now)
+			for _, r := range p.host.TakeResolutions() {
+				if r.Decision.Verdict == limits.Admitted {
+					n++
+				}
+			}
+			p.exchange()
+		}
+		return n
+	}
+	is.True(admitted(100, 5*time.Second) < 5*100+16+10)
+	n := admitted(1000, 5*time.Second)
+	t.Logf("%d operations admitted in 5 s after the limit rose to 1000", n)
+	is.True(n > 4500)
+}
