--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -21,9 +21,11 @@
 	candidates  []types.Host
 	silentUntil map[types.Host]types.Time
 	keeperHost  types.Host
-	// keeperProcess and keeperClock are those of the last reply of keeperHost; zero for none.
+	// keeperProcess and keeperClock are those of the last reply of keeperHost, which arrived at
+	// repliedAt; zero for none.
 	keeperProcess uint64
 	keeperClock   types.Time
+	repliedAt     types.Time
 	// unansweredSince is when the oldest report after the last reply was sent; zero for none.
 	unansweredSince types.Time
 	sent            []sentReport
@@ -172,13 +174,16 @@
 func (m *Machine) sendReport(now types.Time, g *group) {
 	r := Report{Group: g.number, KeeperProcess: g.keeperProcess, KeeperClock: g.keeperClock, Hosts: m.membership.count}
 	isFree := !now.Before(g.staticFrom)
-	if g.keeperProcess != 0 && m.share > 0 && (isFree || g.lentTo == g.keeperProcess) {
+	// The keeper read its clock before its reply arrived here, so that the loan ends no later there.
+	// Reports without a reply do not make the loan longer.
+	lentUntil := g.repliedAt.Add(loanTime + loanTime*clockDriftPercent/100)
+	if g.keeperProcess != 0 && m.share > 0 && (isFree || g.lentTo == g.keeperProcess) && now.Before(lentUntil) {
 		if isFree {
 			g.advanceAll(m, now)
 		}
 		r.LendFor, r.Share = loanTime, m.share
 		g.lentTo, g.lentShare = g.keeperProcess, m.share
-		g.staticFrom = max(g.staticFrom, now.Add(loanTime+loanTime*clockDriftPercent/100))
+		g.staticFrom = max(g.staticFrom, lentUntil)
 		if isFree {
 			for _, b := range g.buckets {
 				b.clip(m, now)
@@ -234,7 +239,7 @@
 	report := g.sent[i]
 	g.sent = g.sent[i+1:]
 	g.appliedSeq = msg.Seq
-	g.keeperProcess, g.keeperClock = msg.KeeperProcess, msg.KeeperClock
+	g.keeperProcess, g.keeperClock, g.repliedAt = msg.KeeperProcess, msg.KeeperClock, now
 	g.unansweredSince = 0
 	if len(g.sent) > 0 {
 		g.unansweredSince = g.sent[0].at
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -29,8 +29,8 @@
 	urgentReportInterval = 50 * time.Millisecond
 	// reportAlignment is the time by which a report is sent early together with another one.
 	reportAlignment = 30 * time.Millisecond
-	// loanTime is the time for which a report lends a host's static shares. A killed keeper
-	// makes the shares unusable for this time.
+	// loanTime is the time for which a host's static shares are lent, from the reply before the
+	// report. A killed keeper makes the shares unusable for this time.
 	loanTime = 1200 * time.Millisecond
 	// grantTime is the time for which a grant is valid. A loan counts from the reply before the
 	// report and is renewed by the next one, so that up to two report intervals and two round
@@ -315,6 +315,9 @@
 			continue
 		}
 		g := &m.groups[GroupOf(l.Workspace)]
+		if len(g.buckets) == 0 && g.keeperHost != "" {
+			m.keeperChanges = append(m.keeperChanges, KeeperChange{Group: g.number, To: g.keeperHost})
+		}
 		b := &bucket{limit: l, group: g, advancedAt: now}
 		m.buckets[l.Workspace] = b
 		g.buckets = append(g.buckets, b)
--- a/core/limits/model_test.go
+++ b/core/limits/model_test.go
@@ -97,6 +97,8 @@
 	// knownProcess and knownClock are those of the last reply; processes count from 1.
 	staticFrom, lentTo       int8
 	knownProcess, knownClock int8
+	// knownAt is when that reply arrived.
+	knownAt int8
 	// replyProcess and replyClock are those of the keeper's last reply.
 	replyProcess, replyClock int8
 	// loanUntil is the end of the loan at the keeper, loanClock the clock in the report.
@@ -147,7 +149,7 @@
 	}
 	if s.replyProcess != 0 && (s.replyProcess > s.knownProcess || s.replyClock > s.knownClock) {
 		n := s
-		n.knownProcess, n.knownClock = s.replyProcess, s.replyClock
+		n.knownProcess, n.knownClock, n.knownAt = s.replyProcess, s.replyClock, s.now
 		out = append(out, n)
 	}
 	if length := s.grantLength(); length > 0 {
@@ -162,10 +164,10 @@
 func (s loanState) withReport() loanState {
 	r := loanReport{process: s.knownProcess, clock: s.knownClock}
 	mayLend := s.now >= s.staticFrom || s.lentTo == s.knownProcess || !s.guards.oneLoan
-	if s.knownProcess != 0 && mayLend {
+	until := s.knownAt + modelLoan
+	if s.knownProcess != 0 && mayLend && s.now < until {
 		r.lends = true
 		s.lentTo = s.knownProcess
-		until := s.now + modelLoan
 		if !s.guards.lenderWaits {
 			until = s.now + 1
 		}
