--- a/core/limits/machine_test.go
+++ b/core/limits/machine_test.go
@@ -189,3 +189,16 @@
 	t.Logf("%d operations admitted in 5 s after the limit rose to 1000", n)
 	is.True(n > 4500)
 }
+
+// A restarted keeper must not use a loan that was given to its earlier process, which may have granted
+// the share to others.
+func TestLoanToEarlierProcessIsIgnored(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	r := p.takeReport(func(r *limits.Report) bool { return r.LendFor > 0 })
+	p.keeper = limits.New(limits.Settings{Host: "keeper", Seed: 3})
+	p.keeper.SetHosts(p.now, []limits.Host{{ID: "host", Eligible: true}, {ID: "keeper", Eligible: true, Usable: true}})
+	p.keeper.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
+	p.reply(&limits.Report{Seq: r.Seq - 1, Group: r.Group})
+	is.Equal(p.reply(r).Grants[0].Share, 0.0)
+}
