--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -35,10 +35,9 @@
 	urgent bool
 
 	// staticFrom is the time from which the static share is used: the end of the last loan, or
-	// of startDelay. lentTo is the process that has the loan, and lentShare the share.
+	// of startDelay. lentTo is the process that has the loan.
 	staticFrom types.Time
 	lentTo     uint64
-	lentShare  float64
 }
 
 // sentReport is a report that may still be answered.
@@ -182,7 +181,7 @@
 			g.advanceAll(m, now)
 		}
 		r.LendFor, r.Share = loanTime, m.share
-		g.lentTo, g.lentShare = g.keeperProcess, m.share
+		g.lentTo = g.keeperProcess
 		g.staticFrom = max(g.staticFrom, lentUntil)
 		if isFree {
 			for _, b := range g.buckets {
