core/pool, core/proxy: order of an overloaded queue follows observed service times and delays

Retries of the proxy start after first attempts, statements of open transactions before the others of their rank, and nothing starts after its deadline. The queue no longer moves or scans its requests for each removal and deadline.

Counters for requests that were refused on arrival or dropped later, and for late replies.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -8,12 +8,16 @@
 	"baobabfield.example/core/types"
 )
 
-// dispatch starts queued requests while slots and connections are free.
+// dispatch refuses the requests whose deadline has passed, and starts queued requests while slots
+// and connections are free.
 func (p *Pool) dispatch(now types.Time) {
-	for p.slotsInUse < p.cfg.Slots && p.queue.size > 0 {
+	for _, qr := range p.queue.removeExpired(now) {
+		p.refuse(qr, now, types.ReasonLate)
+	}
+	for p.slotsInUse < p.cfg.Slots && p.queue.size() > 0 {
 		started := false
 		var missing *Request
-		p.queue.visitCandidates(now, func(rank, i int, qr *queuedRequest) bool {
+		p.queue.visitCandidates(now, func(qr *queuedRequest) bool {
 			c := p.findConnection(&qr.req)
 			if c == nil {
 				if missing == nil && p.needsConnection(&qr.req) {
@@ -21,7 +25,7 @@
 				}
 				return false
 			}
-			p.queue.remove(rank, i)
+			p.queue.remove(qr)
 			p.startRequest(now, c, qr)
 			started = true
 			return true
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -140,7 +140,7 @@
 	case p.draining:
 		p.refuse(qr, now, types.ReasonLeaving)
 		return
-	case p.queue.size >= maxQueuedRequests:
+	case p.queue.size() >= maxQueuedRequests:
 		p.refuse(qr, now, types.ReasonQueueFull)
 		return
 	case now.Add(p.queue.expectedWait(clampRank(req.Rank), p.slotsInUse, p.cfg.Slots)).After(req.Deadline):
@@ -166,14 +166,8 @@
 
 // refuseQueuedTx refuses the first statement of a transaction that has not started.
 func (p *Pool) refuseQueuedTx(now types.Time, tx TxID) {
-	for r := range p.queue.byRank {
-		for i, qr := range p.queue.byRank[r] {
-			if qr.req.Tx == tx {
-				p.queue.remove(r, i)
-				p.refuse(qr, now, types.ReasonLate)
-				return
-			}
-		}
+	for _, qr := range p.queue.removeIf(func(qr *queuedRequest) bool { return qr.req.Tx == tx }) {
+		p.refuse(qr, now, types.ReasonLate)
 	}
 }
 
@@ -183,9 +177,6 @@
 	if !now.Before(p.retryDialAt) {
 		p.retryDialAt = 0
 	}
-	for _, qr := range p.queue.removeExpired(now) {
-		p.refuse(qr, now, types.ReasonLate)
-	}
 	for _, c := range append([]*conn(nil), p.connList...) {
 		switch {
 		case c.state == stateDialing && now.Sub(c.stateSince) >= dialTimeout:
@@ -205,16 +196,9 @@
 	if p.dialFailures == 0 || len(p.connList) > p.dialsInFlight {
 		return
 	}
-	for r := range p.queue.byRank {
-		for i := 0; i < len(p.queue.byRank[r]); {
-			qr := p.queue.byRank[r][i]
-			if now.Sub(qr.queuedAt) < maxUnreachableWait {
-				i++
-				continue
-			}
-			p.queue.remove(r, i)
-			p.refuse(qr, now, types.ReasonUnreachable)
-		}
+	waitedTooLong := func(qr *queuedRequest) bool { return now.Sub(qr.queuedAt) >= maxUnreachableWait }
+	for _, qr := range p.queue.removeIf(waitedTooLong) {
+		p.refuse(qr, now, types.ReasonUnreachable)
 	}
 }
 
@@ -231,11 +215,11 @@
 	}
 	p.releaseSlot(c)
 	qr := c.currentRequest
-	if c.isAbandoned || qr.isRetry || qr.req.Tx != 0 || qr.req.Query.Stmt.Writes() {
+	if c.isAbandoned || qr.isResent || qr.req.Tx != 0 || qr.req.Query.Stmt.Writes() {
 		return
 	}
 	c.isAbandoned = true
-	qr.isRetry = true
+	qr.isResent = true
 	p.queue.push(qr)
 }
 
@@ -248,7 +232,7 @@
 			at, ok = t, true
 		}
 	}
-	if p.queue.size > 0 && p.retryDialAt != 0 {
+	if p.queue.size() > 0 && p.retryDialAt != 0 {
 		earlier(p.retryDialAt)
 	}
 	for _, c := range p.connList {
@@ -287,16 +271,8 @@
 // Drain refuses queued and new requests. Open transactions continue.
 func (p *Pool) Drain(now types.Time) {
 	p.draining = true
-	for r := range p.queue.byRank {
-		for i := 0; i < len(p.queue.byRank[r]); {
-			qr := p.queue.byRank[r][i]
-			if qr.req.continuesTx() {
-				i++
-				continue
-			}
-			p.queue.remove(r, i)
-			p.refuse(qr, now, types.ReasonLeaving)
-		}
+	for _, qr := range p.queue.removeIf(func(qr *queuedRequest) bool { return !qr.req.continuesTx() }) {
+		p.refuse(qr, now, types.ReasonLeaving)
 	}
 }
 
@@ -306,24 +282,20 @@
 	for _, c := range append([]*conn(nil), p.connList...) {
 		p.closeConn(now, c, reason)
 	}
-	for r := range p.queue.byRank {
-		for len(p.queue.byRank[r]) > 0 {
-			qr := p.queue.byRank[r][0]
-			p.queue.remove(r, 0)
-			p.refuse(qr, now, reason)
-		}
+	for _, qr := range p.queue.removeIf(func(*queuedRequest) bool { return true }) {
+		p.refuse(qr, now, reason)
 	}
 }
 
 // Load returns the number of queued requests and the number of slots in use.
-func (p *Pool) Load() (queued, running int) { return p.queue.size, p.slotsInUse }
+func (p *Pool) Load() (queued, running int) { return p.queue.size(), p.slotsInUse }
 
 // ConnectionCount returns the number of connections, including those being opened.
 func (p *Pool) ConnectionCount() int { return len(p.connList) }
 
 // IsIdle reports whether no request is queued, no slot is in use and no transaction is
 // open.
-func (p *Pool) IsIdle() bool { return p.queue.size == 0 && p.slotsInUse == 0 && len(p.connByTx) == 0 }
+func (p *Pool) IsIdle() bool { return p.queue.size() == 0 && p.slotsInUse == 0 && len(p.connByTx) == 0 }
 
 // HasOpenWrites reports whether a transaction is open or a statement runs that may
 // write.
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -54,9 +54,14 @@
 	Variables statement.SessionVariables
 	// Rank is the urgency. Zero is the most urgent. Ranks above 7 count as 7.
 	Rank int
+	// Retry is set if the proxy has sent the request to an owner before.
+	Retry bool
 	// Due is the time by which the reply meets the latency objective. A later reply has less
 	// worth.
 	Due types.Time
+	// WayTime is the usual time from the frontend to the endpoint's owner and back; zero if
+	// unknown.
+	WayTime time.Duration
 	// Deadline is the time at which the caller stops waiting.
 	Deadline types.Time
 	// RequireTrusted restricts the request to connections for which Pool.IsTrusted
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -126,12 +126,14 @@
 	r.attempts++
 	owner, _ := m.catalog.Host(r.host)
 	r.attemptedAt, r.hostStartedUnixMs = m.now, owner.StartedUnixMs
-	m.statsFor(r.endpoint).inFlight++
+	stats := m.statsFor(r.endpoint)
+	stats.inFlight++
 	exec := ExecRequest{
 		ID: r.id, Service: r.route.Service, Endpoint: r.endpoint, RequirePrimary: r.atPrimary,
 		Query: r.query, Variables: r.session.variables, Rank: r.route.Rank,
 		Workspace: r.session.workspace, Public: r.route.Public,
 		DueIn: r.due.Sub(m.now), DeadlineIn: r.deadline.Sub(m.now), MaxStaleness: r.route.MaxStaleness,
+		Retry: r.attempts > 1, WayTime: stats.way.usualLimit(),
 	}
 	if r.inTx() {
 		exec.Tx = r.session.tx.id
@@ -157,6 +159,9 @@
 	m.removeInFlight(r)
 	stats := m.statsFor(r.endpoint)
 	stats.recordResult(m.now, res)
+	if res.Reason == types.ReasonNone {
+		stats.way.record(m.now.Sub(r.attemptedAt) - res.QueueTime - res.ServiceTime)
+	}
 	switch {
 	case res.Reason == types.ReasonNone && res.Reply.Code == statement.CodeOK:
 		m.handleSuccess(r, res)
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -58,6 +58,11 @@
 	// DueIn is the remaining time until the latency objective, DeadlineIn that until the
 	// timeout.
 	DueIn, DeadlineIn time.Duration
+	// Retry is set if the frontend has sent the statement to an owner before.
+	Retry bool
+	// WayTime is the usual time of messages from the frontend to the owner and back; zero if
+	// unknown.
+	WayTime time.Duration
 	// MaxStaleness is the accepted staleness of the data if RequirePrimary is not set.
 	MaxStaleness time.Duration
 	// After is the position of the session's own last commit; zero if it has none.
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -171,6 +171,7 @@
 	o.pool.Submit(m.now, pool.Request{
 		ID: ex.id, Tx: ex.tx, Workspace: ex.request.Workspace, Begin: ex.request.Begin, Query: ex.request.Query, MinPosition: after, Variables: ex.request.Variables,
 		Rank: ex.request.Rank, Due: ex.due, Deadline: ex.deadline, RequireTrusted: ex.request.RequirePrimary,
+		Retry: ex.request.Retry, WayTime: ex.request.WayTime,
 	})
 }
 
@@ -227,9 +228,24 @@
 		m.log(Warn, "acknowledgement withheld", field("id", ex.request.Query.ID), field("endpoint", o.id), field("reason", "no authority"))
 		res.Reason, res.Reply = types.ReasonFenced, statement.Reply{}
 	}
+	m.countQueueOutcome(ex, &r)
 	m.finishExecution(o, ex, res)
 }
 
+// countQueueOutcome counts the requests that the queue refused on arrival or dropped later, and the
+// replies after their objective.
+func (m *Machine) countQueueOutcome(ex *execution, r *pool.Result) {
+	switch {
+	case r.Reason == types.ReasonNone && m.now.After(ex.due):
+		m.incrementCounter("baobab_queue_late_replies_total")
+	case r.Reason == types.ReasonNone || r.MayHaveRun:
+	case r.QueueTime == 0:
+		m.incrementCounter(fmt.Sprintf("baobab_queue_refused_total{reason=%q}", r.Reason.String()))
+	default:
+		m.incrementCounter(fmt.Sprintf("baobab_queue_dropped_total{reason=%q}", r.Reason.String()))
+	}
+}
+
 // finishExecution removes an execution and sends its result.
 func (m *Machine) finishExecution(o *ownedEndpoint, ex *execution, res ExecResult) {
 	delete(m.executions, ex.id)
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -41,6 +41,8 @@
 	// is when it last failed a request; a success resets it. Both are zero for never.
 	laggedAt types.Time
 	failedAt types.Time
+	// way is the observed time of messages to the owner and back.
+	way wayTime
 }
 
 func (m *Machine) statsFor(e types.Endpoint) *endpointStats {
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -87,7 +87,8 @@
 		ID: proxy.RequestID(e.GetId()), Service: types.Service(e.GetService()), Endpoint: types.Endpoint(e.GetEndpoint()),
 		RequirePrimary: e.GetPrimary(), Tx: proxy.TxID(e.GetTx()), Rank: int(e.GetRank()), DueIn: microseconds(e.GetDueUs()),
 		DeadlineIn: microseconds(e.GetDeadlineUs()), MaxStaleness: microseconds(e.GetMaxAgeUs()), After: decodePoint(e.GetAfter()),
-		Workspace: types.Workspace(e.GetWorkspace()), Public: e.GetPublic(),
+		Workspace: types.Workspace(e.GetWorkspace()), Public: e.GetPublic(), Retry: e.GetRetry(),
+		WayTime: microseconds(e.GetWayUs()),
 	}
 	var err error
 	if out.Query, err = decodeStatement(e.GetStatement()); err != nil {
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -116,7 +116,7 @@
 		Id: uint64(e.ID), Service: string(e.Service), Endpoint: string(e.Endpoint), Primary: e.RequirePrimary, Tx: uint64(e.Tx),
 		Begin: encodeStatement(e.Begin), Statement: encodeStatement(&e.Query), Rank: uint32(max(e.Rank, 0)),
 		DueUs: e.DueIn.Microseconds(), DeadlineUs: e.DeadlineIn.Microseconds(), MaxAgeUs: uint64(e.MaxStaleness.Microseconds()),
-		After: encodePoint(e.After), Workspace: string(e.Workspace), Public: e.Public,
+		After: encodePoint(e.After), Workspace: string(e.Workspace), Public: e.Public, Retry: e.Retry, WayUs: uint64(max(e.WayTime, 0).Microseconds()),
 	}
 	for _, v := range e.Variables {
 		out.Values = append(out.Values, &meshpb.SessionValue{Name: []byte(v.Name), Value: []byte(v.Value)})
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -32,7 +32,7 @@
 		proxy.ExecRequest{
 			ID: 1, Service: "s", Endpoint: "e", RequirePrimary: true, Tx: 4, Begin: &begin, Query: newQuery(statement.KindWrite),
 			Variables: statement.SessionVariables{{Name: "a", Value: "b"}}, Rank: 2, DueIn: -time.Millisecond, DeadlineIn: time.Second,
-			MaxStaleness: time.Second, After: point,
+			MaxStaleness: time.Second, After: point, Retry: true, WayTime: time.Millisecond,
 		},
 		proxy.ExecResult{
 			ID: 1, MayHaveRun: true, Reason: types.ReasonLate, Load: 3, TxOpen: true, QueueTime: time.Millisecond, ServiceTime: time.Second,
