core/pool: slot time of a rank is divided between workspaces by start-time fair queueing

Within a rank, the workspace that has used the least slot time goes first. A full queue refuses a request of the workspace with the most queued ones, and the wait that is expected on arrival counts other workspaces up to the own share only. The queue searches a connection once per workspace instead of once per request.

A connection is opened for the request that is due next even if another one starts. Before, a workspace without a connection waited while others kept the slots busy.

--- a/core/pool/arrival_order_test.go
+++ b/core/pool/arrival_order_test.go
@@ -22,6 +22,8 @@
 	credit   [8]time.Duration
 	running  map[pool.ConnID]*arrivalEntry
 	effects  []pool.Effect
+	// firstCome is set if ranks and objectives count for nothing.
+	firstCome bool
 }
 
 type arrivalEntry struct {
@@ -56,6 +58,9 @@
 }
 
 func (a *arrivalOrder) Submit(now types.Time, req pool.Request) {
+	if a.firstCome {
+		req.Rank, req.Due = 0, req.Deadline
+	}
 	e := &arrivalEntry{req: req, queuedAt: now}
 	var work time.Duration
 	for r := 0; r <= req.Rank; r++ {
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -25,20 +25,28 @@
 				}
 				return false
 			}
-			p.queue.remove(qr)
+			p.queue.start(now, qr)
 			p.startRequest(now, c, qr)
 			started = true
 			return true
 		})
+		if missing != nil && (!started || !p.isDialing(missing.Workspace)) {
+			p.dial(now, missing.Workspace)
+		}
 		if !started {
-			if missing != nil {
-				p.dial(now, missing.Workspace)
-			}
 			return
 		}
 	}
 }
 
+// isDialing reports whether a connection for a workspace is being opened. One at a time is opened
+// while others keep the slots busy.
+func (p *Pool) isDialing(w types.Workspace) bool {
+	return p.dialsInFlight > 0 && slices.ContainsFunc(p.connList, func(c *conn) bool {
+		return c.state == stateDialing && c.workspace == w
+	})
+}
+
 // findConnection returns the connection on which a request can start, or nil. This is
 // the connection of its transaction, or else the idle one that needs the fewest setup
 // commands.
@@ -260,6 +268,9 @@
 	sentAt, abandoned := c.sentAt, c.isAbandoned
 	c.currentRequest, c.pendingCommands = nil, nil
 	p.releaseSlot(c)
+	if !abandoned {
+		p.queue.finish(now, qr)
+	}
 	if !stoppedEarly && reply.Code == statement.CodeOK && qr.req.Query.Stmt.NeedsSlot() {
 		p.queue.recordServiceTime(qr.req.Rank, serviceTime)
 	}
--- a/core/pool/deployment_test.go
+++ b/core/pool/deployment_test.go
@@ -175,15 +175,15 @@
 	// refusalDelays are the times from the sending of attempts to their refusals.
 	refusalDelays     []time.Duration
 	way, wayDeviation time.Duration
-	chooseWorkspace   func(*rand.Rand, types.Time) types.Workspace
-	byWorkspace       map[types.Workspace]*kindResult
+	workspaces        *workspaceLoad
+	byWorkspace       map[types.Workspace][]kindResult
 }
 
 func playScenario(d deployment, s scenario, today bool, seed uint64) *scenarioRun {
 	r := &scenarioRun{
 		d: d, s: s, rng: rand.New(rand.NewPCG(seed, 4)), workRng: rand.New(rand.NewPCG(seed, 6)), now: types.Time(time.Second), start: types.Time(time.Second),
 		open: map[pool.RequestID]*operation{}, statementWork: map[string]time.Duration{}, results: make([]kindResult, len(d.traffic)),
-		byWorkspace: map[types.Workspace]*kindResult{},
+		byWorkspace: map[types.Workspace][]kindResult{},
 	}
 	nextConn := func() pool.ConnID { r.nextConn++; return r.nextConn }
 	cfg := pool.Config{Slots: d.slots, MaxConnections: d.connections}
@@ -235,10 +235,18 @@
 	})
 }
 
+func (r *scenarioRun) inBurst() bool {
+	t := r.now.Sub(r.start)
+	return t >= r.scaled(r.s.burstFrom) && t < r.scaled(r.s.burstTo)
+}
+
 // offered returns the work that arrives per slot time at present.
 func (r *scenarioRun) offered() float64 {
 	t := r.now.Sub(r.start)
-	if t >= r.scaled(r.s.burstFrom) && t < r.scaled(r.s.burstTo) {
+	if r.inBurst() && r.workspaces != nil {
+		return r.s.usual * (1 + r.workspaces.floodShare())
+	}
+	if r.inBurst() {
 		return r.s.burst
 	}
 	return r.s.usual * (1 + waveHeight*math.Sin(2*math.Pi*float64(t)/float64(r.scaled(wavePeriod))))
@@ -272,20 +280,20 @@
 	if r.rng.Float64() < k.txShare {
 		op.statements = 3
 	}
-	if r.chooseWorkspace != nil {
-		op.workspace = r.chooseWorkspace(r.rng, r.now)
+	if r.workspaces != nil {
+		op.workspace = r.workspaces.choose(r.rng, r.inBurst())
 	}
 	r.results[kind].asked++
-	r.workspaceResult(op.workspace).asked++
+	r.workspaceResult(op).asked++
 	r.owed[r.window(op)] += k.worth
 	r.send(op)
 }
 
-func (r *scenarioRun) workspaceResult(w types.Workspace) *kindResult {
-	if r.byWorkspace[w] == nil {
-		r.byWorkspace[w] = &kindResult{}
+func (r *scenarioRun) workspaceResult(op *operation) *kindResult {
+	if r.byWorkspace[op.workspace] == nil {
+		r.byWorkspace[op.workspace] = make([]kindResult, len(r.d.traffic))
 	}
-	return r.byWorkspace[w]
+	return &r.byWorkspace[op.workspace][op.kind]
 }
 
 func (r *scenarioRun) window(op *operation) int {
@@ -415,7 +423,7 @@
 }
 
 func (r *scenarioRun) finish(op *operation, took time.Duration, served bool) {
-	k, res, ws := &r.d.traffic[op.kind], &r.results[op.kind], r.workspaceResult(op.workspace)
+	k, res, ws := &r.d.traffic[op.kind], &r.results[op.kind], r.workspaceResult(op)
 	switch {
 	case served && took <= k.objective:
 		res.inTime++
--- a/core/pool/overload.go
+++ b/core/pool/overload.go
@@ -75,7 +75,7 @@
 	return min(max(qr.req.WayTime, minWayTime), qr.req.Due.Sub(qr.queuedAt)*maxWayPercent/100)
 }
 
-// line holds the requests of one rank that do not continue a transaction.
+// line holds the requests of one workspace in a rank that do not continue a transaction.
 type line struct {
 	// inTime holds the requests that can probably meet their objective, and late the others.
 	// A request moves from inTime to late when its turn comes or a request behind it is chosen.
@@ -92,23 +92,26 @@
 	return &a.first
 }
 
-func (a *attempts) size() int { return a.first.size + a.retries.size }
-
-func (l *line) size() int { return l.inTime.size() + l.late.size() }
-
 func (l *line) push(qr *queuedRequest) { l.inTime.listOf(qr).push(qr) }
 
 // visitInTime calls visit with the requests that can meet their objective, until visit returns
 // true.
 func (l *line) visitInTime(now types.Time, service *serviceTimes, visit func(*queuedRequest) bool) bool {
+	var blocked trustSet
 	for _, list := range [...]*requestList{&l.inTime.first, &l.inTime.retries} {
 		for qr := list.oldest; qr != nil; {
 			newer := qr.newer
 			if service.isLate(now, qr) && !service.canSpare(now, qr) {
 				list.remove(qr)
 				l.late.listOf(qr).push(qr)
-			} else if visit(qr) {
-				return true
+			} else if !blocked.has(qr) {
+				if visit(qr) {
+					return true
+				}
+				blocked.add(qr)
+			}
+			if blocked == allBlocked {
+				return false
 			}
 			qr = newer
 		}
@@ -118,12 +121,41 @@
 
 // visitLate calls visit with the late requests until it returns true.
 func (l *line) visitLate(visit func(*queuedRequest) bool) bool {
+	var blocked trustSet
 	for _, list := range [...]*requestList{&l.late.first, &l.late.retries} {
-		for qr := list.oldest; qr != nil; qr = qr.newer {
+		for qr := list.oldest; qr != nil && blocked != allBlocked; qr = qr.newer {
+			if blocked.has(qr) {
+				continue
+			}
 			if visit(qr) {
 				return true
 			}
+			blocked.add(qr)
 		}
 	}
 	return false
 }
+
+// trustSet records whether the requests of a line that require a trusted connection, and those that
+// do not, find no connection. It avoids a search for each request.
+type trustSet uint8
+
+const (
+	blockedTrusted trustSet = 1 << iota
+	blockedAny
+	allBlocked = blockedTrusted | blockedAny
+)
+
+func trustOf(qr *queuedRequest) trustSet {
+	if qr.req.RequireTrusted {
+		return blockedTrusted
+	}
+	return blockedAny
+}
+
+func (b *trustSet) has(qr *queuedRequest) bool { return *b&trustOf(qr) != 0 }
+
+// add records that a request finds no connection. If none is idle, none is trusted either.
+func (b *trustSet) add(qr *queuedRequest) {
+	*b |= trustOf(qr) | blockedTrusted
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -140,13 +140,19 @@
 	case p.draining:
 		p.refuse(qr, now, types.ReasonLeaving)
 		return
-	case p.queue.size() >= maxQueuedRequests:
-		p.refuse(qr, now, types.ReasonQueueFull)
-		return
-	case now.Add(p.queue.expectedWait(clampRank(req.Rank), p.slotsInUse, p.cfg.Slots)).After(req.Deadline):
+	case now.Add(p.queue.expectedWait(req.Workspace, clampRank(req.Rank), p.slotsInUse, p.cfg.Slots)).After(req.Deadline):
 		p.refuse(qr, now, types.ReasonLate)
 		return
 	}
+	if !continuesTx && p.queue.size() >= maxQueuedRequests {
+		excess := p.queue.chooseExcess(req.Workspace)
+		if excess == nil {
+			p.refuse(qr, now, types.ReasonQueueFull)
+			return
+		}
+		p.queue.remove(excess)
+		p.refuse(excess, now, types.ReasonQueueFull)
+	}
 	p.queue.push(qr)
 	p.dispatch(now)
 }
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -27,6 +27,13 @@
 	isResent bool
 	// deadlineIndex is the position in queue.byDeadline.
 	deadlineIndex int
+	// share is that of a queued request; nil for a statement of an open transaction.
+	share *share
+	// charged is the share that was charged with chargedTime when the request started, at
+	// startedAt.
+	charged     *share
+	chargedTime time.Duration
+	startedAt   types.Time
 	// list holds the request between older and newer.
 	list         *requestList
 	older, newer *queuedRequest
@@ -37,20 +44,23 @@
 	ranks [maxRank + 1]rankQueue
 	// byDeadline holds all requests.
 	byDeadline deadlineHeap
+	// countByWorkspace is the number of queued requests of each workspace that has any.
+	countByWorkspace map[types.Workspace]int
 }
 
 // rankQueue holds the requests of one rank.
 type rankQueue struct {
 	// continuing holds the statements of open transactions.
 	continuing requestList
-	line       line
-	service    serviceTimes
+	// shares holds all other requests.
+	shares  shares
+	service serviceTimes
 	// floorCredit is the slot time that the rank has earned while requests of more urgent
 	// ranks were started.
 	floorCredit time.Duration
 }
 
-func (r *rankQueue) size() int { return r.continuing.size + r.line.size() }
+func (r *rankQueue) size() int { return r.continuing.size + r.shares.size }
 
 func clampRank(r int) int { return max(0, min(r, maxRank)) }
 
@@ -62,11 +72,12 @@
 	q.ranks[clampRank(rank)].service.record(d)
 }
 
-// expectedWait estimates how long a new request of a rank waits behind requests of the
-// same or a more urgent rank.
-func (q *queue) expectedWait(rank, running, slots int) time.Duration {
-	var work time.Duration
-	for r := 0; r <= rank; r++ {
+// expectedWait estimates how long a new request of a workspace waits behind requests of more urgent
+// ranks, and of its own rank up to the workspace's fair share.
+func (q *queue) expectedWait(w types.Workspace, rank, running, slots int) time.Duration {
+	own := &q.ranks[rank]
+	work := time.Duration(own.continuing.size+own.shares.countAhead(w)) * q.serviceTime(rank)
+	for r := 0; r < rank; r++ {
 		work += time.Duration(q.ranks[r].size()) * q.serviceTime(r)
 	}
 	if running >= slots {
@@ -80,16 +91,43 @@
 	if qr.req.continuesTx() {
 		r.continuing.push(qr)
 	} else {
-		r.line.push(qr)
+		r.shares.push(qr)
 	}
+	if q.countByWorkspace == nil {
+		q.countByWorkspace = map[types.Workspace]int{}
+	}
+	q.countByWorkspace[qr.req.Workspace]++
 	heap.Push(&q.byDeadline, qr)
 }
 
 func (q *queue) remove(qr *queuedRequest) {
-	qr.list.remove(qr)
+	r := &q.ranks[clampRank(qr.req.Rank)]
+	if qr.share != nil {
+		r.shares.remove(qr)
+		qr.share = nil
+	} else {
+		r.continuing.remove(qr)
+	}
+	if q.countByWorkspace[qr.req.Workspace]--; q.countByWorkspace[qr.req.Workspace] == 0 {
+		delete(q.countByWorkspace, qr.req.Workspace)
+	}
 	heap.Remove(&q.byDeadline, qr.deadlineIndex)
 }
 
+// start removes a request that starts and charges its workspace.
+func (q *queue) start(now types.Time, qr *queuedRequest) {
+	q.remove(qr)
+	qr.startedAt = now
+	r := &q.ranks[clampRank(qr.req.Rank)]
+	qr.chargedTime = r.service.expected()
+	qr.charged = r.shares.start(qr.req.Workspace, qr.chargedTime)
+}
+
+// finish corrects the charge of a request that has ended by the slot time that it used.
+func (q *queue) finish(now types.Time, qr *queuedRequest) {
+	q.ranks[clampRank(qr.req.Rank)].shares.charge(qr.charged, now.Sub(qr.startedAt)-qr.chargedTime)
+}
+
 // visitCandidates calls visit with the queued requests in the order in which they should
 // start, until visit returns true:
 //   - a rank whose floor has earned the slot time of a request, so that an overload of more
@@ -97,6 +135,8 @@
 //   - by rank, requests that can still meet their objective;
 //   - by rank, late requests, which have little worth.
 //
+// Within a rank, the workspace goes first that has used the least slot time, see shares.
+//
 // It answers the load of an endpoint that is asked for more than its slots can run, for
 // instance of a primary whose replicas lag behind. The requests of the overloaded rank then
 // wait until they are nearly late. Those that would end just after their objective, and late
@@ -106,7 +146,7 @@
 		if q.ranks[r].floorCredit < q.serviceTime(r) {
 			continue
 		}
-		if q.ranks[r].visitInTime(now, visit) || q.ranks[r].line.visitLate(visit) {
+		if q.ranks[r].visitInTime(now, visit) || q.ranks[r].shares.visitLate(visit) {
 			q.ranks[r].floorCredit -= q.serviceTime(r)
 			return
 		}
@@ -118,7 +158,7 @@
 		}
 	}
 	for r := range q.ranks {
-		if q.ranks[r].line.visitLate(visit) {
+		if q.ranks[r].shares.visitLate(visit) {
 			q.creditFloors(r)
 			return
 		}
@@ -133,7 +173,7 @@
 			return true
 		}
 	}
-	return r.line.visitInTime(now, &r.service, visit)
+	return r.shares.visitInTime(now, &r.service, visit)
 }
 
 // creditFloors credits the less urgent ranks that have queued requests for a started request.
