--- a/core/pool/fair_test.go
+++ b/core/pool/fair_test.go
@@ -87,9 +87,9 @@
 	flooding, rank2 float64
 }
 
-func playFlood(rule queueRule, usual float64, flooding, flooded int) floodOutcome {
+func playFlood(rule queueRule, connections int, usual float64, flooding, flooded int) floodOutcome {
 	d := deploymentA
-	d.connections = 4 * workspaceCount
+	d.connections = connections
 	s := scenario{usual: usual, burstFrom: 4 * time.Second, burstTo: 20 * time.Second}
 	r := playScenario(d, s, rule != ruleOfPool, 1)
 	if a, ok := r.queue.(*arrivalOrder); ok {
@@ -133,18 +133,27 @@
 	// tolerance is what a tenth of the workspaces may lose of its requests in time.
 	const tolerance = 0.02
 	for _, c := range []struct {
-		name     string
-		flooding int
-		usual    float64
-	}{{"largest", 0, 0.7}, {"middle", 20, 0.9}, {"small", 70, 0.9}} {
+		name        string
+		connections int
+		flooding    int
+		usual       float64
+	}{
+		{"largest", 4 * workspaceCount, 0, 0.7},
+		{"middle", 4 * workspaceCount, 20, 0.9},
+		{"small", 4 * workspaceCount, 70, 0.9},
+		// Fewer connections than workspaces: those without one must get one while others keep the
+		// slots busy.
+		{"largest with few connections", deploymentA.connections, 0, 0.7},
+		{"small with few connections", deploymentA.connections, 70, 0.9},
+	} {
 		t.Run(c.name, func(t *testing.T) {
-			calm := playFlood(ruleOfPool, c.usual, -1, c.flooding)
-			ours := playFlood(ruleOfPool, c.usual, c.flooding, c.flooding)
-			ranks := playFlood(ruleRanks, c.usual, c.flooding, c.flooding)
+			calm := playFlood(ruleOfPool, c.connections, c.usual, -1, c.flooding)
+			ours := playFlood(ruleOfPool, c.connections, c.usual, c.flooding, c.flooding)
+			ranks := playFlood(ruleRanks, c.connections, c.usual, c.flooding, c.flooding)
 			t.Logf("no flood    %.3f", calm)
 			t.Logf("pool        %.3f", ours)
 			t.Logf("ranks alone %.3f", ranks)
-			t.Logf("first come  %.3f", playFlood(ruleFirstCome, c.usual, c.flooding, c.flooding))
+			t.Logf("first come  %.3f", playFlood(ruleFirstCome, c.connections, c.usual, c.flooding, c.flooding))
 			for i := range ours.tenths {
 				if ours.tenths[i] < calm.tenths[i]-tolerance {
 					t.Errorf("tenth %d: in time %.3f, without the flood %.3f", i, ours.tenths[i], calm.tenths[i])
