soak: tests of misbehaving callers

Crowds of at most 200 callers against host processes with a memory limit of 136 MB and 160 descriptors. The tests check that the processes live, that their peak memory and open descriptors stay within the limits of the settings, and that an ordinary request is answered afterwards. A host of this size uses 50 MB in ordinary service, so a crowd may add 86 MB to what a process used before it (13 to 17 MB).

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -31,8 +31,20 @@
 	// addedDatabase is a database that the configuration has in addition; empty for none.
 	addedDatabase string
 	seed          uint64
+	limits        hostLimits
 }
 
+// hostLimits are the limits of a host process.
+type hostLimits struct {
+	// memoryMB and maxFiles are the limits in the settings file.
+	memoryMB, maxFiles int
+	// environment holds further settings of the form NAME=VALUE.
+	environment []string
+}
+
+// defaultHostLimits are those of an ordinary host.
+var defaultHostLimits = hostLimits{memoryMB: 200, maxFiles: 3000}
+
 // hostProcess is one host and the relay to its mesh port.
 type hostProcess struct {
 	cluster         *cluster
@@ -65,13 +77,19 @@
 // newCluster starts three database instances, the first of which is the primary, and
 // the given number of hosts. All of them end with the test.
 func newCluster(t *testing.T, seed uint64, binaryPath string, hosts int) *cluster {
+	t.Helper()
+	return newLimitedCluster(t, seed, binaryPath, hosts, defaultHostLimits)
+}
+
+// newLimitedCluster is newCluster for hosts with the given limits.
+func newLimitedCluster(t *testing.T, seed uint64, binaryPath string, hosts int, limits hostLimits) *cluster {
 	t.Helper()
 	f, err := fleet.Start(seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 2)), binaryPath: binaryPath, fleet: f, seed: seed}
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 2)), binaryPath: binaryPath, fleet: f, seed: seed, limits: limits}
 	for i, zone := range []string{"a", "b", "c"} {
 		instance, err := f.AddInstance("i-"+zone, "svc", zone, i == 0, func(target string) string {
 			r := newRelay(t, target)
@@ -146,11 +164,11 @@
 zone: %q
 listen: {frontend: %q, readiness: %q}
 internalPorts: [%d, %d]
-limits: {memoryMb: 200, maxFds: 3000}
+limits: {memoryMb: %d, maxFds: %d}
 bounds: {graceS: 4}
 platform: {address: %q}
 cloud: {address: %q}
-`, p.name, p.zone, p.frontendAddress, loopback(readinessPort), internalPort, internalPort+internalPorts-1, storeRelay.address(), storeRelay.address())
+`, p.name, p.zone, p.frontendAddress, loopback(readinessPort), internalPort, internalPort+internalPorts-1, c.limits.memoryMB, c.limits.maxFiles, storeRelay.address(), storeRelay.address())
 	if err := os.WriteFile(p.settingsPath, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -167,6 +185,7 @@
 	defer func() { _ = logFile.Close() }()
 	p.cmd = exec.Command(p.binaryPath, "platform", "--mesh-advertise", p.meshRelay.address())
 	p.cmd.Env = append(os.Environ(), "BAOBABFIELD_CONFIG="+p.settingsPath, "GOMAXPROCS=2")
+	p.cmd.Env = append(p.cmd.Env, p.cluster.limits.environment...)
 	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
 	if err := p.cmd.Start(); err != nil {
 		p.cluster.t.Error(err)
--- /dev/null
+++ b/soak/misbehaving_test.go
@@ -0,0 +1,351 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// crowdSize is the number of misbehaving callers of a test.
+	crowdSize = 200
+	// memoryLimitMB and maxFiles are the limits in the settings of the hosts under test and the
+	// bounds that the tests check. The memory is that of the smallest hosts; the descriptors
+	// are lowered, so that crowdSize callers exceed them.
+	memoryLimitMB = 136
+	maxFiles      = 160
+	// ordinaryMemoryMB is what a host of that size uses in ordinary service. The processes of the
+	// tests use less, so a crowd may add only the rest of the limit to what they use before it.
+	ordinaryMemoryMB = 50
+	// largestMessageBytes is the largest valid message, including its CR LF.
+	largestMessageBytes = 1 << 20
+	// crowdPeriod is the time for which a crowd goes on unless its connections are closed.
+	crowdPeriod = 4 * time.Second
+	// answerLimit ends a test whose host does not answer.
+	answerLimit = 12 * time.Second
+)
+
+// crowdLimits shorten the time limits of the hosts, so that the tests end soon.
+var crowdLimits = hostLimits{
+	memoryMB: memoryLimitMB, maxFiles: maxFiles,
+	environment: []string{"BAOBAB_MESSAGE_TIMEOUT=1s", "BAOBAB_REPLY_TIMEOUT=1s"},
+}
+
+// crowdHosts is the number of hosts. Host 0 serves the crowd; the other one owns some of the
+// endpoints, so that statements also pass between hosts.
+const crowdHosts = 2
+
+// crowdTest is a cluster whose host 0 serves a crowd of misbehaving callers.
+type crowdTest struct {
+	*cluster
+	// ordinaryKB is the peak memory of each host before the crowd.
+	ordinaryKB []int
+	// maxDescriptors is the largest number of open descriptors that was seen at a host.
+	maxDescriptors int
+}
+
+// newCrowdTest starts a cluster and waits until host 0 serves.
+func newCrowdTest(t *testing.T) *crowdTest {
+	t.Helper()
+	binary := buildHost(t)
+	t.Cleanup(func() { _ = os.Remove(binary) })
+	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, crowdLimits)}
+	c.awaitAnswer()
+	for _, p := range c.hosts {
+		kb, ok := peakMemoryKB(p.cmd.Process.Pid)
+		if !ok {
+			t.Fatalf("%s has ended before the crowd", p.name)
+		}
+		c.ordinaryKB = append(c.ordinaryKB, kb)
+	}
+	return c
+}
+
+// run runs a crowd of callers, each with a connection of its own that ends after crowdPeriod.
+// It checks that the hosts live within their limits and that host 0 answers an ordinary request
+// afterwards.
+func (c *crowdTest) run(size int, behave func(conn net.Conn, caller int)) {
+	c.t.Helper()
+	ended := make(chan struct{}, size)
+	for i := range size {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			conn, err := net.DialTimeout("tcp", c.hosts[0].frontendAddress, time.Second)
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(time.Now().Add(crowdPeriod))
+			if _, err := io.WriteString(conn, "STARTUP bounded_staleness crowd\r\n"); err == nil {
+				behave(conn, i)
+			}
+		}()
+	}
+	sample := time.NewTicker(50 * time.Millisecond)
+	defer sample.Stop()
+	for running := size; running > 0; {
+		select {
+		case <-ended:
+			running--
+		case <-sample.C:
+			c.sampleDescriptors()
+		}
+	}
+	c.awaitAnswer()
+	c.checkHosts()
+}
+
+// sampleDescriptors counts the open descriptors of the hosts.
+func (c *crowdTest) sampleDescriptors() {
+	for _, p := range c.hosts {
+		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
+			c.maxDescriptors = max(c.maxDescriptors, len(entries))
+		}
+	}
+}
+
+// checkHosts checks that all hosts live and have stayed within their limits.
+func (c *crowdTest) checkHosts() {
+	c.t.Helper()
+	for i, p := range c.hosts {
+		peakKB, ok := peakMemoryKB(p.cmd.Process.Pid)
+		if !ok {
+			c.t.Errorf("%s has ended", p.name)
+			continue
+		}
+		limitKB := c.ordinaryKB[i] + (memoryLimitMB-ordinaryMemoryMB)<<10
+		c.t.Logf("%s: peak memory %d MB, limit %d MB", p.name, peakKB>>10, limitKB>>10)
+		if peakKB > limitKB {
+			c.t.Errorf("%s: peak memory %d MB exceeds the limit", p.name, peakKB>>10)
+		}
+	}
+	c.t.Logf("most open descriptors: %d", c.maxDescriptors)
+	if c.maxDescriptors > maxFiles {
+		c.t.Errorf("%d descriptors were open, the limit is %d", c.maxDescriptors, maxFiles)
+	}
+}
+
+// peakMemoryKB returns the largest resident set size of a process so far. ok is false if the
+// process has ended.
+func peakMemoryKB(pid int) (kb int, ok bool) {
+	buf, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(buf)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kb, err = strconv.Atoi(fields[1])
+			return kb, err == nil
+		}
+	}
+	return 0, false
+}
+
+// awaitAnswer sends ordinary requests to host 0 until one succeeds.
+func (c *crowdTest) awaitAnswer() {
+	c.t.Helper()
+	var last string
+	for deadline := time.Now().Add(answerLimit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		var ok bool
+		if last, ok = c.request(); ok {
+			return
+		}
+	}
+	c.t.Fatalf("host 0 has not answered an ordinary request within %v: %s", answerLimit, last)
+}
+
+// request sends one ordinary request to host 0 on a new connection.
+func (c *crowdTest) request() (result string, ok bool) {
+	conn, err := net.DialTimeout("tcp", c.hosts[0].frontendAddress, time.Second)
+	if err != nil {
+		return err.Error(), false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(conn, "STARTUP bounded_staleness ordinary\r\nQUERY ordinary READ 1\r\n"); err != nil {
+		return err.Error(), false
+	}
+	r := bufio.NewReaderSize(conn, 1<<10)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return err.Error(), false
+		}
+		if strings.HasPrefix(line, "COMPLETE ") || strings.HasPrefix(line, "ERROR ") {
+			return line, strings.HasPrefix(line, "COMPLETE ")
+		}
+	}
+}
+
+// message returns a statement of the given length including its CR LF.
+func message(id, verb string, size int) []byte {
+	head := "QUERY " + id + " " + verb + " "
+	return []byte(head + strings.Repeat("x", size-len(head)-2) + "\r\n")
+}
+
+// writePieces writes a message in pieces with a pause after each, and reports whether all were
+// written.
+func writePieces(conn net.Conn, buf []byte, piece int, pause time.Duration) bool {
+	for len(buf) > 0 {
+		n := min(piece, len(buf))
+		if _, err := conn.Write(buf[:n]); err != nil {
+			return false
+		}
+		buf = buf[n:]
+		time.Sleep(pause)
+	}
+	return true
+}
+
+// readReplies reads and drops all that the host sends.
+func readReplies(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+// Guards against memory that grows with the number of the largest valid messages under way.
+func TestManyLargeMessagesInOnePiece(t *testing.T) {
+	c := newCrowdTest(t)
+	c.run(crowdSize, func(conn net.Conn, caller int) {
+		if _, err := conn.Write(message(fmt.Sprint("m", caller), "READ", largestMessageBytes)); err == nil {
+			readReplies(conn)
+		}
+	})
+}
+
+// Guards against memory that grows with the number of messages that arrive in parts.
+func TestManyLargeMessagesInSmallPieces(t *testing.T) {
+	c := newCrowdTest(t)
+	c.run(crowdSize, func(conn net.Conn, caller int) {
+		if writePieces(conn, message(fmt.Sprint("m", caller), "READ", largestMessageBytes), 16<<10, 10*time.Millisecond) {
+			readReplies(conn)
+		}
+	})
+}
+
+// Guards against messages that are kept although they exceed the limit.
+func TestMessagesFarBeyondLimit(t *testing.T) {
+	c := newCrowdTest(t)
+	part := bytes.Repeat([]byte("x"), 256<<10)
+	c.run(crowdSize, func(conn net.Conn, _ int) {
+		for range 8 * largestMessageBytes / len(part) {
+			if _, err := conn.Write(part); err != nil {
+				return
+			}
+		}
+		readReplies(conn)
+	})
+}
+
+// Guards against a backlog that is bounded only by the number of its statements.
+func TestManyLargeStatementsSentAheadOnOneConnection(t *testing.T) {
+	c := newCrowdTest(t)
+	c.run(1, func(conn net.Conn, _ int) {
+		for i := range 400 {
+			if _, err := conn.Write(message(fmt.Sprint("m", i), "READ", largestMessageBytes)); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// Guards against backlogs and replies that are bounded only for one connection.
+func TestStatementsSentAheadByManyConnections(t *testing.T) {
+	c := newCrowdTest(t)
+	c.run(crowdSize, func(conn net.Conn, caller int) {
+		for i := range 60 {
+			if _, err := conn.Write(message(fmt.Sprintf("m%d.%d", caller, i), "READ", 32<<10)); err != nil {
+				return
+			}
+		}
+		time.Sleep(crowdPeriod)
+	})
+}
+
+// Guards against a session whose prepared statements grow without bound.
+func TestManyLargePreparedStatements(t *testing.T) {
+	c := newCrowdTest(t)
+	c.run(4, func(conn net.Conn, _ int) {
+		r := bufio.NewReader(conn)
+		for i := range 400 {
+			if _, err := conn.Write(message("m", fmt.Sprintf("PREPARE p%d READ", i), 256<<10)); err != nil {
+				return
+			}
+			for range 2 {
+				if _, err := r.ReadString('\n'); err != nil {
+					return
+				}
+			}
+		}
+	})
+}
+
+// Guards against callers that hold memory and a place with a message that they never finish.
+func TestSendersThatStopHalfway(t *testing.T) {
+	c := newCrowdTest(t)
+	half := message("m", "READ", largestMessageBytes)[:largestMessageBytes/2]
+	c.run(crowdSize, func(conn net.Conn, _ int) {
+		if _, err := conn.Write(half); err == nil {
+			readReplies(conn)
+		}
+	})
+}
+
+// Guards against callers whose every byte renews the time that they have for a message.
+func TestSlowSenders(t *testing.T) {
+	c := newCrowdTest(t)
+	buf := message("m", "READ", largestMessageBytes)
+	c.run(crowdSize, func(conn net.Conn, _ int) {
+		if _, err := conn.Write(buf[:largestMessageBytes*3/4]); err == nil {
+			writePieces(conn, buf[largestMessageBytes*3/4:], 1, 50*time.Millisecond)
+		}
+	})
+}
+
+// largeReplies makes all databases return rows of 512 KiB.
+func (c *crowdTest) largeReplies() {
+	for _, i := range c.instances {
+		i.SetReadRowBytes(512 << 10)
+	}
+}
+
+// sendReads sends small reads ahead.
+func sendReads(conn net.Conn, count int) bool {
+	for i := range count {
+		if _, err := fmt.Fprintf(conn, "QUERY m%d READ 1\r\n", i); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against large replies that wait in memory for callers that do not read them.
+func TestCallersThatReadNothing(t *testing.T) {
+	c := newCrowdTest(t)
+	c.largeReplies()
+	c.run(crowdSize, func(conn net.Conn, _ int) {
+		if sendReads(conn, 60) {
+			time.Sleep(crowdPeriod)
+		}
+	})
+}
+
+// Guards against callers whose every read renews the time that they have for a reply.
+func TestSlowReaders(t *testing.T) {
+	c := newCrowdTest(t)
+	c.largeReplies()
+	c.run(crowdSize, func(conn net.Conn, _ int) {
+		if !sendReads(conn, 60) {
+			return
+		}
+		for buf := make([]byte, 1<<10); ; time.Sleep(20 * time.Millisecond) {
+			if _, err := conn.Read(buf); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/standin/fleet/execute.go
+++ b/standin/fleet/execute.go
@@ -68,7 +68,11 @@
 	case writes:
 		i.commitWrites([]string{id})
 	}
-	return c.appendReady(i, "DATAROW "+id+"\r\nCOMPLETE "+i.ID+"/"+id+"\r\n")
+	rows := "DATAROW " + id + "\r\n"
+	if verb == "READ" && i.readRowBytes > 0 {
+		rows += "DATAROW " + strings.Repeat("x", i.readRowBytes) + "\r\n"
+	}
+	return c.appendReady(i, rows+"COMPLETE "+i.ID+"/"+id+"\r\n")
 }
 
 func (c *connection) errorResponse(i *Instance, code string) string {
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -53,6 +53,8 @@
 	startedAtMs       int64
 	// responseLossPercent is the percentage of responses that are dropped.
 	responseLossPercent int
+	// readRowBytes is the size of a second row that each READ returns; 0 for none.
+	readRowBytes int
 }
 
 // AddInstance starts an instance. relay maps the listening address to the address
@@ -136,6 +138,11 @@
 	i.fleet.runOnFleet(func() { i.responseLossPercent = percent })
 }
 
+// SetReadRowBytes sets the size of a second row that each READ returns; 0 for none.
+func (i *Instance) SetReadRowBytes(size int) {
+	i.fleet.runOnFleet(func() { i.readRowBytes = size })
+}
+
 func (i *Instance) copyLogOf(primary *Instance) {
 	i.term = primary.term
 	i.log = append([]logEntry(nil), primary.log...)
