core/proxy, node/gateway, platform, baobabd: limits for misbehaving callers

Messages that exceed the read buffer wait unread until core/intake grants their memory. Statements of a caller wait while its replies are not yet written. A message that was started and a reply have to end within a time limit, counted from the first byte and not renewed by the next one. What a session keeps between statements, and the statements of other hosts at an owner, are limited in bytes.

The tests of the gateway start the tasks of a caller through startCaller, because the reader now waits for the gateway's grants; they check the same messages, and those of the writer in addition.

--- a/cmd/baobabd/platform.go
+++ b/cmd/baobabd/platform.go
@@ -36,10 +36,20 @@
 	Config        string `help:"The platform's settings file." env:"BAOBABFIELD_CONFIG" required:""`
 	MeshAdvertise string `help:"Mesh address that other hosts use, if it differs from the one listened on."`
 	MaxCallers    int    `help:"Callers served at a time; 0 derives the number from the limit of file descriptors." default:"0"`
+
+	CallerMemoryPercent int           `help:"Memory for messages, replies and sessions of callers, in percent of the host's memory limit, 5 to 50." default:"25" group:"Limits for callers"`
+	CallerMessagesKiB   int           `help:"Unanswered messages of one caller in KiB, 1024 or more; the rest waits unread." name:"caller-messages-kib" default:"2048" group:"Limits for callers"`
+	CallerRepliesKiB    int           `help:"Unread replies of one caller in KiB, 1 or more, above which its next statement waits." name:"caller-replies-kib" default:"64" group:"Limits for callers"`
+	CallerSessionKiB    int           `help:"Prepared statements and variables of one session in KiB, 1024 or more." name:"caller-session-kib" default:"2048" group:"Limits for callers"`
+	MessageTimeout      time.Duration `help:"Time in which a caller finishes a message that it has started, 100ms or more." default:"30s" group:"Limits for callers"`
+	ReplyTimeout        time.Duration `help:"Time in which a caller reads a reply, 100ms or more." default:"30s" group:"Limits for callers"`
 }
 
 // Run serves callers until SIGTERM or SIGINT.
 func (f *platformFlags) Run() error {
+	if err := f.check(); err != nil {
+		return err
+	}
 	settings, err := platform.ReadSettings(f.Config)
 	if err != nil {
 		return err
@@ -78,13 +88,11 @@
 
 // gatewaySettings combines the platform's settings with the flags.
 func (f *platformFlags) gatewaySettings(settings platform.Settings, client *platform.Client) gateway.Settings {
-	maxCallers := f.MaxCallers
-	if maxCallers <= 0 {
-		maxCallers = max(settings.MaxFiles-reservedDescriptors, reservedDescriptors)
-	}
+	limits, memory := f.memoryLimits(settings.MemoryMB)
 	return gateway.Settings{
 		Host: settings.Host, DataCentre: settings.DataCentre, CallerListen: settings.CallerListen, ReadyListen: settings.ReadyListen,
-		MetricsListen: settings.MetricsListen, MeshListen: settings.MeshListen, MeshAdvertise: f.MeshAdvertise, MaxCallers: maxCallers, CPUMillicores: settings.CPUMillicores,
+		MetricsListen: settings.MetricsListen, MeshListen: settings.MeshListen, MeshAdvertise: f.MeshAdvertise, MaxCallers: f.maxCallers(settings.MaxFiles), CPUMillicores: settings.CPUMillicores,
+		Intake: limits, Memory: memory, MessageTimeout: f.MessageTimeout, ReplyTimeout: f.ReplyTimeout,
 		ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, ClusterKey: []byte(meshKey),
 		Codec: platform.LineCodec{}, Store: client, Promoter: client, Decoder: platform.ObjectDecoder{},
 	}
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -43,8 +43,9 @@
 const (
 	// Read allows the caller's reader to go on with what it has reserved.
 	Read Action = iota + 1
-	// Block stops the running of the caller's statements, and Unblock resumes it.
+	// Block stops the running of the caller's statements.
 	Block
+	// Unblock resumes the running of the caller's statements.
 	Unblock
 	// Close closes the connection at once, without the replies that wait.
 	Close
@@ -112,13 +113,16 @@
 func (m *Machine) Open(id Caller) { m.callers[id] = &caller{} }
 
 // Reserve reports that a caller's reader waits before it reads on. Up to OrdinaryBytes are not
-// reserved, but allow further ordinary messages.
-func (m *Machine) Reserve(id Caller, bytes int) {
-	if c := m.callers[id]; c != nil && !c.readerDone {
-		c.wanted = max(bytes, 1)
-		m.waiting = append(m.waiting, id)
-		m.grant()
+// reserved, but allow further ordinary messages. It reports whether the reader can go on at once.
+func (m *Machine) Reserve(id Caller, bytes int) bool {
+	c := m.callers[id]
+	if c == nil || c.readerDone {
+		return false
 	}
+	c.wanted = max(bytes, 1)
+	m.waiting = append(m.waiting, id)
+	m.grant()
+	return c.wanted == 0
 }
 
 // Arrive reports that a caller's statement has been read. It replaces the reservation.
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -43,6 +43,13 @@
 	Query   pool.Query
 }
 
+// CallerBlocked reports that too many replies to a caller are not yet written. Its statements wait
+// until CallerUnblocked.
+type CallerBlocked struct{ Session SessionID }
+
+// CallerUnblocked reports that a caller's replies have been written.
+type CallerUnblocked struct{ Session SessionID }
+
 // CallerDrained reports that no further statement of a caller arrives before a CallerResume.
 type CallerDrained struct{ Session SessionID }
 
@@ -132,6 +139,8 @@
 
 func (CallerStarted) isEvent()        {}
 func (CallerQuery) isEvent()          {}
+func (CallerBlocked) isEvent()        {}
+func (CallerUnblocked) isEvent()      {}
 func (CallerDrained) isEvent()        {}
 func (CallerDisconnected) isEvent()   {}
 func (PeerMessage) isEvent()          {}
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -40,6 +40,8 @@
 	// ConfigBound is the time within which an accepted configuration has to be in force, and
 	// LeavingBound that after which an endpoint that leaves gets no new work; 0 for 3 s and 7 s.
 	ConfigBound, LeavingBound time.Duration
+	// Memory limits what callers can make the host keep.
+	Memory MemoryLimits
 	// Seed initialises the pseudo-random number generator. It must differ between the processes
 	// that a host runs one after the other, see Machine.firstNumber.
 	Seed uint64
@@ -56,7 +58,10 @@
 	mirror   *feed.Mirror
 
 	sessions map[SessionID]*session
-	requests map[RequestID]*request
+	// stateBytes is the sum of those of all sessions, and executionBytes the size of the
+	// statements of other hosts that this host runs.
+	stateBytes, executionBytes int
+	requests                   map[RequestID]*request
 	// deferred holds the requests that wait for a usable primary or owner.
 	deferred []*request
 	// stats holds what this host, as a frontend, has observed of each endpoint.
@@ -179,6 +184,8 @@
 		m.handleCallerStarted(ev)
 	case CallerQuery:
 		m.handleCallerQuery(ev)
+	case CallerBlocked, CallerUnblocked:
+		m.handleCallerBlocked(ev)
 	case CallerDrained:
 		m.handleCallerDrained(ev.Session)
 	case CallerDisconnected:
--- a/core/proxy/ownedtx.go
+++ b/core/proxy/ownedtx.go
@@ -58,7 +58,7 @@
 	o.pool.AbortTx(m.now, tx.id)
 	o.waitingExecutions = slices.DeleteFunc(o.waitingExecutions, func(ex *execution) bool {
 		if ex.tx == tx.id {
-			delete(m.executions, ex.id)
+			m.removeExecution(ex)
 		}
 		return ex.tx == tx.id
 	})
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -136,13 +136,16 @@
 	case m.stop.refusingWork && (req.Tx == 0 || req.Begin != nil):
 		m.sendResult(ex, ExecResult{Reason: types.ReasonLeaving})
 		return
+	case !m.hasExecutionMemory(ex):
+		m.sendResult(ex, ExecResult{Reason: types.ReasonQueueFull})
+		return
 	}
 	o.lastUsedAt = m.now
 	if req.Tx != 0 && !m.resolveTx(o, ex) {
 		m.sendResult(ex, ExecResult{Reason: types.ReasonBroken})
 		return
 	}
-	m.executions[ex.id] = ex
+	m.addExecution(ex)
 	m.admitExecution(o, ex)
 }
 
@@ -232,7 +235,7 @@
 
 // finishExecution removes an execution and sends its result.
 func (m *Machine) finishExecution(o *ownedEndpoint, ex *execution, res ExecResult) {
-	delete(m.executions, ex.id)
+	m.removeExecution(ex)
 	waiting, running := o.pool.Load()
 	res.Load = waiting + running + len(o.waitingExecutions)
 	if ex.tx != 0 && !res.TxOpen {
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"strings"
+
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/statement"
@@ -28,7 +30,12 @@
 	// currentRequest is the statement in flight; backlog holds those received after it.
 	currentRequest *request
 	backlog        []pool.Query
-	drain          drainState
+	// blocked is set while too many replies are not yet written to the caller.
+	blocked bool
+	// stateBytes is the size of what the session keeps between statements; beginBytes, a part of
+	// it, is that of the last BEGIN.
+	stateBytes, beginBytes int
+	drain                  drainState
 	// endsTx is set if the session is closed although a transaction is open.
 	endsTx bool
 }
@@ -93,9 +100,14 @@
 		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeAuthFailed, Text: "the key is not known"})
 		return
 	}
-	m.sessions[ev.Session] = &session{
+	s := &session{
 		id: ev.Session, database: ev.Database, key: ev.Key, workspace: workspace, prepared: map[string]statement.Template{},
 	}
+	if !m.resizeState(s, len(ev.Database)+len(ev.Key)) {
+		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host has no memory for the session"})
+		return
+	}
+	m.sessions[ev.Session] = s
 	m.emit(CallerReady{Session: ev.Session})
 }
 
@@ -104,7 +116,7 @@
 	if s == nil {
 		return
 	}
-	if s.currentRequest != nil || len(s.backlog) > 0 {
+	if s.currentRequest != nil || len(s.backlog) > 0 || s.blocked {
 		if len(s.backlog) >= maxBacklog {
 			m.closeSession(s, statement.CodeMalformed, "too many statements sent ahead")
 			return
@@ -125,18 +137,11 @@
 	case statement.KindBegin, statement.KindBeginReadOnly:
 		m.beginTx(s, q)
 	case statement.KindSet:
-		s.variables = s.variables.With(q.Stmt.Name, q.Stmt.Value)
-		m.replyToCaller(s, statement.Reply{})
+		m.setVariable(s, q.Stmt.Name, q.Stmt.Value)
 	case statement.KindPrepare:
-		s.prepared[q.Stmt.Name] = q.Stmt.Template
-		m.replyToCaller(s, statement.Reply{})
+		m.prepare(s, q.Stmt.Name, q.Stmt.Template)
 	case statement.KindDeallocate:
-		if _, ok := s.prepared[q.Stmt.Name]; !ok {
-			m.replyError(s, statement.CodeUnknownName, "prepared statement "+q.Stmt.Name+" does not exist")
-			return
-		}
-		delete(s.prepared, q.Stmt.Name)
-		m.replyToCaller(s, statement.Reply{})
+		m.deallocate(s, q.Stmt.Name)
 	case statement.KindRollback:
 		m.rollbackTx(s, q)
 	case statement.KindCommit:
@@ -148,7 +153,7 @@
 	case statement.KindExecute:
 		template, ok := s.prepared[q.Stmt.Name]
 		if !ok {
-			m.replyError(s, statement.CodeUnknownName, "prepared statement "+q.Stmt.Name+" does not exist")
+			m.replyError(s, statement.CodeUnknownName, "prepared statement "+shorten(q.Stmt.Name)+" does not exist")
 			return
 		}
 		q.Stmt.Template = template
@@ -190,6 +195,13 @@
 	if !m.authenticateOperation(s, &route) {
 		return
 	}
+	if !m.resizeState(s, len(q.ID)-s.beginBytes) {
+		m.replyError(s, statement.CodeBusy, stateExceeded)
+		return
+	}
+	s.beginBytes = len(q.ID)
+	// The ID alone must not keep the memory of the whole message.
+	q.ID = strings.Clone(q.ID)
 	m.nextTxID++
 	s.tx = &transaction{id: m.nextTxID, route: route, begin: q}
 	s.tx.needsPrimary = q.Stmt.Kind == statement.KindBegin || route.Consistency == catalog.ConsistencyPrimary
@@ -243,9 +255,7 @@
 	}
 	m.emit(CallerReply{Session: s.id, Reply: r})
 	if len(s.backlog) > 0 {
-		next := s.backlog[0]
-		s.backlog = s.backlog[1:]
-		m.runStatement(s, next)
+		m.runNext(s)
 		return
 	}
 	switch {
@@ -256,6 +266,36 @@
 	}
 }
 
+// runNext runs the next statement of the backlog unless the session is blocked.
+func (m *Machine) runNext(s *session) {
+	if s.blocked || len(s.backlog) == 0 {
+		return
+	}
+	next := s.backlog[0]
+	s.backlog[0] = pool.Query{} // the array must not keep the text
+	s.backlog = s.backlog[1:]
+	m.runStatement(s, next)
+}
+
+// handleCallerBlocked stops the running of a caller's statements, or resumes it.
+func (m *Machine) handleCallerBlocked(ev Event) {
+	switch ev := ev.(type) {
+	case CallerBlocked:
+		if s := m.sessions[ev.Session]; s != nil {
+			s.blocked = true
+		}
+	case CallerUnblocked:
+		s := m.sessions[ev.Session]
+		if s == nil {
+			return
+		}
+		s.blocked = false
+		if s.currentRequest == nil {
+			m.runNext(s)
+		}
+	}
+}
+
 // drainSession closes a session once the statements that have been read are answered. A
 // statement on its way to the machine would otherwise be dropped without an answer.
 func (m *Machine) drainSession(s *session) {
@@ -304,6 +344,7 @@
 // removeSession removes a session and cancels its running statement.
 func (m *Machine) removeSession(s *session) {
 	delete(m.sessions, s.id)
+	m.stateBytes -= s.stateBytes
 	if r := s.currentRequest; r != nil {
 		m.cancelRequest(r)
 	}
--- a/node/gateway/caller_test.go
+++ b/node/gateway/caller_test.go
@@ -38,16 +38,14 @@
 
 func newCallerFixture(t *testing.T) *callerFixture {
 	t.Helper()
-	g := &Gateway{inbox: make(chan any, inboxSize), stopped: make(chan struct{}), settings: Settings{Codec: lineCodec{}}, logs: NewLogWriter(io.Discard)}
+	g := &Gateway{
+		inbox: make(chan any, inboxSize), stopped: make(chan struct{}), logs: NewLogWriter(io.Discard),
+		settings: Settings{Codec: lineCodec{}, MessageTimeout: time.Minute, ReplyTimeout: time.Minute},
+	}
 	gatewayEnd, callerEnd := net.Pipe()
-	out, drain, resume := make(chan []byte, callerQueueLength), make(chan struct{}, 1), make(chan struct{}, 1)
-	writerDone := make(chan struct{})
-	go func() {
-		writeCallerReplies(gatewayEnd, out, drain)
-		close(writerDone)
-	}()
-	go g.readCallerMessages(gatewayEnd, 1, resume, writerDone)
-	f := &callerFixture{t: t, inbox: g.inbox, conn: callerConn{out: out, drain: drain, resume: resume}, caller: callerEnd}
+	g.startCaller(t.Context(), gatewayEnd, 1, func() {})
+	accepted := (<-g.inbox).(callerAccepted)
+	f := &callerFixture{t: t, inbox: g.inbox, conn: accepted.conn, caller: callerEnd}
 	f.write("db\n")
 	f.expect(proxy.CallerStarted{Session: 1, Database: "db\n"})
 	return f
@@ -66,6 +64,9 @@
 	f.t.Helper()
 	select {
 	case got := <-f.inbox:
+		if s, ok := got.(callerStatement); ok {
+			got = proxy.CallerQuery{Session: s.session, Query: s.query}
+		}
 		if got != want {
 			f.t.Fatalf("message is %+v, want %+v", got, want)
 		}
@@ -74,6 +75,25 @@
 	}
 }
 
+// expectAll waits for messages of the connection's tasks in any order.
+func (f *callerFixture) expectAll(want ...any) {
+	f.t.Helper()
+	got := map[any]bool{}
+	for range want {
+		select {
+		case msg := <-f.inbox:
+			got[msg] = true
+		case <-time.After(5 * time.Second):
+			f.t.Fatalf("messages are %+v after 5 s, want %+v", got, want)
+		}
+	}
+	for _, msg := range want {
+		if !got[msg] {
+			f.t.Fatalf("messages are %+v, want %+v", got, want)
+		}
+	}
+}
+
 func query(id string) proxy.CallerQuery {
 	return proxy.CallerQuery{Session: 1, Query: pool.Query{ID: id}}
 }
@@ -98,7 +118,7 @@
 	signalCaller(f.conn.drain)
 	f.expect(proxy.CallerDrained{Session: 1})
 	close(f.conn.out)
-	f.expect(proxy.CallerDisconnected{Session: 1})
+	f.expectAll(callerWriterDone{session: 1}, proxy.CallerDisconnected{Session: 1})
 }
 
 // A drain of an idle connection takes effect at once, and the last reply is still written.
@@ -112,5 +132,5 @@
 	buf, err := io.ReadAll(f.caller)
 	is.NoErr(err)
 	is.Equal(string(buf), "bye")
-	f.expect(proxy.CallerDisconnected{Session: 1})
+	f.expectAll(callerWrote{session: 1, bytes: 3}, callerWriterDone{session: 1}, proxy.CallerDisconnected{Session: 1})
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -13,10 +13,12 @@
 	"go.uber.org/zap"
 
 	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/intake"
 	"baobabfield.example/core/lead"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/random"
+	"baobabfield.example/core/statement"
 	"baobabfield.example/core/types"
 	"baobabfield.example/node/clock"
 	"baobabfield.example/node/mailbox"
@@ -53,6 +55,13 @@
 	ConfigBound, LeavingBound time.Duration
 	// MaxCallers limits the concurrent caller connections.
 	MaxCallers int
+	// Intake and Memory limit the memory that callers use.
+	Intake intake.Limits
+	Memory proxy.MemoryLimits
+	// MessageTimeout bounds the time in which a caller finishes a message that it has started,
+	// without the time for which the message waits unread, and ReplyTimeout the time in which it
+	// reads a reply.
+	MessageTimeout, ReplyTimeout time.Duration
 	// ClusterKey is shared by all hosts. It authenticates them to each other.
 	ClusterKey []byte
 	Codec      Codec
@@ -72,6 +81,7 @@
 
 	// The fields below are used only by the task that executes Run.
 	callerConns   map[proxy.SessionID]callerConn
+	intake        *intake.Machine
 	endpointConns map[pool.ConnID]*endpointConn
 	peerLinks     map[types.Host]*link
 	addresses     map[types.Host]string
@@ -122,9 +132,10 @@
 			Host: settings.Host, DataCentre: settings.DataCentre, Decoder: settings.Decoder,
 			MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores,
 			ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, Seed: newSeed(now, settings.Host),
+			Memory: settings.Memory,
 		}),
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
-		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
+		callerConns: map[proxy.SessionID]callerConn{}, intake: intake.New(settings.Intake), endpointConns: map[pool.ConnID]*endpointConn{},
 		peerLinks: map[types.Host]*link{}, addresses: map[types.Host]string{}, encoder: peerwire.NewEncoder(),
 		hostRecord:       catalog.Host{ID: settings.Host, DataCentre: settings.DataCentre, MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules},
 		cancelHostRecord: func() {},
@@ -216,11 +227,8 @@
 			g.setWatching(ctx, false)
 			g.setWatching(ctx, true)
 		}
-	case callerAccepted:
-		g.callerConns[m.session] = m.conn
-		g.activeWriters++
-	case callerWriterDone:
-		g.activeWriters--
+	case callerAccepted, callerWriterDone, callerReserves, callerStatement, callerWrote:
+		g.handleCallerMessage(ctx, m)
 	case readinessRequest:
 		m.reply <- g.machine.Ready()
 	case debugStateRequest:
@@ -233,6 +241,7 @@
 		}
 	case proxy.CallerDisconnected:
 		g.closeCaller(m.Session)
+		g.intake.ReaderDone(intake.Caller(m.Session))
 		g.stepMachine(ctx, m)
 	case proxy.EndpointDisconnected:
 		g.closeEndpointConn(m.Conn)
@@ -248,13 +257,19 @@
 // stepMachine passes an event to the machine and applies the resulting effects,
 // including those of events queued meanwhile.
 func (g *Gateway) stepMachine(ctx context.Context, ev proxy.Event) {
-	g.queuedEvents = append(g.queuedEvents, ev)
+	g.queueEvent(ev)
+	g.processQueuedEvents(ctx)
+}
+
+// processQueuedEvents passes the queued events to the machine.
+func (g *Gateway) processQueuedEvents(ctx context.Context) {
 	for len(g.queuedEvents) > 0 {
 		next := g.queuedEvents[0]
 		g.queuedEvents = g.queuedEvents[1:]
 		for _, e := range g.machine.Step(clock.Now(), next) {
 			g.applyEffect(ctx, e)
 		}
+		g.applyIntakeDecisions()
 	}
 	g.queuedEvents = nil
 }
@@ -303,6 +318,7 @@
 	case proxy.CallerReady:
 		g.sendToCaller(e.Session, g.settings.Codec.AppendReady(nil))
 	case proxy.CallerReply:
+		g.intake.Answer(intake.Caller(e.Session))
 		g.sendToCaller(e.Session, g.settings.Codec.AppendReply(nil, e.Reply))
 	case proxy.CallerDrain:
 		if conn, ok := g.callerConns[e.Session]; ok {
@@ -313,6 +329,9 @@
 			signalCaller(conn.resume)
 		}
 	case proxy.CallerClose:
+		if e.Code == statement.CodeMalformed {
+			g.reportCallerClosed(e.Session, closedTooManyAhead)
+		}
 		g.sendToCaller(e.Session, g.settings.Codec.AppendClose(nil, e.Code, e.Text))
 		g.closeCaller(e.Session)
 	}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"baobabfield.example/core/intake"
 	"baobabfield.example/core/proxy"
 )
 
@@ -23,6 +24,7 @@
 	g := &Gateway{
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{1: {out: out}}, activeWriters: 1,
+		intake: intake.New(intake.Limits{}), settings: Settings{ReplyTimeout: time.Minute},
 	}
 	got := make(chan string, 1)
 	go func() {
@@ -31,7 +33,7 @@
 	}()
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		writeCallerReplies(gatewayEnd, out, nil)
+		g.writeCallerReplies(gatewayEnd, 1, out, nil)
 		g.post(callerWriterDone{})
 	}()
 	g.sendToCaller(1, []byte("COMPLETE -\r\n"))
@@ -44,7 +46,10 @@
 // task does not block.
 func TestNonReadingCallerDisconnected(t *testing.T) {
 	is := is.New(t)
-	g := &Gateway{callerConns: map[proxy.SessionID]callerConn{1: {out: make(chan []byte, callerQueueLength)}}}
+	g := &Gateway{
+		callerConns: map[proxy.SessionID]callerConn{1: {out: make(chan []byte, callerQueueLength)}},
+		intake:      intake.New(intake.Limits{}), logs: NewLogWriter(io.Discard),
+	}
 	for range callerQueueLength + 1 {
 		g.sendToCaller(1, []byte("x"))
 	}
--- a/node/gateway/ports.go
+++ b/node/gateway/ports.go
@@ -28,7 +28,8 @@
 	// ReadStartup reads the message that opens a caller's session: its database and the
 	// caller's key. An error does not contain the key.
 	ReadStartup(r *bufio.Reader) (db types.Database, key string, err error)
-	// ReadQuery reads a caller's next statement. An error ends the session.
+	// ReadQuery reads a caller's next statement. An error ends the session, and does not contain
+	// the message. It is io.EOF if the caller has ended the session.
 	ReadQuery(r *bufio.Reader) (pool.Query, error)
 	// AppendReady encodes the message that accepts a caller's session.
 	AppendReady(buf []byte) []byte
