soak: crowds with many and with few descriptors, executed templates, valid callers

With 160 descriptors a host now refuses most of a crowd, which would leave the memory untested. So each crowd also meets a host with 3,010 descriptors, which accepts all.

--- a/soak/misbehaving_test.go
+++ b/soak/misbehaving_test.go
@@ -16,11 +16,13 @@
 const (
 	// crowdSize is the number of misbehaving callers of a test.
 	crowdSize = 200
-	// memoryLimitMB and maxFiles are the limits in the settings of the hosts under test and the
-	// bounds that the tests check. The memory is that of the smallest hosts; the descriptors
-	// are lowered, so that crowdSize callers exceed them.
+	// memoryLimitMB is the memory limit in the settings of the hosts under test and the bound that
+	// the tests check. It is that of the smallest hosts.
 	memoryLimitMB = 136
-	maxFiles      = 160
+	// manyFiles and fewFiles are the limits of descriptors. With manyFiles, which the smallest hosts
+	// have, all callers are accepted; they exceed fewFiles.
+	manyFiles = 3010
+	fewFiles  = 160
 	// ordinaryMemoryMB is what a host of that size uses in ordinary service. The processes of the
 	// tests use less, so a crowd may add only the rest of the limit to what they use before it.
 	ordinaryMemoryMB = 50
@@ -32,11 +34,8 @@
 	answerLimit = 12 * time.Second
 )
 
-// crowdLimits shorten the time limits of the hosts, so that the tests end soon.
-var crowdLimits = hostLimits{
-	memoryMB: memoryLimitMB, maxFiles: maxFiles,
-	environment: []string{"BAOBAB_MESSAGE_TIMEOUT=1s", "BAOBAB_REPLY_TIMEOUT=1s"},
-}
+// crowdEnvironment shortens the time limits of the hosts, so that the tests end soon.
+var crowdEnvironment = []string{"BAOBAB_MESSAGE_TIMEOUT=1s", "BAOBAB_REPLY_TIMEOUT=1s"}
 
 // crowdHosts is the number of hosts. Host 0 serves the crowd; the other one owns some of the
 // endpoints, so that statements also pass between hosts.
@@ -51,12 +50,21 @@
 	maxDescriptors int
 }
 
-// newCrowdTest starts a cluster and waits until host 0 serves.
-func newCrowdTest(t *testing.T) *crowdTest {
+// withCrowd runs a test with many descriptors and with few.
+func withCrowd(t *testing.T, run func(c *crowdTest)) {
 	t.Helper()
 	binary := buildHost(t)
 	t.Cleanup(func() { _ = os.Remove(binary) })
-	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, crowdLimits)}
+	for _, files := range []int{manyFiles, fewFiles} {
+		t.Run(fmt.Sprintf("files=%d", files), func(t *testing.T) { run(newCrowdTest(t, binary, files)) })
+	}
+}
+
+// newCrowdTest starts a cluster and waits until host 0 serves.
+func newCrowdTest(t *testing.T, binary string, files int) *crowdTest {
+	t.Helper()
+	limits := hostLimits{memoryMB: memoryLimitMB, maxFiles: files, environment: crowdEnvironment}
+	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, limits)}
 	c.awaitAnswer()
 	for _, p := range c.hosts {
 		kb, ok := peakMemoryKB(p.cmd.Process.Pid)
@@ -114,21 +122,22 @@
 // checkHosts checks that all hosts live and have stayed within their limits.
 func (c *crowdTest) checkHosts() {
 	c.t.Helper()
+	report := reporter(c.t)
 	for i, p := range c.hosts {
 		peakKB, ok := peakMemoryKB(p.cmd.Process.Pid)
 		if !ok {
-			c.t.Errorf("%s has ended", p.name)
+			report(p.name, "has ended")
 			continue
 		}
 		limitKB := c.ordinaryKB[i] + (memoryLimitMB-ordinaryMemoryMB)<<10
 		c.t.Logf("%s: peak memory %d MB, limit %d MB", p.name, peakKB>>10, limitKB>>10)
 		if peakKB > limitKB {
-			c.t.Errorf("%s: peak memory %d MB exceeds the limit", p.name, peakKB>>10)
+			report(fmt.Sprintf("%s: peak memory %d MB exceeds the limit", p.name, peakKB>>10))
 		}
 	}
 	c.t.Logf("most open descriptors: %d", c.maxDescriptors)
-	if c.maxDescriptors > maxFiles {
-		c.t.Errorf("%d descriptors were open, the limit is %d", c.maxDescriptors, maxFiles)
+	if c.maxDescriptors > c.limits.maxFiles {
+		report(fmt.Sprintf("%d descriptors were open, the limit is %d", c.maxDescriptors, c.limits.maxFiles))
 	}
 }
 
@@ -209,100 +218,108 @@
 
 // Guards against memory that grows with the number of the largest valid messages under way.
 func TestManyLargeMessagesInOnePiece(t *testing.T) {
-	c := newCrowdTest(t)
-	c.run(crowdSize, func(conn net.Conn, caller int) {
-		if _, err := conn.Write(message(fmt.Sprint("m", caller), "READ", largestMessageBytes)); err == nil {
-			readReplies(conn)
-		}
+	withCrowd(t, func(c *crowdTest) {
+		c.run(crowdSize, func(conn net.Conn, caller int) {
+			if _, err := conn.Write(message(fmt.Sprint("m", caller), "READ", largestMessageBytes)); err == nil {
+				readReplies(conn)
+			}
+		})
 	})
 }
 
 // Guards against memory that grows with the number of messages that arrive in parts.
 func TestManyLargeMessagesInSmallPieces(t *testing.T) {
-	c := newCrowdTest(t)
-	c.run(crowdSize, func(conn net.Conn, caller int) {
-		if writePieces(conn, message(fmt.Sprint("m", caller), "READ", largestMessageBytes), 16<<10, 10*time.Millisecond) {
-			readReplies(conn)
-		}
+	withCrowd(t, func(c *crowdTest) {
+		c.run(crowdSize, func(conn net.Conn, caller int) {
+			if writePieces(conn, message(fmt.Sprint("m", caller), "READ", largestMessageBytes), 16<<10, 10*time.Millisecond) {
+				readReplies(conn)
+			}
+		})
 	})
 }
 
 // Guards against messages that are kept although they exceed the limit.
 func TestMessagesFarBeyondLimit(t *testing.T) {
-	c := newCrowdTest(t)
-	part := bytes.Repeat([]byte("x"), 256<<10)
-	c.run(crowdSize, func(conn net.Conn, _ int) {
-		for range 8 * largestMessageBytes / len(part) {
-			if _, err := conn.Write(part); err != nil {
-				return
+	withCrowd(t, func(c *crowdTest) {
+		part := bytes.Repeat([]byte("x"), 256<<10)
+		c.run(crowdSize, func(conn net.Conn, _ int) {
+			for range 8 * largestMessageBytes / len(part) {
+				if _, err := conn.Write(part); err != nil {
+					return
+				}
 			}
-		}
-		readReplies(conn)
+			readReplies(conn)
+		})
 	})
 }
 
 // Guards against a backlog that is bounded only by the number of its statements.
 func TestManyLargeStatementsSentAheadOnOneConnection(t *testing.T) {
-	c := newCrowdTest(t)
-	c.run(1, func(conn net.Conn, _ int) {
-		for i := range 400 {
-			if _, err := conn.Write(message(fmt.Sprint("m", i), "READ", largestMessageBytes)); err != nil {
-				return
+	withCrowd(t, func(c *crowdTest) {
+		c.run(1, func(conn net.Conn, _ int) {
+			for i := range 400 {
+				if _, err := conn.Write(message(fmt.Sprint("m", i), "READ", largestMessageBytes)); err != nil {
+					return
+				}
 			}
-		}
+		})
 	})
 }
 
 // Guards against backlogs and replies that are bounded only for one connection.
 func TestStatementsSentAheadByManyConnections(t *testing.T) {
-	c := newCrowdTest(t)
-	c.run(crowdSize, func(conn net.Conn, caller int) {
-		for i := range 60 {
-			if _, err := conn.Write(message(fmt.Sprintf("m%d.%d", caller, i), "READ", 32<<10)); err != nil {
-				return
+	withCrowd(t, func(c *crowdTest) {
+		c.run(crowdSize, func(conn net.Conn, caller int) {
+			for i := range 60 {
+				if _, err := conn.Write(message(fmt.Sprintf("m%d.%d", caller, i), "READ", 32<<10)); err != nil {
+					return
+				}
 			}
-		}
-		time.Sleep(crowdPeriod)
+			time.Sleep(crowdPeriod)
+		})
 	})
 }
 
 // Guards against a session whose prepared statements grow without bound.
 func TestManyLargePreparedStatements(t *testing.T) {
-	c := newCrowdTest(t)
-	c.run(4, func(conn net.Conn, _ int) {
-		r := bufio.NewReader(conn)
-		for i := range 400 {
-			if _, err := conn.Write(message("m", fmt.Sprintf("PREPARE p%d READ", i), 256<<10)); err != nil {
-				return
-			}
-			for range 2 {
-				if _, err := r.ReadString('\n'); err != nil {
+	withCrowd(t, func(c *crowdTest) {
+		c.run(4, func(conn net.Conn, _ int) {
+			r := bufio.NewReader(conn)
+			for i := range 400 {
+				if _, err := conn.Write(message("m", fmt.Sprintf("PREPARE p%d READ", i), 256<<10)); err != nil {
 					return
 				}
+				for range 2 {
+					if _, err := r.ReadString('\n'); err != nil {
+						return
+					}
+				}
 			}
-		}
+		})
 	})
 }
 
 // Guards against callers that hold memory and a place with a message that they never finish.
 func TestSendersThatStopHalfway(t *testing.T) {
-	c := newCrowdTest(t)
-	half := message("m", "READ", largestMessageBytes)[:largestMessageBytes/2]
-	c.run(crowdSize, func(conn net.Conn, _ int) {
-		if _, err := conn.Write(half); err == nil {
-			readReplies(conn)
-		}
+	withCrowd(t, func(c *crowdTest) {
+		half := message("m", "READ", largestMessageBytes)[:largestMessageBytes/2]
+		c.run(crowdSize, func(conn net.Conn, _ int) {
+			if _, err := conn.Write(half); err == nil {
+				readReplies(conn)
+			}
+		})
 	})
 }
 
 // Guards against callers whose every byte renews the time that they have for a message.
 func TestSlowSenders(t *testing.T) {
-	c := newCrowdTest(t)
-	buf := message("m", "READ", largestMessageBytes)
-	c.run(crowdSize, func(conn net.Conn, _ int) {
-		if _, err := conn.Write(buf[:largestMessageBytes*3/4]); err == nil {
-			writePieces(conn, buf[largestMessageBytes*3/4:], 1, 50*time.Millisecond)
-		}
+	withCrowd(t, func(c *crowdTest) {
+		buf := message("m", "READ", largestMessageBytes)
+		c.run(crowdSize, func(conn net.Conn, _ int) {
+			if _, err := conn.Write(buf[:largestMessageBytes*3/4]); err == nil {
+				writePieces(conn, buf[largestMessageBytes*3/4:], 1, 50*time.Millisecond)
+			}
+		})
 	})
 }
 
@@ -325,27 +342,125 @@
 
 // Guards against large replies that wait in memory for callers that do not read them.
 func TestCallersThatReadNothing(t *testing.T) {
-	c := newCrowdTest(t)
-	c.largeReplies()
-	c.run(crowdSize, func(conn net.Conn, _ int) {
-		if sendReads(conn, 60) {
-			time.Sleep(crowdPeriod)
-		}
+	withCrowd(t, func(c *crowdTest) {
+		c.largeReplies()
+		c.run(crowdSize, func(conn net.Conn, _ int) {
+			if sendReads(conn, 60) {
+				time.Sleep(crowdPeriod)
+			}
+		})
 	})
 }
 
 // Guards against callers whose every read renews the time that they have for a reply.
 func TestSlowReaders(t *testing.T) {
-	c := newCrowdTest(t)
-	c.largeReplies()
-	c.run(crowdSize, func(conn net.Conn, _ int) {
-		if !sendReads(conn, 60) {
+	withCrowd(t, func(c *crowdTest) {
+		c.largeReplies()
+		c.run(crowdSize, func(conn net.Conn, _ int) {
+			if !sendReads(conn, 60) {
+				return
+			}
+			for buf := make([]byte, 1<<10); ; time.Sleep(20 * time.Millisecond) {
+				if _, err := conn.Read(buf); err != nil {
+					return
+				}
+			}
+		})
+	})
+}
+
+// Guards against templates that outlive their sessions: every one of them is executed, so that it
+// is prepared at a database, and then deallocated.
+func TestManyExecutedTemplates(t *testing.T) {
+	withCrowd(t, func(c *crowdTest) {
+		c.run(4, func(conn net.Conn, caller int) {
+			r := bufio.NewReader(conn)
+			for i := range 400 {
+				template := message("m", fmt.Sprintf("PREPARE p READ %d.%d", caller, i), 128<<10)
+				if _, err := conn.Write(append(template, "QUERY m EXECUTE p 1\r\nQUERY m DEALLOC p\r\n"...)); err != nil {
+					return
+				}
+				for ready := 0; ready < 3; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(line, "READY ") {
+						ready++
+					}
+				}
+			}
+		})
+	})
+}
+
+// Guards against limits that a valid caller meets: with the default settings every caller gets
+// a reply to each of 64 statements of the largest size that it sends ahead of the first reply.
+func TestLargestValidMessagesAreServedByDefault(t *testing.T) {
+	binary := buildHost(t)
+	t.Cleanup(func() { _ = os.Remove(binary) })
+	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, hostLimits{memoryMB: memoryLimitMB, maxFiles: manyFiles})}
+	c.awaitAnswer()
+	c.awaitLargeAnswer()
+	const callers, ahead = 2, 64
+	replies := make(chan int, callers)
+	for i := range callers {
+		go func() { replies <- c.countReplies(i, ahead) }()
+	}
+	for range callers {
+		if n := <-replies; n != ahead {
+			t.Errorf("a caller got %d replies to %d statements", n, ahead)
+		}
+	}
+}
+
+// awaitLargeAnswer sends single messages of the largest size until one succeeds.
+func (c *crowdTest) awaitLargeAnswer() {
+	c.t.Helper()
+	line := ""
+	for deadline := time.Now().Add(answerLimit); time.Now().Before(deadline); {
+		conn, err := net.DialTimeout("tcp", c.hosts[0].frontendAddress, time.Second)
+		if err != nil {
+			continue
+		}
+		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+		_, err = conn.Write(append([]byte("STARTUP primary large\r\n"), message("large", "READ", largestMessageBytes)...))
+		for r := bufio.NewReader(conn); err == nil && !strings.HasPrefix(line, "COMPLETE ") && !strings.HasPrefix(line, "ERROR "); {
+			line, err = r.ReadString('\n')
+		}
+		_ = conn.Close()
+		if strings.HasPrefix(line, "COMPLETE ") {
 			return
 		}
-		for buf := make([]byte, 1<<10); ; time.Sleep(20 * time.Millisecond) {
-			if _, err := conn.Read(buf); err != nil {
+	}
+	c.t.Fatalf("a message of %d bytes has not been answered within %v: %s", largestMessageBytes, answerLimit, line)
+}
+
+// countReplies sends statements of the largest size ahead, and returns the number of replies.
+func (c *crowdTest) countReplies(caller, ahead int) int {
+	conn, err := net.DialTimeout("tcp", c.hosts[0].frontendAddress, time.Second)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(answerLimit))
+	go func() {
+		_, _ = io.WriteString(conn, "STARTUP primary ahead\r\n")
+		for i := range ahead {
+			if _, err := conn.Write(message(fmt.Sprintf("m%d.%d", caller, i), "READ", largestMessageBytes)); err != nil {
 				return
 			}
 		}
-	})
+	}()
+	replies := -1 // the first READY accepts the session
+	for r := bufio.NewReader(conn); replies < ahead; {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			break
+		}
+		if strings.HasPrefix(line, "READY ") {
+			replies++
+		}
+	}
+	return replies
 }
