--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -96,6 +96,7 @@
 
 // hostSim is a simulated host. incarnation changes with each start and stop.
 type hostSim struct {
+	memory      proxy.MemoryLimits
 	id          types.Host
 	dc          types.DataCentre
 	machine     *proxy.Machine
@@ -212,7 +213,7 @@
 	h.alive, h.exited, h.suspended = true, false, false
 	h.conns, h.delayed = map[uint64]*connSim{}, nil
 	h.machine = proxy.New(proxy.Settings{
-		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
+		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Memory: h.memory, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
 	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
--- a/node/gateway/caller_test.go
+++ b/node/gateway/caller_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"baobabfield.example/core/intake"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
@@ -37,10 +40,16 @@
 }
 
 func newCallerFixture(t *testing.T) *callerFixture {
+	t.Helper()
+	return startCallerFixture(t, time.Minute)
+}
+
+// startCallerFixture starts a caller with a time limit for messages and replies.
+func startCallerFixture(t *testing.T, timeout time.Duration) *callerFixture {
 	t.Helper()
 	g := &Gateway{
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}), logs: NewLogWriter(io.Discard),
-		settings: Settings{Codec: lineCodec{}, MessageTimeout: time.Minute, ReplyTimeout: time.Minute},
+		settings: Settings{Codec: lineCodec{}, MessageTimeout: timeout, ReplyTimeout: timeout},
 	}
 	gatewayEnd, callerEnd := net.Pipe()
 	g.startCaller(t.Context(), gatewayEnd, 1, func() {})
@@ -134,3 +143,136 @@
 	is.Equal(string(buf), "bye")
 	f.expectAll(callerWrote{session: 1, bytes: 3}, callerWriterDone{session: 1}, proxy.CallerDisconnected{Session: 1})
 }
+
+// newTimedFixture returns a caller whose messages and replies have to end within a short time.
+func newTimedFixture(t *testing.T) *callerFixture {
+	t.Helper()
+	return startCallerFixture(t, 20*time.Millisecond)
+}
+
+// Guards against large messages that are read before there is memory for them, and against a drain
+// that interrupts the wait.
+func TestLargeMessageWaitsForMemory(t *testing.T) {
+	f := newCallerFixture(t)
+	text := strings.Repeat("x", 3*callerReadBufferBytes) + "\n"
+	go func() { _, _ = io.WriteString(f.caller, text) }()
+	f.expect(callerReserves{session: 1, bytes: largestMessageBytes})
+	signalCaller(f.conn.drain)
+	select {
+	case msg := <-f.inbox:
+		t.Fatalf("message is %+v before memory is granted", msg)
+	case <-time.After(50 * time.Millisecond):
+	}
+	signalCaller(f.conn.granted)
+	f.expect(query(text))
+	f.expect(callerReserves{session: 1, bytes: intake.OrdinaryBytes})
+	signalCaller(f.conn.granted)
+	f.expect(proxy.CallerDrained{Session: 1})
+}
+
+// Guards against a reader that waits for memory for ever although its connection is closed.
+func TestWaitForMemoryEndsWithConnection(t *testing.T) {
+	f := newCallerFixture(t)
+	go func() { _, _ = io.WriteString(f.caller, strings.Repeat("x", 3*callerReadBufferBytes)) }()
+	f.expect(callerReserves{session: 1, bytes: largestMessageBytes})
+	close(f.conn.out)
+	f.expectAll(callerWriterDone{session: 1}, proxy.CallerDisconnected{Session: 1})
+}
+
+// Guards against small statements sent ahead without an end.
+func TestStatementsSentAheadWaitForMemory(t *testing.T) {
+	f := newCallerFixture(t)
+	n := intake.OrdinaryBytes / (intake.StatementOverheadBytes + len("q\n"))
+	go func() { _, _ = io.WriteString(f.caller, strings.Repeat("q\n", 100)) }()
+	for range n + 1 {
+		f.expect(query("q\n"))
+	}
+	f.expect(callerReserves{session: 1, bytes: intake.OrdinaryBytes})
+	signalCaller(f.conn.granted)
+	f.expect(query("q\n"))
+}
+
+// Guards against callers that never finish a message, and against a time that each byte renews.
+func TestUnfinishedMessageClosesCaller(t *testing.T) {
+	f := newTimedFixture(t)
+	go func() {
+		for {
+			if _, err := io.WriteString(f.caller, "x"); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	f.expect(proxy.CallerDisconnected{Session: 1})
+}
+
+// Guards against a time limit that ends sessions which are idle between two messages.
+func TestIdleCallerIsNotClosed(t *testing.T) {
+	f := newTimedFixture(t)
+	f.write("one\n")
+	f.expect(query("one\n"))
+	time.Sleep(100 * time.Millisecond)
+	f.write("two\n")
+	f.expect(query("two\n"))
+}
+
+// Guards against replies that are kept for a caller which reads a byte now and then.
+func TestUnreadReplyClosesCaller(t *testing.T) {
+	f := newTimedFixture(t)
+	f.conn.out <- make([]byte, 1<<20)
+	go func() {
+		for {
+			if _, err := f.caller.Read(make([]byte, 1)); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	f.expect(proxy.CallerDisconnected{Session: 1})
+	close(f.conn.out)
+	f.expect(callerWriterDone{session: 1})
+}
+
+// failingListener fails the first calls of Accept.
+type failingListener struct {
+	net.Listener
+	failures int
+	conns    chan net.Conn
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	if conn, ok := <-l.conns; ok {
+		return conn, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Guards against a host that accepts no callers any more after a lack of descriptors.
+func TestAcceptingGoesOnAfterFailure(t *testing.T) {
+	g := &Gateway{
+		inbox: make(chan any, inboxSize), stopped: make(chan struct{}), logs: NewLogWriter(io.Discard),
+		settings: Settings{Codec: lineCodec{}, MaxCallers: 1, MessageTimeout: time.Minute, ReplyTimeout: time.Minute},
+	}
+	l := &failingListener{failures: 2, conns: make(chan net.Conn, 1)}
+	gatewayEnd, _ := net.Pipe()
+	l.conns <- gatewayEnd
+	close(l.conns)
+	done := make(chan struct{})
+	go func() {
+		g.acceptCallers(t.Context(), l)
+		close(done)
+	}()
+	select {
+	case msg := <-g.inbox:
+		if _, ok := msg.(callerAccepted); !ok {
+			t.Fatalf("message is %+v, want callerAccepted", msg)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no caller was accepted within 5 s")
+	}
+	<-done
+}
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 
 	"baobabfield.example/core/intake"
 	"baobabfield.example/core/proxy"
+	"baobabfield.example/core/types"
 )
 
 // Replies queued before a stop are written before the process exits, even if the
@@ -108,3 +109,37 @@
 	is.Equal(line["id"], "5c")
 	is.Equal(line["host"], "h")
 }
+
+// Guards against log lines as long as the names that callers choose.
+func TestLongFieldsAreShortened(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("x", 1<<20)
+	for _, value := range []any{long, types.Database(long)} {
+		is.Equal(boundText(value), long[:maxFieldBytes]+"...")
+	}
+	for _, value := range []any{nil, 7, time.Second, types.Database("db"), []string{"a"}} {
+		is.Equal(boundText(value), value)
+	}
+}
+
+// Guards against a reply that is queued and one that is dropped when the memory for unread replies
+// is used up: the largest user's connection is closed at once, and the others' stay.
+func TestLargestUnreadRepliesAreClosed(t *testing.T) {
+	is := is.New(t)
+	g := &Gateway{
+		callerConns: map[proxy.SessionID]callerConn{}, logs: NewLogWriter(io.Discard), stopped: make(chan struct{}),
+		intake: intake.New(intake.Limits{ReplyBytes: 100, CallerReplyBytes: 10}),
+	}
+	aborted := map[proxy.SessionID]bool{}
+	for id := range proxy.SessionID(3) {
+		g.callerConns[id] = callerConn{out: make(chan []byte, callerQueueLength), abort: func() { aborted[id] = true }}
+		g.intake.Open(intake.Caller(id))
+	}
+	g.sendToCaller(0, make([]byte, 40))
+	g.sendToCaller(1, make([]byte, 50))
+	g.sendToCaller(2, make([]byte, 20))
+	g.applyIntakeDecisions()
+	is.Equal(aborted, map[proxy.SessionID]bool{1: true})
+	is.Equal(len(g.callerConns), 2)
+	is.Equal(g.queuedEvents, []proxy.Event{proxy.CallerBlocked{Session: 0}, proxy.CallerBlocked{Session: 1}, proxy.CallerBlocked{Session: 2}})
+}
--- a/node/gateway/logs.go
+++ b/node/gateway/logs.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"reflect"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,11 +123,24 @@
 func zapFields(fields []proxy.Field) []zapcore.Field {
 	out := make([]zapcore.Field, 0, len(fields)+1)
 	for _, f := range fields {
-		out = append(out, zap.Any(f.Key, f.Value))
+		out = append(out, zap.Any(f.Key, boundText(f.Value)))
 	}
 	return out
 }
 
+// maxFieldBytes is the longest text in a field of a log line. Callers choose the IDs of their
+// statements and the names of databases, of up to 1 MiB.
+const maxFieldBytes = 256
+
+// boundText shortens a text that exceeds maxFieldBytes. It returns other values as they are.
+func boundText(value any) any {
+	v := reflect.ValueOf(value)
+	if v.Kind() != reflect.String || v.Len() <= maxFieldBytes {
+		return value
+	}
+	return v.String()[:maxFieldBytes] + "..."
+}
+
 // lineBudget limits the lines per second by level with token buckets.
 type lineBudget struct{ remaining [proxy.Warn + 1]float64 }
 
