core/intake, node/gateway: a startup message keeps no memory after it has been read

Idle sessions with a startup message of more than 2 KiB kept the reservation of 1 MiB and left none for large messages of others. Without the change in node/gateway, TestIdleSessionsWithLargeStartup fails: a message of 1 MiB is not answered within 12 s.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -141,6 +141,15 @@
 	m.grant()
 }
 
+// Start reports that a caller's startup message has been read. It ends the reservation.
+func (m *Machine) Start(id Caller) {
+	if c := m.callers[id]; c != nil {
+		m.messageBytes -= c.reserved
+		c.reserved = 0
+		m.grant()
+	}
+}
+
 // Answer reports that the oldest statement of a caller has been answered.
 func (m *Machine) Answer(id Caller) {
 	c := m.callers[id]
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -112,6 +112,19 @@
 	is.Equal(m.ReplyBytes(), 4*large)
 }
 
+// Guards against idle sessions that keep the memory of a large startup message.
+func TestStartupMessageIsReleased(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(4)
+	for id := range intake.Caller(4) {
+		m.Reserve(id+1, large)
+	}
+	is.Equal(len(m.TakeDecisions()), 3)
+	m.Start(1)
+	is.Equal(m.TakeDecisions(), []intake.Decision{read(4)})
+	is.Equal(m.MessageBytes(), 3*large)
+}
+
 // Guards against sums that drift, and against readers that wait although nothing is used.
 func TestNothingIsLeftAfterRandomCalls(t *testing.T) {
 	is := is.New(t)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -239,6 +239,9 @@
 		if ev := g.removeLink(m); ev != nil {
 			g.stepMachine(ctx, ev)
 		}
+	case proxy.CallerStarted:
+		g.intake.Start(intake.Caller(m.Session))
+		g.stepMachine(ctx, m)
 	case proxy.CallerDisconnected:
 		g.closeCaller(m.Session)
 		g.intake.ReaderDone(intake.Caller(m.Session))
--- a/soak/misbehaving_test.go
+++ b/soak/misbehaving_test.go
@@ -323,6 +323,30 @@
 	})
 }
 
+// Guards against sessions that stay idle after a large startup message and leave no memory for the
+// messages of others.
+func TestIdleSessionsWithLargeStartup(t *testing.T) {
+	withCrowd(t, func(c *crowdTest) {
+		const sessions = 60
+		startup := []byte("STARTUP bounded_staleness " + strings.Repeat("k", largestMessageBytes/2) + "\r\n")
+		deadline := time.Now().Add(crowdPeriod)
+		for range sessions {
+			conn, err := net.DialTimeout("tcp", c.hosts[0].frontendAddress, time.Second)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetDeadline(deadline)
+			if _, err := conn.Write(startup); err == nil {
+				_, _ = bufio.NewReader(conn).ReadString('\n')
+			}
+		}
+		c.awaitLargeAnswer()
+		c.awaitAnswer()
+		c.checkHosts()
+	})
+}
+
 // largeReplies makes all databases return rows of 512 KiB.
 func (c *crowdTest) largeReplies() {
 	for _, i := range c.instances {
