--- a/soak/misbehaving_test.go
+++ b/soak/misbehaving_test.go
@@ -37,6 +37,9 @@
 // crowdEnvironment shortens the time limits of the hosts, so that the tests end soon.
 var crowdEnvironment = []string{"BAOBAB_MESSAGE_TIMEOUT=1s", "BAOBAB_REPLY_TIMEOUT=1s"}
 
+// crowdKey is the key of the callers of a crowd.
+const crowdKey = "key-of-the-crowd"
+
 // crowdHosts is the number of hosts. Host 0 serves the crowd; the other one owns some of the
 // endpoints, so that statements also pass between hosts.
 const crowdHosts = 2
@@ -91,7 +94,7 @@
 			}
 			defer func() { _ = conn.Close() }()
 			_ = conn.SetDeadline(time.Now().Add(crowdPeriod))
-			if _, err := io.WriteString(conn, "STARTUP bounded_staleness crowd\r\n"); err == nil {
+			if _, err := io.WriteString(conn, "STARTUP bounded_staleness "+crowdKey+"\r\n"); err == nil {
 				behave(conn, i)
 			}
 		}()
@@ -141,6 +144,25 @@
 	}
 }
 
+// maxLogLineBytes bounds a line of a host's log.
+const maxLogLineBytes = 4 << 10
+
+// checkClosed checks that host 0 has logged why it closed callers, and that no line of its log is
+// long or contains the key of the crowd.
+func (c *crowdTest) checkClosed(reason string) {
+	c.t.Helper()
+	c.awaitLogLine(c.hosts[0].name, "caller closed", "reason", reason)
+	buf, err := os.ReadFile(c.hosts[0].settingsPath + ".log")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for line := range bytes.Lines(buf) {
+		if len(line) > maxLogLineBytes || bytes.Contains(line, []byte(crowdKey)) {
+			c.t.Errorf("log line of %d bytes is too long or contains a key: %.200q", len(line), line)
+		}
+	}
+}
+
 // peakMemoryKB returns the largest resident set size of a process so far. ok is false if the
 // process has ended.
 func peakMemoryKB(pid int) (kb int, ok bool) {
@@ -250,6 +272,7 @@
 			}
 			readReplies(conn)
 		})
+		c.checkClosed("invalid message")
 	})
 }
 
@@ -308,6 +331,7 @@
 				readReplies(conn)
 			}
 		})
+		c.checkClosed("message not finished in time")
 	})
 }
 
@@ -320,6 +344,7 @@
 				writePieces(conn, buf[largestMessageBytes*3/4:], 1, 50*time.Millisecond)
 			}
 		})
+		c.checkClosed("message not finished in time")
 	})
 }
 
