--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -71,8 +71,11 @@
 	wanted int
 	// unwritten is the size of the replies that are not yet written.
 	unwritten              int
-	blocked, closed        bool
+	blocked                bool
 	readerDone, writerDone bool
+	// released is set if the connection is being closed: no statement is answered any more.
+	// closed is set if, in addition, no reply is written any more.
+	released, closed bool
 }
 
 // Machine holds the state of all callers. It has no locks: a single task must own it.
@@ -116,7 +119,7 @@
 // reserved, but allow further ordinary messages. It reports whether the reader can go on at once.
 func (m *Machine) Reserve(id Caller, bytes int) bool {
 	c := m.callers[id]
-	if c == nil || c.readerDone {
+	if c == nil || c.released {
 		return false
 	}
 	c.wanted = max(bytes, 1)
@@ -133,7 +136,7 @@
 	}
 	m.messageBytes -= c.reserved
 	c.reserved = 0
-	if !c.closed {
+	if !c.released {
 		c.statements = append(c.statements, bytes)
 		c.held += bytes
 		m.messageBytes += bytes
@@ -171,7 +174,7 @@
 	full := false
 	m.waiting = slices.DeleteFunc(m.waiting, func(id Caller) bool {
 		c := m.callers[id]
-		if c == nil || c.wanted == 0 {
+		if c == nil || c.released {
 			return true
 		}
 		reserved := c.wanted
@@ -243,7 +246,7 @@
 }
 
 // Release reports that the statements of a caller will not be answered, because its connection is
-// being closed.
+// being closed. Its reader gets no more memory.
 func (m *Machine) Release(id Caller) {
 	if c := m.callers[id]; c != nil {
 		m.releaseStatements(c)
@@ -253,7 +256,7 @@
 
 func (m *Machine) releaseStatements(c *caller) {
 	m.messageBytes -= c.held
-	c.held, c.statements = 0, nil
+	c.held, c.statements, c.released = 0, nil, true
 }
 
 func (m *Machine) releaseReplies(c *caller) {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -112,6 +112,25 @@
 	is.Equal(m.ReplyBytes(), 4*large)
 }
 
+// Guards against statements that are read, and never answered, while the last replies are written
+// to a caller that is being closed.
+func TestClosingCallerIsNotRead(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(5)
+	for id := range intake.Caller(4) {
+		m.Reserve(id+1, large)
+	}
+	m.TakeDecisions()
+	m.Release(4) // while it waits
+	m.Arrive(1, large)
+	m.Release(1)
+	m.Arrive(1, large) // was on its way
+	is.Equal(m.MessageBytes(), 2*large)
+	is.True(!m.Reserve(1, large))
+	is.True(m.Reserve(5, large))
+	is.Equal(m.TakeDecisions(), []intake.Decision{read(5)})
+}
+
 // Guards against idle sessions that keep the memory of a large startup message.
 func TestStartupMessageIsReleased(t *testing.T) {
 	is := is.New(t)
