--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -139,10 +139,10 @@
 	tx := m.ownedTxs[txKey{host: ex.from, tx: ex.request.Tx}]
 	switch {
 	case ex.tx != 0 && (tx == nil || tx.id != ex.tx): // the frontend has ended the transaction
-		delete(m.executions, ex.id)
+		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 	case o == nil:
-		delete(m.executions, ex.id)
+		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 		m.sendResult(ex, ExecResult{Reason: types.ReasonUnreachable})
 	case r.Decision.Verdict == limits.Admitted:
