core/pool: the templates that a connection keeps are bounded

Cause: a connection kept each template that it had prepared until it was reset or closed: 4 callers with 400 templates of 128 KiB each took 177 MB of a host with a limit of 104 (TestManyExecutedTemplates). Change: above 64 KiB the connection is reset before it prepares another template, outside transactions.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -409,6 +409,9 @@
 func (p *Pool) buildCommands(c *conn, req *Request) []Command {
 	var out []Command
 	set, reset := c.variables.ChangesTo(req.Variables)
+	if c.exceedsPreparedBytes(req) {
+		set, reset = req.Variables, true
+	}
 	if reset {
 		out = append(out, Command{ID: internalQueryID, Reset: true})
 	}
@@ -442,6 +445,16 @@
 	return append(out, Command{ID: req.Query.ID, Stmt: stmt, MinPosition: minPosition})
 }
 
+// exceedsPreparedBytes reports whether the connection must be reset before a request because of
+// the templates that it has prepared. A RESET is not possible inside a transaction.
+func (c *conn) exceedsPreparedBytes(req *Request) bool {
+	stmt := &req.Query.Stmt
+	if stmt.Kind != statement.KindExecute || req.continuesTx() || c.prepared[stmt.Template] != "" {
+		return false
+	}
+	return len(c.prepared) > 0 && c.preparedBytes+len(stmt.Template.Text)+preparedOverhead > maxPreparedBytes
+}
+
 // newPreparedName returns a name that no template had on the connection. Sessions share the
 // connection, and the names that they choose collide.
 func (c *conn) newPreparedName() string {
@@ -488,10 +501,12 @@
 	case cmd.Reset:
 		c.variables = nil
 		clear(c.prepared)
+		c.preparedBytes = 0
 	case cmd.Stmt.Kind == statement.KindSet:
 		c.variables = c.variables.With(cmd.Stmt.Name, cmd.Stmt.Value)
 	case cmd.Stmt.Kind == statement.KindPrepare:
 		c.prepared[cmd.Stmt.Template] = cmd.Stmt.Name
+		c.preparedBytes += len(cmd.Stmt.Template.Text) + preparedOverhead
 	}
 }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -22,6 +22,11 @@
 	maxRefusedDoublings = 5
 	// dialTimeout is the time after which a dial counts as failed.
 	dialTimeout = 500 * time.Millisecond
+	// maxPreparedBytes bounds the memory of the templates that a connection has prepared, here and
+	// at the endpoint; a single larger one is possible. preparedOverhead is that of each beside its
+	// text.
+	maxPreparedBytes = 64 << 10
+	preparedOverhead = 128
 	// maxUnreachableWait is the time for which a request stays queued while no
 	// connection can be opened.
 	maxUnreachableWait = 250 * time.Millisecond
@@ -67,6 +72,8 @@
 	prepared map[statement.Template]string
 	// preparedCount is the number of names that the connection has used.
 	preparedCount int
+	// preparedBytes is the memory of prepared.
+	preparedBytes int
 	// tx is the open transaction; zero for none.
 	tx TxID
 	// pendingCommands are the commands that remain to be sent for the current request.
