--- /dev/null
+++ b/core/locality/endpoint.go
@@ -0,0 +1,182 @@
+package locality
+
+import (
+	"time"
+
+	"baobabfield.example/core/types"
+)
+
+const (
+	// loadValidity is how long a reported load is used while no service time is known.
+	loadValidity = 400 * time.Millisecond
+	// loadServiceTimes is the validity of a reported load in service times: a queue of long
+	// statements changes slowly and is reported rarely. minLoadValidity and maxLoadValidity
+	// bound it.
+	loadServiceTimes = 14
+	minLoadValidity  = 100 * time.Millisecond
+	maxLoadValidity  = 4 * time.Second
+	// sampleValidity is how long service times and round trips are used without a new sample.
+	// An endpoint that was slow once is then tried again.
+	sampleValidity = 5 * time.Second
+	// averageSamples sets the weight, 1/averageSamples, of a new sample.
+	averageSamples = 8
+	// maxRoundTrip bounds the round trip of a sample, since a result that is sent again after a
+	// silent link arrives late.
+	maxRoundTrip = 500 * time.Millisecond
+	// waitPerRequest is the estimated wait that each request per slot adds while no service time
+	// is known.
+	waitPerRequest = 18 * time.Millisecond
+	// ranks is the number of ranks with statistics of their own. Higher ranks share the last one.
+	ranks = 4
+	// minWaitRatio and maxWaitRatio bound the correction of the wait of a rank.
+	minWaitRatio = 0.125
+	maxWaitRatio = 2
+)
+
+// Endpoint is what a frontend has observed of an endpoint.
+type Endpoint struct {
+	// InFlight is the number of the frontend's own requests at the endpoint.
+	InFlight int
+	// load is the load that the owner reported at loadAt.
+	load   int
+	loadAt types.Time
+	// service and roundTrip are averages of reads; sampledAt is the time of the last sample.
+	service, roundTrip time.Duration
+	sampledAt          types.Time
+	// queued and modelled are the averages, by rank, of the observed time in the queue and of the
+	// wait that the load suggests. A rank that the queue serves first waits less.
+	queued, modelled [ranks]time.Duration
+}
+
+// Sample is the result of a read.
+type Sample struct {
+	Rank  int
+	Slots int
+	// QueueTime, ServiceTime and Elapsed are the time in the owner's queue, at the endpoint, and
+	// between sending and the result.
+	QueueTime, ServiceTime, Elapsed time.Duration
+}
+
+func isRecent(now, at types.Time, d time.Duration) bool { return at != 0 && now.Sub(at) < d }
+
+func average(mean *time.Duration, sample time.Duration) { *mean += (sample - *mean) / averageSamples }
+
+func clampRank(r int) int { return max(0, min(r, ranks-1)) }
+
+// RecordLoad records the load that a result reports.
+func (e *Endpoint) RecordLoad(now types.Time, load int) { e.load, e.loadAt = load, now }
+
+// RecordRead records the times of a read that the endpoint has run. The load of its result must
+// have been recorded before.
+func (e *Endpoint) RecordRead(now types.Time, s Sample) {
+	roundTrip := max(0, min(s.Elapsed-s.QueueTime-s.ServiceTime, maxRoundTrip))
+	if !isRecent(now, e.sampledAt, sampleValidity) {
+		e.service, e.roundTrip = s.ServiceTime, roundTrip
+	}
+	e.sampledAt = now
+	average(&e.service, s.ServiceTime)
+	average(&e.roundTrip, roundTrip)
+	r := clampRank(s.Rank)
+	average(&e.queued[r], s.QueueTime)
+	average(&e.modelled[r], waitBehind(e.load, s.Slots, e.service))
+}
+
+// waitBehind returns the time until a slot is free for a request that arrives behind load others.
+func waitBehind(load, slots int, service time.Duration) time.Duration {
+	slots = max(slots, 1)
+	return service * time.Duration(max(0, load+1-slots)) / time.Duration(slots)
+}
+
+// ServiceTime returns the mean service time of recent reads, or 0 if there are none.
+func (e *Endpoint) ServiceTime(now types.Time) time.Duration {
+	if !isRecent(now, e.sampledAt, sampleValidity) {
+		return 0
+	}
+	return e.service
+}
+
+// Load returns the estimated number of requests at the endpoint. service is the estimated
+// service time; 0 if unknown.
+func (e *Endpoint) Load(now types.Time, service time.Duration) int {
+	validity := loadValidity
+	if service > 0 {
+		validity = max(minLoadValidity, min(loadServiceTimes*service, maxLoadValidity))
+	}
+	if isRecent(now, e.loadAt, validity) {
+		return max(e.InFlight, e.load)
+	}
+	return e.InFlight
+}
+
+// Read describes a read whose endpoint is being selected.
+type Read struct {
+	Rank int
+	// Objective is the time that is left to meet the latency objective.
+	Objective time.Duration
+	// TypicalService is the lowest mean service time among the endpoints of the service; 0 if none
+	// is known.
+	TypicalService time.Duration
+}
+
+// AddService adds the mean service time of an endpoint of the service, or 0 if it is not known.
+func (r *Read) AddService(mean time.Duration) {
+	if mean > 0 && (r.TypicalService == 0 || mean < r.TypicalService) {
+		r.TypicalService = mean
+	}
+}
+
+// Cost returns the cost of the time that a read takes at the endpoint, as waiting time.
+func (e *Endpoint) Cost(now types.Time, read *Read, slots int) time.Duration {
+	if read.TypicalService <= 0 {
+		return waitPerRequest * time.Duration(e.Load(now, 0)) / time.Duration(max(slots, 1))
+	}
+	service := read.TypicalService
+	var roundTrip time.Duration
+	if own := e.ServiceTime(now); own > 0 {
+		// Averages of a few samples differ by chance. Only a service time of more than one and
+		// a half times the typical one counts as slow.
+		service = max(service, own-service/2)
+		roundTrip = e.roundTrip
+	}
+	wait := time.Duration(float64(waitBehind(e.Load(now, service), slots, service)) * e.waitRatio(read.Rank, service))
+	return ResponseCost(wait+service+roundTrip, read.Objective)
+}
+
+// waitRatio returns the observed wait of a rank in relation to the wait that the load suggests.
+// It is 1 as long as both are short.
+func (e *Endpoint) waitRatio(rank int, service time.Duration) float64 {
+	r := clampRank(rank)
+	ratio := float64(e.queued[r]+service) / float64(e.modelled[r]+service)
+	return max(minWaitRatio, min(ratio, maxWaitRatio))
+}
+
+const (
+	// missCost is the cost of a read that misses its objective, as waiting time: more than
+	// ten times the default price of a link.
+	missCost = 800 * time.Millisecond
+	// safePercent is the part of the objective up to which a response is expected to meet it,
+	// and safeCostPercent the part of missCost that a response of that duration costs. Service
+	// times vary, so that an expected response close to the objective often misses it.
+	safePercent     = 50
+	safeCostPercent = 12
+	// defaultObjective is that of a route without one.
+	defaultObjective = 400 * time.Millisecond
+)
+
+// ResponseCost returns the cost of an expected response time: little while the objective is met
+// for certain, then rising steeply up to missCost, and little more for each further delay.
+func ResponseCost(response, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	const safeCost = missCost * safeCostPercent / 100
+	safe := objective * safePercent / 100
+	safe = max(safe, 1)
+	switch {
+	case response <= safe:
+		return time.Duration(float64(safeCost) * float64(response) / float64(safe))
+	case response <= objective:
+		return safeCost + time.Duration(float64(missCost-safeCost)*float64(response-safe)/float64(max(objective-safe, 1)))
+	}
+	return missCost + time.Duration(float64(safeCost)*float64(response-objective)/float64(safe))
+}
