--- a/core/locality/choice.go
+++ b/core/locality/choice.go
@@ -66,7 +66,7 @@
 			return c.away.Index, ReasonFault, true
 		}
 		return c.home.Index, ReasonHome, true
-	case share.Leave(now, c.home.Cost, c.away.Cost, price, service):
+	case share.leave(now, c.home.Cost-c.away.Cost, price, service):
 		return c.away.Index, ReasonWait, true
 	}
 	return c.home.Index, ReasonHome, true
--- a/core/locality/endpoint.go
+++ b/core/locality/endpoint.go
@@ -9,17 +9,19 @@
 const (
 	// loadValidity is how long a reported load is used while no service time is known.
 	loadValidity = 400 * time.Millisecond
-	// loadServiceTimes is the validity of a reported load in service times: a queue of long
-	// statements changes slowly and is reported rarely. minLoadValidity and maxLoadValidity
-	// bound it.
-	loadServiceTimes = 14
-	minLoadValidity  = 100 * time.Millisecond
-	maxLoadValidity  = 4 * time.Second
+	// holdServiceTimes is the time, in service times, for which a reported load is used unchanged:
+	// a queue of long statements changes slowly and is reported rarely. minHold bounds it. An
+	// older load is reduced by drainPercent of what the endpoint can run in the time since then.
+	holdServiceTimes = 8
+	minHold          = 30 * time.Millisecond
+	drainPercent     = 25
 	// sampleValidity is how long service times and round trips are used without a new sample.
 	// An endpoint that was slow once is then tried again.
 	sampleValidity = 5 * time.Second
-	// averageSamples sets the weight, 1/averageSamples, of a new sample.
+	// averageSamples and waitSamples set the weight of a new sample, 1/averageSamples for times
+	// and 1/waitSamples for waits, which vary more.
 	averageSamples = 8
+	waitSamples    = 32
 	// maxRoundTrip bounds the round trip of a sample, since a result that is sent again after a
 	// silent link arrives late.
 	maxRoundTrip = 500 * time.Millisecond
@@ -28,9 +30,15 @@
 	waitPerRequest = 18 * time.Millisecond
 	// ranks is the number of ranks with statistics of their own. Higher ranks share the last one.
 	ranks = 4
-	// minWaitRatio and maxWaitRatio bound the correction of the wait of a rank.
-	minWaitRatio = 0.125
-	maxWaitRatio = 2
+	// minWaitRatio bounds the correction of the wait of a rank. Observed waits lag behind a queue
+	// that grows: with a bound of 0.125, 1.2 % more of the reads missed their objective in a burst.
+	minWaitRatio = 0.75
+	// awayWaitFactor multiplies the wait at an endpoint in another data centre, and
+	// awayServiceTimes service times are added to it. Its load is known from few reads, and other
+	// frontends may be about to send theirs. With factor 1, data centres that are all overloaded
+	// send each other a third of their reads.
+	awayWaitFactor   = 3
+	awayServiceTimes = 1
 )
 
 // Endpoint is what a frontend has observed of an endpoint.
@@ -59,7 +67,7 @@
 
 func isRecent(now, at types.Time, d time.Duration) bool { return at != 0 && now.Sub(at) < d }
 
-func average(mean *time.Duration, sample time.Duration) { *mean += (sample - *mean) / averageSamples }
+func average(mean *time.Duration, sample, samples time.Duration) { *mean += (sample - *mean) / samples }
 
 func clampRank(r int) int { return max(0, min(r, ranks-1)) }
 
@@ -74,11 +82,11 @@
 		e.service, e.roundTrip = s.ServiceTime, roundTrip
 	}
 	e.sampledAt = now
-	average(&e.service, s.ServiceTime)
-	average(&e.roundTrip, roundTrip)
+	average(&e.service, s.ServiceTime, averageSamples)
+	average(&e.roundTrip, roundTrip, averageSamples)
 	r := clampRank(s.Rank)
-	average(&e.queued[r], s.QueueTime)
-	average(&e.modelled[r], waitBehind(e.load, s.Slots, e.service))
+	average(&e.queued[r], s.QueueTime, waitSamples)
+	average(&e.modelled[r], waitBehind(e.load, s.Slots, e.service), waitSamples)
 }
 
 // waitBehind returns the time until a slot is free for a request that arrives behind load others.
@@ -97,15 +105,20 @@
 
 // Load returns the estimated number of requests at the endpoint. service is the estimated
 // service time; 0 if unknown.
-func (e *Endpoint) Load(now types.Time, service time.Duration) int {
-	validity := loadValidity
-	if service > 0 {
-		validity = max(minLoadValidity, min(loadServiceTimes*service, maxLoadValidity))
+func (e *Endpoint) Load(now types.Time, slots int, service time.Duration) int {
+	age := now.Sub(e.loadAt)
+	if e.loadAt == 0 || (service <= 0 && age >= loadValidity) {
+		return e.InFlight
 	}
-	if isRecent(now, e.loadAt, validity) {
+	if service <= 0 {
 		return max(e.InFlight, e.load)
 	}
-	return e.InFlight
+	hold := max(minHold, holdServiceTimes*service)
+	if age <= hold {
+		return max(e.InFlight, e.load)
+	}
+	drained := int64(age-hold) * int64(slots) * drainPercent / 100 / int64(service)
+	return max(e.InFlight, e.load-int(min(drained, int64(e.load))))
 }
 
 // Read describes a read whose endpoint is being selected.
@@ -125,10 +138,11 @@
 	}
 }
 
-// Cost returns the cost of the time that a read takes at the endpoint, as waiting time.
-func (e *Endpoint) Cost(now types.Time, read *Read, slots int) time.Duration {
+// Cost returns the cost of the time that a read takes at the endpoint, as waiting time. isHome is
+// set for an endpoint of the frontend's data centre.
+func (e *Endpoint) Cost(now types.Time, read *Read, slots int, isHome bool) time.Duration {
 	if read.TypicalService <= 0 {
-		return waitPerRequest * time.Duration(e.Load(now, 0)) / time.Duration(max(slots, 1))
+		return waitPerRequest * time.Duration(e.Load(now, slots, 0)) / time.Duration(max(slots, 1))
 	}
 	service := read.TypicalService
 	var roundTrip time.Duration
@@ -138,7 +152,10 @@
 		service = max(service, own-service/2)
 		roundTrip = e.roundTrip
 	}
-	wait := time.Duration(float64(waitBehind(e.Load(now, service), slots, service)) * e.waitRatio(read.Rank, service))
+	wait := time.Duration(float64(waitBehind(e.Load(now, slots, service), slots, service)) * e.waitRatio(read.Rank, service))
+	if !isHome {
+		wait = awayWaitFactor*wait + awayServiceTimes*service
+	}
 	return ResponseCost(wait+service+roundTrip, read.Objective)
 }
 
@@ -146,8 +163,7 @@
 // It is 1 as long as both are short.
 func (e *Endpoint) waitRatio(rank int, service time.Duration) float64 {
 	r := clampRank(rank)
-	ratio := float64(e.queued[r]+service) / float64(e.modelled[r]+service)
-	return max(minWaitRatio, min(ratio, maxWaitRatio))
+	return max(minWaitRatio, min(float64(e.queued[r]+service)/float64(e.modelled[r]+service), 1))
 }
 
 const (
@@ -155,10 +171,13 @@
 	// ten times the default price of a link.
 	missCost = 800 * time.Millisecond
 	// safePercent is the part of the objective up to which a response is expected to meet it,
-	// and safeCostPercent the part of missCost that a response of that duration costs. Service
-	// times vary, so that an expected response close to the objective often misses it.
-	safePercent     = 50
-	safeCostPercent = 12
+	// and safeCost the cost of a response of that duration. Service times vary, so that an
+	// expected response close to the objective often misses it.
+	safePercent = 30
+	safeCost    = missCost * 12 / 100
+	// latePercent is the cost of further waiting beyond the objective, in relation to waiting
+	// that is safe.
+	latePercent = 10
 	// defaultObjective is that of a route without one.
 	defaultObjective = 400 * time.Millisecond
 )
@@ -169,14 +188,17 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	const safeCost = missCost * safeCostPercent / 100
-	safe := objective * safePercent / 100
-	safe = max(safe, 1)
+	safe := max(objective*safePercent/100, 1)
 	switch {
 	case response <= safe:
-		return time.Duration(float64(safeCost) * float64(response) / float64(safe))
+		return scale(safeCost, response, safe)
 	case response <= objective:
-		return safeCost + time.Duration(float64(missCost-safeCost)*float64(response-safe)/float64(max(objective-safe, 1)))
+		return safeCost + scale(missCost-safeCost, response-safe, objective-safe)
 	}
-	return missCost + time.Duration(float64(safeCost)*float64(response-objective)/float64(safe))
+	return missCost + scale(safeCost, response-objective, safe)*latePercent/100
+}
+
+// scale returns d * part / whole.
+func scale(d, part, whole time.Duration) time.Duration {
+	return time.Duration(float64(d) * float64(part) / float64(whole))
 }
--- a/core/locality/share.go
+++ b/core/locality/share.go
@@ -12,14 +12,18 @@
 
 const (
 	// adjustServiceTimes is the time, in service times, in which the share rises from nothing to
-	// all of the load while leaving saves at least the price. Replies report the load with a delay
-	// of about one service time and the time between two reads; a faster rise makes the frontends
-	// of a data centre leave together before the first of them sees the effect.
-	adjustServiceTimes = 20
-	minAdjustTime      = 100 * time.Millisecond
+	// all of the load while leaving saves as much as the price in addition to it. A read that is
+	// likely to miss its objective saves more, up to maxSpeed times as much, and the share changes
+	// in proportion. minAdjustTime and maxAdjustTime bound the time.
+	adjustServiceTimes = 10
+	minAdjustTime      = 30 * time.Millisecond
 	maxAdjustTime      = 8 * time.Second
-	// maxStepPercent bounds the change of the share between two reads, in percent.
-	maxStepPercent = 20
+	maxSpeed           = 8
+	// fallFactor is the speed of the fall in relation to that of the rise. Costs vary by chance in
+	// both directions, and a share that falls faster stays near zero then.
+	fallFactor = 2
+	// maxStep bounds the change of the share between two reads at normal speed.
+	maxStep = 0.2
 	// keepPercent is the part of the price down to which reads that leave keep leaving.
 	keepPercent = 50
 	// maxShare keeps some reads in the own data centre, so that its recovery is noticed.
@@ -35,18 +39,17 @@
 	updatedAt types.Time
 }
 
+// NewShare returns a share of zero. The phase, from 0 to 1, must differ between frontends, so that
+// they do not leave with the same read.
+func NewShare(phase float64) Share { return Share{credit: phase} }
+
 // Value returns the current share, from 0 to 1.
 func (s *Share) Value() float64 { return s.value }
 
-// Seed sets the phase of the share, from 0 to 1, so that frontends do not leave with the same
-// read.
-func (s *Share) Seed(phase float64) { s.credit = phase }
-
-// Leave decides whether a read leaves the data centre. home and away are the costs of the best
-// endpoints here and elsewhere; away includes the price of the link. service is the estimated
-// service time.
-func (s *Share) Leave(now types.Time, home, away, price, service time.Duration) bool {
-	s.adjust(now, home-away, price, service)
+// leave decides whether a read leaves the data centre. gain is what leaving saves beyond the price
+// of the link. service is the estimated service time.
+func (s *Share) leave(now types.Time, gain, price, service time.Duration) bool {
+	s.adjust(now, gain, price, service)
 	if s.value == 0 {
 		return false
 	}
@@ -58,17 +61,18 @@
 	return true
 }
 
-// adjust moves the share towards the cheaper side. gain is what leaving saves beyond the price.
+// adjust moves the share towards the cheaper side. Between the price and keepPercent of it, the
+// share stays as it is.
 func (s *Share) adjust(now types.Time, gain, price, service time.Duration) {
 	full := max(minAdjustTime, min(adjustServiceTimes*service, maxAdjustTime))
-	step := min(float64(now.Sub(s.updatedAt))/float64(full), maxStepPercent/100.0)
+	step := min(float64(now.Sub(s.updatedAt))/float64(full), maxStep)
 	s.updatedAt = now
+	unit := float64(max(price, time.Millisecond))
 	keep := price * keepPercent / 100
-	scale := float64(max(price, time.Millisecond))
 	switch {
 	case gain > 0:
-		s.value = min(maxShare, s.value+step*min(1, float64(gain)/scale))
+		s.value = min(maxShare, s.value+step*min(maxSpeed, float64(gain)/unit))
 	case gain < -keep:
-		s.value = max(0, s.value-step*min(1, float64(-gain-keep)/scale))
+		s.value = max(0, s.value-step*fallFactor*min(maxSpeed, float64(-gain-keep)/unit))
 	}
 }
--- a/core/locality/simulation_test.go
+++ b/core/locality/simulation_test.go
@@ -78,12 +78,12 @@
 	// movedFrom and movedTo are data centres: half of the callers move during the trouble.
 	moves              bool
 	movedFrom, movedTo int
+	// floodRank, if not zero, restricts the burst to the reads of one rank.
+	floodRank int
 	// alternates makes the burst change between data centres 0 and 1 every 600 ms, stretched like the run.
 	alternates bool
 	// slow multiplies the service time at the endpoint of data centre 0.
 	slow float64
-	// homeSuffices is set if each data centre can serve its own load.
-	homeSuffices bool
 }
 
 // rule is the selection rule of a frontend.
@@ -193,7 +193,7 @@
 }
 
 // rate returns the present demand of a data centre.
-func (s *simulation) rate(since time.Duration, dc int) float64 {
+func (s *simulation) rate(since time.Duration, dc, rank int) float64 {
 	demand := s.demand[dc]
 	if since < s.stretched(simTroubleStart) || since >= s.stretched(simTroubleEnd) {
 		return demand
@@ -207,7 +207,7 @@
 	if s.alternates && int(since/s.stretched(600*time.Millisecond))%2 != dc {
 		return demand
 	}
-	if s.burst[dc] > 0 {
+	if s.burst[dc] > 0 && (s.floodRank == 0 || s.floodRank == rank) {
 		return demand * s.burst[dc]
 	}
 	return demand
@@ -218,7 +218,7 @@
 		frontend := dc + simDataCentres*s.arrivals.IntN(simFrontends)
 		s.send(&simRead{kind: k, frontend: frontend, arrivedAt: s.now})
 	}
-	perSecond := k.perSecond / simDataCentres * s.rate(s.now.Sub(start), dc) / s.utilisation()
+	perSecond := k.perSecond / simDataCentres * s.rate(s.now.Sub(start), dc, k.rank) / s.utilisation()
 	gap := exponential(&s.arrivals, time.Duration(float64(time.Second)/perSecond))
 	s.schedule(gap, func() { s.arrive(start, k, dc, true) })
 }
@@ -379,6 +379,15 @@
 	e.load, e.loadAt = load, now
 }
 
+// homeRule never leaves the data centre.
+type homeRule struct{ dc int }
+
+func newHomeRule(_ *simulation, dc int, _ uint64) rule { return homeRule{dc} }
+
+func (h homeRule) choose(types.Time, *simRead) int    { return h.dc }
+func (h homeRule) sent(int)                           {}
+func (h homeRule) returned(types.Time, *simRead, int) {}
+
 // sharedRule is the rule of this package.
 type sharedRule struct {
 	sim       *simulation
@@ -392,7 +401,7 @@
 	rng := random.New(seed)
 	r.first = rng.IntN(simDataCentres)
 	for i := range r.shares {
-		r.shares[i].Seed(rng.Float64())
+		r.shares[i] = NewShare(rng.Float64())
 	}
 	return r
 }
@@ -405,7 +414,7 @@
 	var choice Choice
 	for n := range f.endpoints {
 		i := (f.first + n) % simDataCentres
-		c := Candidate{Index: i, Cost: f.endpoints[i].Cost(now, &read, f.sim.slots)}
+		c := Candidate{Index: i, Cost: f.endpoints[i].Cost(now, &read, f.sim.slots, i == f.dc)}
 		if i != f.dc {
 			c.Cost += DefaultPrice
 		}
