--- a/cmd/baobabd/platform.go
+++ b/cmd/baobabd/platform.go
@@ -36,6 +36,8 @@
 	Config        string `help:"The platform's settings file." env:"BAOBABFIELD_CONFIG" required:""`
 	MeshAdvertise string `help:"Mesh address that other hosts use, if it differs from the one listened on."`
 	MaxCallers    int    `help:"Callers served at a time; 0 derives the number from the limit of file descriptors." default:"0"`
+	// RemotePrice is the price of the link: a read leaves only if it saves more.
+	RemotePrice time.Duration `help:"Price of a read served in another data centre, as waiting time that it must save." env:"BAOBABFIELD_REMOTE_PRICE" default:"70ms"`
 }
 
 // Run serves callers until SIGTERM or SIGINT.
@@ -85,7 +87,7 @@
 	return gateway.Settings{
 		Host: settings.Host, DataCentre: settings.DataCentre, CallerListen: settings.CallerListen, ReadyListen: settings.ReadyListen,
 		MetricsListen: settings.MetricsListen, MeshListen: settings.MeshListen, MeshAdvertise: f.MeshAdvertise, MaxCallers: maxCallers, CPUMillicores: settings.CPUMillicores,
-		ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, ClusterKey: []byte(meshKey),
+		ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, RemotePrice: f.RemotePrice, ClusterKey: []byte(meshKey),
 		Codec: platform.LineCodec{}, Store: client, Promoter: client, Decoder: platform.ObjectDecoder{},
 	}
 }
--- a/core/locality/choice.go
+++ b/core/locality/choice.go
@@ -62,12 +62,19 @@
 	case !c.hasAway:
 		return c.home.Index, ReasonHome, true
 	case c.home.FaultCost != c.away.FaultCost:
-		if c.away.Cost < c.home.Cost {
-			return c.away.Index, ReasonFault, true
-		}
-		return c.home.Index, ReasonHome, true
+		return c.cheapest(ReasonFault)
+	case service <= 0:
+		return c.cheapest(ReasonWait)
 	case share.leave(now, c.home.Cost-c.away.Cost, price, service):
 		return c.away.Index, ReasonWait, true
 	}
 	return c.home.Index, ReasonHome, true
 }
+
+// cheapest returns the candidate with the lowest cost, with the reason if it is elsewhere.
+func (c *Choice) cheapest(reason Reason) (int, Reason, bool) {
+	if c.away.Cost < c.home.Cost {
+		return c.away.Index, reason, true
+	}
+	return c.home.Index, ReasonHome, true
+}
--- a/core/locality/endpoint.go
+++ b/core/locality/endpoint.go
@@ -173,7 +173,7 @@
 	// safePercent is the part of the objective up to which a response is expected to meet it,
 	// and safeCost the cost of a response of that duration. Service times vary, so that an
 	// expected response close to the objective often misses it.
-	safePercent = 30
+	safePercent = 33
 	safeCost    = missCost * 12 / 100
 	// latePercent is the cost of further waiting beyond the objective, in relation to waiting
 	// that is safe.
--- a/core/locality/share.go
+++ b/core/locality/share.go
@@ -15,8 +15,8 @@
 	// all of the load while leaving saves as much as the price in addition to it. A read that is
 	// likely to miss its objective saves more, up to maxSpeed times as much, and the share changes
 	// in proportion. minAdjustTime and maxAdjustTime bound the time.
-	adjustServiceTimes = 10
-	minAdjustTime      = 30 * time.Millisecond
+	adjustServiceTimes = 7
+	minAdjustTime      = 20 * time.Millisecond
 	maxAdjustTime      = 8 * time.Second
 	maxSpeed           = 8
 	// fallFactor is the speed of the fall in relation to that of the rise. Costs vary by chance in
@@ -25,7 +25,7 @@
 	// maxStep bounds the change of the share between two reads at normal speed.
 	maxStep = 0.2
 	// keepPercent is the part of the price down to which reads that leave keep leaving.
-	keepPercent = 50
+	keepPercent = 30
 	// maxShare keeps some reads in the own data centre, so that its recovery is noticed.
 	maxShare = 0.95
 )
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/locality"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/statement"
 	"baobabfield.example/core/types"
@@ -42,6 +43,8 @@
 	// none.
 	endpoint types.Endpoint
 	host     types.Host
+	// remoteReason says why a read was sent to an endpoint of another data centre.
+	remoteReason locality.Reason
 	// excludedEndpoints and avoidedHosts have refused the request.
 	excludedEndpoints []types.Endpoint
 	avoidedHosts      []types.Host
@@ -126,7 +129,7 @@
 	r.attempts++
 	owner, _ := m.catalog.Host(r.host)
 	r.attemptedAt, r.hostStartedUnixMs = m.now, owner.StartedUnixMs
-	m.statsFor(r.endpoint).inFlight++
+	m.statsFor(r.endpoint).InFlight++
 	exec := ExecRequest{
 		ID: r.id, Service: r.route.Service, Endpoint: r.endpoint, RequirePrimary: r.atPrimary,
 		Query: r.query, Variables: r.session.variables, Rank: r.route.Rank,
@@ -159,6 +162,8 @@
 	stats.recordResult(m.now, res)
 	switch {
 	case res.Reason == types.ReasonNone && res.Reply.Code == statement.CodeOK:
+		m.recordRead(r, stats, &res)
+		m.countRemoteRead(r)
 		m.handleSuccess(r, res)
 	case !res.MayHaveRun:
 		m.handleNotRun(r, res)
@@ -172,8 +177,8 @@
 // removeInFlight subtracts a request from the in-flight counts of its owner and its endpoint.
 func (m *Machine) removeInFlight(r *request) {
 	m.dropExpectedReply(r.host)
-	if stats := m.statsFor(r.endpoint); stats.inFlight > 0 {
-		stats.inFlight--
+	if stats := m.statsFor(r.endpoint); stats.InFlight > 0 {
+		stats.InFlight--
 	}
 }
 
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -40,6 +40,9 @@
 	// ConfigBound is the time within which an accepted configuration has to be in force, and
 	// LeavingBound that after which an endpoint that leaves gets no new work; 0 for 3 s and 7 s.
 	ConfigBound, LeavingBound time.Duration
+	// RemotePrice is the price of a read that is served in another data centre, as waiting time;
+	// 0 for locality.DefaultPrice.
+	RemotePrice time.Duration
 	// Seed initialises the pseudo-random number generator. It must differ between the processes
 	// that a host runs one after the other, see Machine.firstNumber.
 	Seed uint64
@@ -61,6 +64,8 @@
 	deferred []*request
 	// stats holds what this host, as a frontend, has observed of each endpoint.
 	stats map[types.Endpoint]*endpointStats
+	// crossings holds the state of the reads in other data centres by route.
+	crossings map[types.Database]*crossing
 	// ownerCache caches the owner of each endpoint, and cachedReadOrder this host's place among
 	// those that read the store; nil after a change of the hosts.
 	ownerCache      map[types.Endpoint]types.Host
@@ -138,6 +143,7 @@
 		sessions:     map[SessionID]*session{},
 		requests:     map[RequestID]*request{},
 		stats:        map[types.Endpoint]*endpointStats{},
+		crossings:    map[types.Database]*crossing{},
 		ownerCache:   map[types.Endpoint]types.Host{},
 		owned:        map[types.Endpoint]*ownedEndpoint{},
 		controlConns: map[types.Endpoint]*controlConn{},
@@ -265,6 +271,7 @@
 	}
 	m.tickSessions()
 	m.tickRequests()
+	m.tickCrossings()
 	for _, o := range ordered(m.owned) {
 		o.pool.Tick(m.now)
 	}
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -5,18 +5,12 @@
 	"time"
 
 	"baobabfield.example/core/catalog"
+	"baobabfield.example/core/locality"
 	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
 )
 
 const (
-	// loadValidity is how long an endpoint's reported load is used.
-	loadValidity = 400 * time.Millisecond
-	// waitPerRequest is the estimated wait that each request per slot adds.
-	waitPerRequest = 18 * time.Millisecond
-	// remoteCost is the cost of another data centre, expressed as waiting time. Traffic
-	// between data centres is the most expensive part of a request.
-	remoteCost = 70 * time.Millisecond
 	// primaryCost keeps reads off the primary, since only the primary can serve writes.
 	primaryCost = 15 * time.Millisecond
 	// laggingCost keeps reads off an endpoint that has recently lagged behind or refused to
@@ -32,11 +26,8 @@
 
 // endpointStats is what a frontend has observed of an endpoint.
 type endpointStats struct {
-	// inFlight is the number of this host's own requests at the endpoint.
-	inFlight int
-	// load is the load that the owner reported at loadAt.
-	load   int
-	loadAt types.Time
+	// Endpoint holds the load and the times.
+	locality.Endpoint
 	// laggedAt is when the endpoint last lagged behind or refused to run a statement. failedAt
 	// is when it last failed a request; a success resets it. Both are zero for never.
 	laggedAt types.Time
@@ -54,7 +45,7 @@
 
 // recordResult updates the statistics from a result.
 func (s *endpointStats) recordResult(now types.Time, res ExecResult) {
-	s.load, s.loadAt = res.Load, now
+	s.RecordLoad(now, res.Load)
 	switch {
 	case res.Reason == types.ReasonNone && res.Reply.Code == 0:
 		s.failedAt = 0
@@ -65,29 +56,44 @@
 	}
 }
 
+// recordRead updates the statistics of an endpoint from a read that it has run.
+func (m *Machine) recordRead(r *request, s *endpointStats, res *ExecResult) {
+	e, ok := m.catalog.Endpoint(r.endpoint)
+	if !ok || r.needsPrimary || r.inTx() {
+		return
+	}
+	s.RecordRead(m.now, locality.Sample{
+		Rank: r.route.Rank, Slots: e.Slots,
+		QueueTime: res.QueueTime, ServiceTime: res.ServiceTime, Elapsed: m.now.Sub(r.attemptedAt),
+	})
+}
+
+// faultCost returns the cost of an endpoint's recent faults.
+func (s *endpointStats) faultCost(now types.Time) time.Duration {
+	var cost time.Duration
+	if isRecent(now, s.laggedAt, laggingValidity) {
+		cost += laggingCost
+	}
+	if isRecent(now, s.failedAt, failureValidity) {
+		cost += failedCost
+	}
+	return cost
+}
+
 // isRecent reports whether at is set and less than d ago.
 func isRecent(now, at types.Time, d time.Duration) bool { return at != 0 && now.Sub(at) < d }
 
 // readCost returns the cost of an endpoint for a read, expressed as waiting time.
-func (m *Machine) readCost(e *catalog.Endpoint, primary bool) time.Duration {
+func (m *Machine) readCost(e *catalog.Endpoint, primary bool, read *locality.Read) time.Duration {
 	s := m.statsFor(e.ID)
-	load := s.inFlight
-	if isRecent(m.now, s.loadAt, loadValidity) {
-		load = max(load, s.load)
-	}
-	cost := waitPerRequest * time.Duration(load) / time.Duration(max(e.Slots, 1))
-	if e.DataCentre != m.settings.DataCentre {
-		cost += remoteCost
+	isHome := e.DataCentre == m.settings.DataCentre
+	cost := s.Cost(m.now, read, e.Slots, isHome) + s.faultCost(m.now)
+	if !isHome {
+		cost += m.remotePrice()
 	}
 	if primary {
 		cost += primaryCost
 	}
-	if isRecent(m.now, s.laggedAt, laggingValidity) {
-		cost += laggingCost
-	}
-	if isRecent(m.now, s.failedAt, failureValidity) {
-		cost += failedCost
-	}
 	return cost
 }
 
@@ -95,7 +101,7 @@
 // the reason why there is none.
 func (m *Machine) selectEndpoint(r *request) types.Reason {
 	primary, known := m.catalog.PrimaryOf(r.route.Service)
-	r.atPrimary = r.needsPrimary
+	r.atPrimary, r.remoteReason = r.needsPrimary, locality.ReasonHome
 	if r.needsPrimary {
 		if !known {
 			r.endpoint, r.host = "", ""
@@ -108,24 +114,12 @@
 		r.endpoint = primary
 		return m.selectOwner(r)
 	}
-	best := -1
-	var bestCost time.Duration
-	endpoints := m.catalog.EndpointsOf(r.route.Service)
-	for i := range endpoints {
-		e := &endpoints[i]
-		if e.Leaving || slices.Contains(r.excludedEndpoints, e.ID) {
-			continue
-		}
-		cost := m.readCost(e, e.ID == primary)
-		if best < 0 || cost < bestCost {
-			best, bestCost = i, cost
-		}
-	}
-	if best < 0 {
+	best := m.selectReadEndpoint(r, primary)
+	if best == nil {
 		r.endpoint, r.host = "", ""
 		return types.ReasonNoMajority
 	}
-	r.endpoint = endpoints[best].ID
+	r.endpoint = best.ID
 	// At the primary, a read is served with authority whatever staleness it accepts.
 	r.atPrimary = r.endpoint == primary
 	return m.selectOwner(r)
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -49,8 +49,8 @@
 	MeshAdvertise string
 	// CPUMillicores is the host's CPU capacity in thousandths of a core; 0 if unknown.
 	CPUMillicores int
-	// ConfigBound and LeavingBound are those of proxy.Settings.
-	ConfigBound, LeavingBound time.Duration
+	// ConfigBound, LeavingBound and RemotePrice are those of proxy.Settings.
+	ConfigBound, LeavingBound, RemotePrice time.Duration
 	// MaxCallers limits the concurrent caller connections.
 	MaxCallers int
 	// ClusterKey is shared by all hosts. It authenticates them to each other.
@@ -121,7 +121,7 @@
 		machine: proxy.New(proxy.Settings{
 			Host: settings.Host, DataCentre: settings.DataCentre, Decoder: settings.Decoder,
 			MeshAddress: meshAddress, StartedUnixMs: now.UnixMilli(), CPUMillicores: settings.CPUMillicores,
-			ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, Seed: newSeed(now, settings.Host),
+			ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, RemotePrice: settings.RemotePrice, Seed: newSeed(now, settings.Host),
 		}),
 		inbox: make(chan any, inboxSize), stopped: make(chan struct{}),
 		callerConns: map[proxy.SessionID]callerConn{}, endpointConns: map[pool.ConnID]*endpointConn{},
