--- a/core/routing/owner.go
+++ b/core/routing/owner.go
@@ -19,7 +19,7 @@
 func HighestWeightHosts(key string, hosts []types.Host) (first, second types.Host) {
 	var w1, w2 uint64
 	for _, h := range hosts {
-		w := rendezvousWeight(key, h)
+		w := RendezvousWeight(key, h)
 		switch {
 		case first == "" || w > w1 || (w == w1 && h > first):
 			second, w2 = first, w1
@@ -31,8 +31,8 @@
 	return first, second
 }
 
-// rendezvousWeight hashes the key and the host with FNV-1a and a final mixing step.
-func rendezvousWeight(key string, h types.Host) uint64 {
+// RendezvousWeight hashes the key and the host with FNV-1a and a final mixing step.
+func RendezvousWeight(key string, h types.Host) uint64 {
 	x := fnvOffsetBasis
 	for i := range len(key) {
 		x = (x ^ uint64(key[i])) * fnvPrime
