--- a/core/proxy/datacentres.go
+++ b/core/proxy/datacentres.go
@@ -7,8 +7,8 @@
 
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/lead"
+	"baobabfield.example/core/locality"
 	"baobabfield.example/core/random"
-	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
 )
 
@@ -204,20 +204,21 @@
 	return false
 }
 
-// pingPreferredOwners pings the hosts of a data centre that own its endpoints while all hosts
+// pingPreferredOwners pings the hosts that own the endpoints of a data centre while all hosts
 // are up. Until they are known to be up again this host would use other owners, which have no
 // connections.
 func (m *Machine) pingPreferredOwners(dc types.DataCentre) {
-	candidates := m.hostsWithEnoughCPU(m.stayingHosts(dc))
-	pinged := map[types.Host]bool{}
-	m.catalog.VisitEndpoints(func(e *catalog.Endpoint) {
-		if e.DataCentre != dc {
-			return
+	var staying []locality.Host
+	for _, h := range m.catalog.Hosts() {
+		if !h.Leaving && m.keepsWorkspacesApart(&h) {
+			staying = append(staying, locality.Host{ID: h.ID, DataCentre: h.DataCentre, Power: h.CPUMillicores})
 		}
-		owner, _ := routing.HighestWeightHosts(string(e.ID), candidates)
+	}
+	pinged := map[types.Host]bool{}
+	for _, owner := range ordered(m.ownersIn(dc, staying)) {
 		if p := m.peers[owner]; p != nil && p.down && !pinged[owner] {
 			pinged[owner] = true
 			m.sendToHost(owner, Ping{})
 		}
-	})
+	}
 }
--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -24,7 +24,10 @@
 	if moved || restarted {
 		m.releaseEndpoint(e.ID, types.ReasonBroken)
 		m.removeControl(e.ID)
-		delete(m.ownerCache, e.ID)
+	}
+	if !known || moved {
+		// The owner of an endpoint depends on the other endpoints of its data centre.
+		m.clearOwnerCache()
 	}
 	m.tickRequested = true
 	if !known || old.Leaving != e.Leaving || old.ClaimsPrimary != e.ClaimsPrimary || moved || restarted {
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -268,6 +268,7 @@
 	for _, id := range m.catalog.RemoveExpiredEndpoints(m.now) {
 		m.log(Info, "endpoint removed", field("endpoint", id))
 		m.dropEndpoint(id)
+		m.clearOwnerCache()
 	}
 	m.tickSessions()
 	m.tickRequests()
--- a/core/proxy/placement.go
+++ b/core/proxy/placement.go
@@ -6,7 +6,6 @@
 
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/locality"
-	"baobabfield.example/core/routing"
 	"baobabfield.example/core/types"
 )
 
@@ -146,75 +145,3 @@
 	}
 	return true
 }
-
-// ownerOf returns the host that owns an endpoint, or "" if there is none. The owner is
-// selected by rendezvous hashing among the usable hosts of the endpoint's data centre, or
-// among all usable hosts if the data centre has none. Avoided hosts are left out.
-func (m *Machine) ownerOf(id types.Endpoint, avoided []types.Host) types.Host {
-	if len(avoided) == 0 {
-		if h, ok := m.ownerCache[id]; ok {
-			return h
-		}
-	}
-	e, ok := m.catalog.Endpoint(id)
-	if !ok {
-		return ""
-	}
-	owner, _ := routing.HighestWeightHosts(string(id), m.hostsWithEnoughCPU(m.usableHosts(e.DataCentre, avoided)))
-	if len(avoided) == 0 && owner != "" {
-		m.ownerCache[id] = owner
-	}
-	return owner
-}
-
-// hostsWithEnoughCPU returns the hosts that have at least half the CPU capacity of the most
-// powerful one. An owner runs all statements of its endpoint, and on a weak host they would
-// queue for the CPU.
-func (m *Machine) hostsWithEnoughCPU(hosts []types.Host) []types.Host {
-	maxMillicores := 0
-	for _, id := range hosts {
-		maxMillicores = max(maxMillicores, m.cpuMillicoresOf(id))
-	}
-	var eligible []types.Host
-	for _, id := range hosts {
-		if 2*m.cpuMillicoresOf(id) >= maxMillicores {
-			eligible = append(eligible, id)
-		}
-	}
-	return eligible
-}
-
-func (m *Machine) cpuMillicoresOf(id types.Host) int {
-	h, _ := m.catalog.Host(id)
-	return h.CPUMillicores
-}
-
-// usableHosts returns the usable hosts of a data centre, or all usable hosts if it has none or
-// dc is empty.
-func (m *Machine) usableHosts(dc types.DataCentre, avoided []types.Host) []types.Host {
-	var local, all []types.Host
-	for _, h := range m.catalog.Hosts() {
-		if !m.isUsable(h) || !m.keepsWorkspacesApart(&h) || slices.Contains(avoided, h.ID) {
-			continue
-		}
-		all = append(all, h.ID)
-		if h.DataCentre == dc {
-			local = append(local, h.ID)
-		}
-	}
-	if len(local) > 0 {
-		return local
-	}
-	return all
-}
-
-// keepsWorkspacesApart reports whether a host can own endpoints in the present configuration.
-func (m *Machine) keepsWorkspacesApart(h *catalog.Host) bool {
-	return !m.catalog.HasWorkspaces() || h.WorkspaceRules >= catalog.WorkspaceRules
-}
-
-// clearOwnerCache drops what is cached of the order of the hosts.
-func (m *Machine) clearOwnerCache() {
-	clear(m.ownerCache)
-	m.cachedReadOrder = nil
-}
--- a/core/proxy/suspicion.go
+++ b/core/proxy/suspicion.go
@@ -128,7 +128,7 @@
 // campaignOrder returns 0 for the host that starts a service's campaign first if no owner of
 // the primary does, 1 for the second one and 2 for all others.
 func (m *Machine) campaignOrder(name types.Service) int {
-	first, second := routing.HighestWeightHosts("lead/"+string(name), m.usableHosts("", nil))
+	first, second := routing.HighestWeightHosts("lead/"+string(name), hostIDs(m.usableHosts(nil)))
 	switch m.settings.Host {
 	case first:
 		return 0
@@ -163,7 +163,7 @@
 	m.log(Info, "primary suspected", field("service", s.name), field("endpoint", primary))
 	m.observeReplicas(s.name, primary)
 	var others []types.Host
-	for _, h := range m.usableHosts("", nil) {
+	for _, h := range hostIDs(m.usableHosts(nil)) {
 		if h != m.settings.Host {
 			others = append(others, h)
 		}
