--- a/core/locality/endpoint.go
+++ b/core/locality/endpoint.go
@@ -126,16 +126,35 @@
 	Rank int
 	// Objective is the time that is left to meet the latency objective.
 	Objective time.Duration
-	// TypicalService is the lowest mean service time among the endpoints of the service; 0 if none
-	// is known.
+	// TypicalService is the service time of an endpoint without observations, see Baseline; 0 if
+	// none is known.
 	TypicalService time.Duration
 }
 
-// AddService adds the mean service time of an endpoint of the service, or 0 if it is not known.
-func (r *Read) AddService(mean time.Duration) {
-	if mean > 0 && (r.TypicalService == 0 || mean < r.TypicalService) {
-		r.TypicalService = mean
+// baselineTime is the time in which the baseline follows a changed service time.
+const baselineTime = 30 * time.Second
+
+// Baseline is the usual service time of the fastest endpoint of a service. An endpoint that a
+// frontend has not used is expected to be as fast: the service time of the only one that it uses
+// says nothing about the others if that one has become slow.
+type Baseline struct {
+	service   time.Duration
+	updatedAt types.Time
+}
+
+// Update adds the present lowest mean service time, or 0 if none is known, and returns the
+// baseline.
+func (b *Baseline) Update(now types.Time, lowest time.Duration) time.Duration {
+	elapsed := min(now.Sub(b.updatedAt), baselineTime)
+	b.updatedAt = now
+	switch {
+	case lowest <= 0:
+	case b.service == 0:
+		b.service = lowest
+	default:
+		b.service += scale(lowest-b.service, elapsed, baselineTime)
 	}
+	return b.service
 }
 
 // Cost returns the cost of the time that a read takes at the endpoint, as waiting time. isHome is
--- a/core/proxy/crossing.go
+++ b/core/proxy/crossing.go
@@ -17,7 +17,8 @@
 
 // crossing is the state of a route's reads that this frontend sends to other data centres.
 type crossing struct {
-	share locality.Share
+	share    locality.Share
+	baseline locality.Baseline
 	// active is set from the first read that leaves until none has left for crossingIdleTime.
 	// lastAt is the time of the last one, and reads their number since active was set.
 	active bool
@@ -47,13 +48,8 @@
 	if len(endpoints) == 0 {
 		return nil
 	}
-	read := locality.Read{Rank: r.route.Rank, Objective: r.due.Sub(m.now)}
-	if read.Objective <= 0 {
-		read.Objective = r.route.TargetLatency
-	}
-	for i := range endpoints {
-		read.AddService(m.statsFor(endpoints[i].ID).ServiceTime(m.now))
-	}
+	c := m.crossingFor(r.route.Database)
+	read := m.describeRead(r, endpoints, c)
 	// Of endpoints that cost the same, frontends prefer different ones.
 	first := int(m.settings.Seed % uint64(len(endpoints)))
 	var choice locality.Choice
@@ -67,7 +63,6 @@
 			Index: i, Cost: m.readCost(e, e.ID == primary, &read), FaultCost: m.statsFor(e.ID).faultCost(m.now),
 		}, e.DataCentre == m.settings.DataCentre)
 	}
-	c := m.crossingFor(r.route.Database)
 	i, reason, ok := choice.Decide(m.now, &c.share, m.remotePrice(), read.TypicalService)
 	if !ok {
 		return nil
@@ -79,6 +74,22 @@
 	return &endpoints[i]
 }
 
+// describeRead returns what the costs of the endpoints depend on.
+func (m *Machine) describeRead(r *request, endpoints []catalog.Endpoint, c *crossing) locality.Read {
+	read := locality.Read{Rank: r.route.Rank, Objective: r.due.Sub(m.now)}
+	if read.Objective <= 0 {
+		read.Objective = r.route.TargetLatency
+	}
+	var lowest time.Duration
+	for i := range endpoints {
+		if s := m.statsFor(endpoints[i].ID).ServiceTime(m.now); s > 0 && (lowest == 0 || s < lowest) {
+			lowest = s
+		}
+	}
+	read.TypicalService = c.baseline.Update(m.now, lowest)
+	return read
+}
+
 // recordCrossing records that a read leaves the data centre.
 func (m *Machine) recordCrossing(c *crossing, r *request, reason locality.Reason) {
 	c.lastAt = m.now
