--- a/core/locality/endpoint.go
+++ b/core/locality/endpoint.go
@@ -163,15 +163,16 @@
 	if read.TypicalService <= 0 {
 		return waitPerRequest * time.Duration(e.Load(now, slots, 0)) / time.Duration(max(slots, 1))
 	}
-	service := read.TypicalService
+	service, perRequest := read.TypicalService, read.TypicalService
 	var roundTrip time.Duration
 	if own := e.ServiceTime(now); own > 0 {
-		// Averages of a few samples differ by chance. Only a service time of more than one and
-		// a half times the typical one counts as slow.
-		service = max(service, own-service/2)
+		// Averages of a few samples differ by chance. Only a service time of more than twice the
+		// typical one counts as slow by itself.
+		service, perRequest = max(service, own-service), max(service, own)
 		roundTrip = e.roundTrip
 	}
-	wait := time.Duration(float64(waitBehind(e.Load(now, slots, service), slots, service)) * e.waitRatio(read.Rank, service))
+	wait := waitBehind(e.Load(now, slots, perRequest), slots, perRequest)
+	wait = time.Duration(float64(wait) * e.waitRatio(read.Rank, service))
 	if !isHome {
 		wait = awayWaitFactor*wait + awayServiceTimes*service
 	}
--- a/core/locality/share.go
+++ b/core/locality/share.go
@@ -23,7 +23,7 @@
 	// both directions, and a share that falls faster stays near zero then.
 	fallFactor = 2
 	// maxStep bounds the change of the share between two reads at normal speed.
-	maxStep = 0.2
+	maxStep = 0.1
 	// keepPercent is the part of the price down to which reads that leave keep leaving.
 	keepPercent = 30
 	// maxShare keeps some reads in the own data centre, so that its recovery is noticed.
