--- a/core/locality/load_test.go
+++ b/core/locality/load_test.go
@@ -10,7 +10,7 @@
 const ms = time.Millisecond
 
 var deploymentB = simDeployment{
-	name: "B", slots: 6, oneWay: 500 * time.Microsecond,
+	name: "B", slots: 6, frontends: 9, oneWay: 500 * time.Microsecond,
 	kinds: []simKind{
 		{rank: 1, perSecond: 132, service: 28 * ms, objective: 394 * ms, deadline: 4 * time.Second},
 		{rank: 2, perSecond: 32, service: 47 * ms, objective: 794 * ms, deadline: 12 * time.Second},
@@ -18,7 +18,7 @@
 }
 
 var deploymentA = simDeployment{
-	name: "A", slots: 4, oneWay: 1400 * time.Microsecond,
+	name: "A", slots: 4, frontends: 33, oneWay: 1400 * time.Microsecond,
 	kinds: []simKind{
 		{rank: 1, perSecond: 65, service: 14 * ms, objective: 244 * ms, deadline: 2 * time.Second},
 		{rank: 2, perSecond: 27, service: 22 * ms, objective: 794 * ms, deadline: 6 * time.Second},
--- a/core/locality/simulation_test.go
+++ b/core/locality/simulation_test.go
@@ -11,7 +11,6 @@
 
 const (
 	simDataCentres = 3
-	simFrontends   = 9 // in each data centre
 	simDuration    = 10 * time.Second
 	// simTroubleStart and simTroubleEnd bound the burst or the move of callers.
 	simTroubleStart = 2 * time.Second
@@ -31,10 +30,12 @@
 
 // simDeployment is one service with one replica in each data centre.
 type simDeployment struct {
-	name   string
-	slots  int
-	oneWay time.Duration // between data centres
-	kinds  []simKind
+	name  string
+	slots int
+	// frontends is the number of frontends in each data centre.
+	frontends int
+	oneWay    time.Duration // between data centres
+	kinds     []simKind
 	// stretch multiplies the duration of the run and of the trouble; 0 counts as 1.
 	stretch float64
 }
@@ -157,7 +158,7 @@
 
 func newSimulation(d simDeployment, l simLoad, newRule func(s *simulation, dc int, seed uint64) rule, seed uint64) *simulation {
 	s := &simulation{simDeployment: d, simLoad: l, now: types.Time(time.Hour), arrivals: random.New(seed), work: random.New(seed + 1)}
-	for i := range simDataCentres * simFrontends {
+	for i := range simDataCentres * d.frontends {
 		s.rules = append(s.rules, newRule(s, i%simDataCentres, seed+100+uint64(i)))
 	}
 	return s
@@ -215,7 +216,7 @@
 
 func (s *simulation) arrive(start types.Time, k *simKind, dc int, isRead bool) {
 	if isRead {
-		frontend := dc + simDataCentres*s.arrivals.IntN(simFrontends)
+		frontend := dc + simDataCentres*s.arrivals.IntN(s.frontends)
 		s.send(&simRead{kind: k, frontend: frontend, arrivedAt: s.now})
 	}
 	perSecond := k.perSecond / simDataCentres * s.rate(s.now.Sub(start), dc, k.rank) / s.utilisation()
