--- a/cmd/baobabd/platform.go
+++ b/cmd/baobabd/platform.go
@@ -36,6 +36,8 @@
 	Config        string `help:"The platform's settings file." env:"BAOBABFIELD_CONFIG" required:""`
 	MeshAdvertise string `help:"Mesh address that other hosts use, if it differs from the one listened on."`
 	MaxCallers    int    `help:"Callers served at a time; 0 derives the number from the limit of file descriptors." default:"0"`
+	// RemotePrice is the price of the link: a read leaves only if it saves more.
+	RemotePrice time.Duration `help:"Price of a read served in another data centre, as waiting time that it must save." env:"BAOBABFIELD_REMOTE_PRICE" default:"70ms"`
 
 	CallerMemoryPercent int           `help:"Memory for messages, replies and sessions of callers, in percent of the host's memory limit, 5 to 50." default:"25" group:"Limits for callers"`
 	CallerMessagesKiB   int           `help:"Unanswered messages of one caller in KiB, 1024 or more; the rest waits unread." name:"caller-messages-kib" default:"2048" group:"Limits for callers"`
@@ -93,7 +95,7 @@
 		Host: settings.Host, DataCentre: settings.DataCentre, CallerListen: settings.CallerListen, ReadyListen: settings.ReadyListen,
 		MetricsListen: settings.MetricsListen, MeshListen: settings.MeshListen, MeshAdvertise: f.MeshAdvertise, MaxCallers: f.maxCallers(settings.MaxFiles), CPUMillicores: settings.CPUMillicores,
 		Intake: limits, Memory: memory, MessageTimeout: f.MessageTimeout, ReplyTimeout: f.ReplyTimeout,
-		ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, ClusterKey: []byte(meshKey),
+		ConfigBound: settings.ConfigBound, LeavingBound: settings.LeavingBound, RemotePrice: f.RemotePrice, ClusterKey: []byte(meshKey),
 		Codec: platform.LineCodec{}, Store: client, Promoter: client, Decoder: platform.ObjectDecoder{},
 	}
 }
--- a/core/pool/order_test.go
+++ b/core/pool/order_test.go
@@ -20,6 +20,21 @@
 	h.is.Equal(h.replyToOldest(statement.Reply{}).ID, "retry")
 }
 
+// Guards against a retry that waits until its deadline because first attempts never run out.
+func TestRetryIsServedBesideFirstAttempts(t *testing.T) {
+	h := newHarness(t, 1, 2)
+	far := h.now.Add(time.Hour)
+	h.submit(pool.Request{ID: 1, Query: read("first attempt"), Due: far, Deadline: far})
+	h.submit(pool.Request{ID: 2, Query: read("retry"), Due: far, Deadline: far, Retry: true})
+	for i := range 6 {
+		h.submit(pool.Request{ID: pool.RequestID(3 + i), Query: read("first attempt"), Due: far, Deadline: far})
+		if h.replyToOldest(statement.Reply{}).ID == "retry" {
+			return
+		}
+	}
+	t.Error("the retry has not run after six first attempts")
+}
+
 // Guards against work for a caller that has stopped waiting: a slot becomes free between the
 // deadline and the next tick.
 func TestExpiredRequestDoesNotStart(t *testing.T) {
--- a/core/pool/overload.go
+++ b/core/pool/overload.go
@@ -18,6 +18,9 @@
 	minWayTime         = 10 * time.Millisecond
 	maxWayPercent      = 33
 	maxReservedPercent = 75
+	// firstsPerRetry is the number of first attempts that start before a retry that waits. Without a
+	// share of the starts, retries waited until their deadline at an endpoint that was always busy.
+	firstsPerRetry = 4
 )
 
 // serviceTimes are the observed service times of a rank.
@@ -80,11 +83,30 @@
 	// inTime holds the requests that can probably meet their objective, and late the others.
 	// A request moves from inTime to late when its turn comes or a request behind it is chosen.
 	inTime, late attempts
+	// firstsStarted is the number of first attempts that have started since the last retry.
+	firstsStarted int
 }
 
-// attempts holds first attempts, which go first, and retries.
+// attempts holds first attempts, which go first but for a share of the starts, and retries.
 type attempts struct{ first, retries requestList }
 
+// inOrder returns the lists in the order in which they are served.
+func (a *attempts) inOrder(firstsStarted int) [2]*requestList {
+	if firstsStarted >= firstsPerRetry {
+		return [...]*requestList{&a.retries, &a.first}
+	}
+	return [...]*requestList{&a.first, &a.retries}
+}
+
+// noteStart records that a request starts.
+func (l *line) noteStart(qr *queuedRequest) {
+	if qr.list == &l.inTime.retries || qr.list == &l.late.retries {
+		l.firstsStarted = 0
+		return
+	}
+	l.firstsStarted++
+}
+
 func (a *attempts) listOf(qr *queuedRequest) *requestList {
 	if qr.req.Retry || qr.isResent {
 		return &a.retries
@@ -98,7 +120,7 @@
 // true.
 func (l *line) visitInTime(now types.Time, service *serviceTimes, visit func(*queuedRequest) bool) bool {
 	var blocked trustSet
-	for _, list := range [...]*requestList{&l.inTime.first, &l.inTime.retries} {
+	for _, list := range l.inTime.inOrder(l.firstsStarted) {
 		for qr := list.oldest; qr != nil; {
 			newer := qr.newer
 			if service.isLate(now, qr) && !service.canSpare(now, qr) {
@@ -122,7 +144,7 @@
 // visitLate calls visit with the late requests until it returns true.
 func (l *line) visitLate(visit func(*queuedRequest) bool) bool {
 	var blocked trustSet
-	for _, list := range [...]*requestList{&l.late.first, &l.late.retries} {
+	for _, list := range l.late.inOrder(l.firstsStarted) {
 		for qr := list.oldest; qr != nil && blocked != allBlocked; qr = qr.newer {
 			if blocked.has(qr) {
 				continue
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -116,6 +116,9 @@
 
 // start removes a request that starts and charges its workspace.
 func (q *queue) start(now types.Time, qr *queuedRequest) {
+	if qr.share != nil {
+		qr.share.noteStart(qr)
+	}
 	q.remove(qr)
 	qr.startedAt = now
 	r := &q.ranks[clampRank(qr.req.Rank)]
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"baobabfield.example/core/limits"
+	"baobabfield.example/core/locality"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -47,15 +48,15 @@
 	}
 	m.limits.hostsChanged = false
 	known := m.catalog.Hosts()
-	var ids []types.Host
+	var candidates []locality.Host
 	for i := range known {
 		if m.keepsWorkspacesApart(&known[i]) {
-			ids = append(ids, known[i].ID)
+			candidates = append(candidates, locality.Host{ID: known[i].ID, DataCentre: known[i].DataCentre, Power: known[i].CPUMillicores})
 		}
 	}
 	eligible := map[types.Host]bool{}
-	for _, id := range m.hostsWithEnoughCPU(ids) {
-		eligible[id] = true
+	for _, h := range locality.StrongHosts(candidates) {
+		eligible[h.ID] = true
 	}
 	hosts := make([]limits.Host, 0, len(known))
 	for _, h := range known {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -117,10 +117,13 @@
 	commands       int
 	exited         bool
 	cpuMillicores  int
+	workspaceRules int
+	remotePrice    time.Duration
 	configBound    time.Duration
 	leavingBound   time.Duration
 	conns          map[uint64]*connSim
 	logs           []proxy.Log
+	counters       map[string]int
 }
 
 var dataCentres = []types.DataCentre{"a", "b", "c"}
@@ -223,7 +226,7 @@
 func (sim *simulation) startHost(id types.Host, dc types.DataCentre) {
 	h := sim.hosts[id]
 	if h == nil {
-		h = &hostSim{id: id, dc: dc}
+		h = &hostSim{id: id, dc: dc, workspaceRules: catalog.WorkspaceRules, counters: map[string]int{}}
 		sim.hosts[id] = h
 	}
 	h.incarnation++
@@ -231,9 +234,9 @@
 	h.alive, h.exited, h.suspended = true, false, false
 	h.conns, h.delayed = map[uint64]*connSim{}, nil
 	h.machine = proxy.New(proxy.Settings{
-		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, Memory: h.memory, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
+		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, RemotePrice: h.remotePrice, Memory: h.memory, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
@@ -355,6 +358,21 @@
 	}
 }
 
+// recordLog keeps a host's log line.
+func (sim *simulation) recordLog(h *hostSim, e proxy.Log) {
+	h.logs = append(h.logs, e)
+	if sim.verbose && e.Event != "request" && e.Event != "statement ended without an answer" && e.Level > proxy.Debug {
+		fmt.Printf("%8.4f %s %s %v\n", sim.now.Sub(simulationStart).Seconds(), h.id, e.Event, e.Fields)
+	}
+}
+
+// recordMetric counts the increments of a host's counters.
+func (h *hostSim) recordMetric(e proxy.Metric) {
+	if e.Sample == 0 {
+		h.counters[e.Name]++
+	}
+}
+
 // applyEffect carries out one effect.
 func (sim *simulation) applyEffect(h *hostSim, e proxy.Effect) {
 	switch e := e.(type) {
@@ -382,16 +400,15 @@
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, AuthorityRules: lead.AuthorityRules, WorkspaceRules: catalog.WorkspaceRules}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
 		sim.killHost(h.id)
 	case proxy.Log:
-		h.logs = append(h.logs, e)
-		if sim.verbose && e.Event != "request" && e.Event != "statement ended without an answer" && e.Level > proxy.Debug {
-			fmt.Printf("%8.4f %s %s %v\n", sim.now.Sub(simulationStart).Seconds(), h.id, e.Event, e.Fields)
-		}
+		sim.recordLog(h, e)
+	case proxy.Metric:
+		h.recordMetric(e)
 	case proxy.CallerReady, proxy.CallerReply, proxy.CallerDrain, proxy.CallerResume, proxy.CallerClose:
 		sim.callers.handleEffect(h, e)
 	}
