--- a/core/proxy/identity_test.go
+++ b/core/proxy/identity_test.go
@@ -14,11 +14,11 @@
 	"baobabfield.example/core/types"
 )
 
-// startSession starts a session at a host's machine and returns the code with which it was
+// startSession starts a session at the machine of h-a0 and returns the code with which it was
 // refused; CodeOK if it was accepted.
-func (sim *simulation) startSession(h types.Host, db types.Database, key string) statement.Code {
+func (sim *simulation) startSession(db types.Database, key string) statement.Code {
 	const probeSession = proxy.SessionID(1 << 40)
-	m := sim.hosts[h].machine
+	m := sim.hosts["h-a0"].machine
 	var code statement.Code
 	for _, e := range m.Step(sim.now, proxy.CallerStarted{Session: probeSession, Database: db, Key: key}) {
 		if closed, ok := e.(proxy.CallerClose); ok {
@@ -56,10 +56,10 @@
 	is := is.New(t)
 	sim := newSimulation(t, 61, 2)
 	sim.runFor(2 * time.Second)
-	is.Equal(sim.startSession("h-a0", "new-db", ""), statement.CodeNoDatabase)
+	is.Equal(sim.startSession("new-db", ""), statement.CodeNoDatabase)
 	sim.cutOff("h-a0")
 	sim.runFor(maxConfigDelay)
-	is.Equal(sim.startSession("h-a0", "new-db", ""), statement.CodeBusy)
+	is.Equal(sim.startSession("new-db", ""), statement.CodeBusy)
 }
 
 // Guards against a new process that denies what its first list, which may be old, does not hold.
@@ -71,8 +71,8 @@
 	sim.storeCut["h-a0"] = false
 	sim.startHost("h-a0", "a")
 	sim.runFor(100 * time.Millisecond) // the first lists are there, no read was requested yet
-	is.Equal(sim.startSession("h-a0", "primary-db", ""), statement.CodeOK)
-	is.Equal(sim.startSession("h-a0", "new-db", ""), statement.CodeBusy)
+	is.Equal(sim.startSession("primary-db", ""), statement.CodeOK)
+	is.Equal(sim.startSession("new-db", ""), statement.CodeBusy)
 }
 
 // Guards against statements on the connection of another workspace: the simulation compares the
@@ -98,9 +98,9 @@
 func TestUnknownKeyIsRefused(t *testing.T) {
 	is := is.New(t)
 	sim := newWorkspaceSimulation(t, 64)
-	is.Equal(sim.startSession("h-a0", "own-db", "key-n1"), statement.CodeOK)
-	is.Equal(sim.startSession("h-a0", "own-db", "key-x"), statement.CodeAuthFailed)
-	is.Equal(sim.startSession("h-a0", "own-db", ""), statement.CodeAuthFailed)
+	is.Equal(sim.startSession("own-db", "key-n1"), statement.CodeOK)
+	is.Equal(sim.startSession("own-db", "key-x"), statement.CodeAuthFailed)
+	is.Equal(sim.startSession("own-db", ""), statement.CodeAuthFailed)
 }
 
 // Guards against a session that goes on after its key was withdrawn, in all states that it can be
@@ -177,7 +177,7 @@
 	sim.storeCut["h-a0"] = true
 	sim.runFor(time.Second)
 	is.True(!sim.hosts["h-a0"].machine.Ready())
-	is.Equal(sim.startSession("h-a0", "own-db", "key-n1"), statement.CodeBusy)
+	is.Equal(sim.startSession("own-db", "key-n1"), statement.CodeBusy)
 }
 
 // Guards against an earlier build that does not keep workspaces apart: it sends no workspace, and
