--- a/api/host/oas_client_gen.go
+++ b/api/host/oas_client_gen.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+	"github.com/ogen-go/ogen/conv"
 	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/uri"
 )
@@ -20,6 +21,12 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// ExplainRequest invokes explainRequest operation.
+	//
+	// Where this host would send a request now, and why. Nothing is sent.
+	//
+	// GET /explain
+	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*Explanation, error)
 	// GetBeliefs invokes getBeliefs operation.
 	//
 	// The host's current view of the cluster, with the age and the version of its data.
@@ -67,6 +74,100 @@
 	return u
 }
 
+// ExplainRequest invokes explainRequest operation.
+//
+// Where this host would send a request now, and why. Nothing is sent.
+//
+// GET /explain
+func (c *Client) ExplainRequest(ctx context.Context, params ExplainRequestParams) (*Explanation, error) {
+	res, err := c.sendExplainRequest(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendExplainRequest(ctx context.Context, params ExplainRequestParams) (res *Explanation, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/explain"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "database" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "database",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			return e.EncodeValue(conv.StringToString(params.Database))
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "workspace" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "workspace",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Workspace.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	{
+		// Encode "writes" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "writes",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Writes.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeExplainRequestResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetBeliefs invokes getBeliefs operation.
 //
 // The host's current view of the cluster, with the age and the version of its data.
--- a/api/host/oas_handlers_gen.go
+++ b/api/host/oas_handlers_gen.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	ht "github.com/ogen-go/ogen/http"
 	"github.com/ogen-go/ogen/middleware"
+	"github.com/ogen-go/ogen/ogenerrors"
 )
 
 type codeRecorder struct {
@@ -27,6 +28,109 @@
 
 func recordError(string, error) {}
 
+// handleExplainRequestRequest handles explainRequest operation.
+//
+// Where this host would send a request now, and why. Nothing is sent.
+//
+// GET /explain
+func (s *Server) handleExplainRequestRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ExplainRequestOperation,
+			ID:   "explainRequest",
+		}
+	)
+	params, err := decodeExplainRequestParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Explanation
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ExplainRequestOperation,
+			OperationSummary: "",
+			OperationID:      "explainRequest",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "database",
+					In:   "query",
+				}: params.Database,
+				{
+					Name: "workspace",
+					In:   "query",
+				}: params.Workspace,
+				{
+					Name: "writes",
+					In:   "query",
+				}: params.Writes,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ExplainRequestParams
+			Response = *Explanation
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackExplainRequestParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ExplainRequest(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ExplainRequest(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ErrorStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeExplainRequestResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetBeliefsRequest handles getBeliefs operation.
 //
 // The host's current view of the cluster, with the age and the version of its data.
--- a/api/host/oas_json_gen.go
+++ b/api/host/oas_json_gen.go
@@ -290,6 +290,273 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Candidate) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Candidate) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("dataCentre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("owner")
+		e.Str(s.Owner)
+	}
+	{
+		e.FieldStart("primary")
+		e.Bool(s.Primary)
+	}
+	{
+		e.FieldStart("ruledOut")
+		e.Str(s.RuledOut)
+	}
+	{
+		e.FieldStart("cost")
+		json.EncodeDuration(e, s.Cost)
+	}
+	{
+		e.FieldStart("faultCost")
+		json.EncodeDuration(e, s.FaultCost)
+	}
+	{
+		e.FieldStart("preference")
+		json.EncodeDuration(e, s.Preference)
+	}
+	{
+		e.FieldStart("inFlight")
+		e.Int(s.InFlight)
+	}
+	{
+		e.FieldStart("load")
+		e.Int(s.Load)
+	}
+	{
+		e.FieldStart("serviceTime")
+		json.EncodeDuration(e, s.ServiceTime)
+	}
+}
+
+var jsonFieldsNameOfCandidate = [11]string{
+	0:  "endpoint",
+	1:  "dataCentre",
+	2:  "owner",
+	3:  "primary",
+	4:  "ruledOut",
+	5:  "cost",
+	6:  "faultCost",
+	7:  "preference",
+	8:  "inFlight",
+	9:  "load",
+	10: "serviceTime",
+}
+
+// Decode decodes Candidate from json.
+func (s *Candidate) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Candidate to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "endpoint":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "dataCentre":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dataCentre\"")
+			}
+		case "owner":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Owner = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"owner\"")
+			}
+		case "primary":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Bool()
+				s.Primary = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"primary\"")
+			}
+		case "ruledOut":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.RuledOut = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ruledOut\"")
+			}
+		case "cost":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.Cost = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cost\"")
+			}
+		case "faultCost":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.FaultCost = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"faultCost\"")
+			}
+		case "preference":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.Preference = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"preference\"")
+			}
+		case "inFlight":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int()
+				s.InFlight = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"inFlight\"")
+			}
+		case "load":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int()
+				s.Load = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"load\"")
+			}
+		case "serviceTime":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.ServiceTime = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"serviceTime\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Candidate")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfCandidate) {
+					name = jsonFieldsNameOfCandidate[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Candidate) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Candidate) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Configuration) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1009,40 +1276,368 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *Host) Encode(e *jx.Encoder) {
+func (s *Explanation) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Host) encodeFields(e *jx.Encoder) {
+func (s *Explanation) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("id")
-		e.Str(s.ID)
+		e.FieldStart("host")
+		e.Str(s.Host)
 	}
 	{
 		e.FieldStart("dataCentre")
 		e.Str(s.DataCentre)
 	}
 	{
-		e.FieldStart("address")
-		e.Str(s.Address)
+		e.FieldStart("refused")
+		e.Str(s.Refused)
 	}
 	{
-		e.FieldStart("usable")
-		e.Bool(s.Usable)
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("consistency")
+		e.Str(s.Consistency)
+	}
+	{
+		e.FieldStart("rank")
+		e.Int(s.Rank)
+	}
+	{
+		e.FieldStart("objective")
+		json.EncodeDuration(e, s.Objective)
+	}
+	{
+		e.FieldStart("needsPrimary")
+		e.Bool(s.NeedsPrimary)
+	}
+	{
+		e.FieldStart("endpoint")
+		e.Str(s.Endpoint)
+	}
+	{
+		e.FieldStart("owner")
+		e.Str(s.Owner)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+	{
+		e.FieldStart("share")
+		e.Float64(s.Share)
+	}
+	{
+		e.FieldStart("candidates")
+		e.ArrStart()
+		for _, elem := range s.Candidates {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+	{
+		if s.Limit.Set {
+			e.FieldStart("limit")
+			s.Limit.Encode(e)
+		}
 	}
 }
 
-var jsonFieldsNameOfHost = [4]string{
-	0: "id",
-	1: "dataCentre",
-	2: "address",
-	3: "usable",
+var jsonFieldsNameOfExplanation = [14]string{
+	0:  "host",
+	1:  "dataCentre",
+	2:  "refused",
+	3:  "service",
+	4:  "consistency",
+	5:  "rank",
+	6:  "objective",
+	7:  "needsPrimary",
+	8:  "endpoint",
+	9:  "owner",
+	10: "reason",
+	11: "share",
+	12: "candidates",
+	13: "limit",
 }
 
-// Decode decodes Host from json.
+// Decode decodes Explanation from json.
+func (s *Explanation) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Explanation to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "host":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Host = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"host\"")
+			}
+		case "dataCentre":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.DataCentre = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"dataCentre\"")
+			}
+		case "refused":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Refused = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"refused\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "consistency":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Consistency = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"consistency\"")
+			}
+		case "rank":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int()
+				s.Rank = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rank\"")
+			}
+		case "objective":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.Objective = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"objective\"")
+			}
+		case "needsPrimary":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Bool()
+				s.NeedsPrimary = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"needsPrimary\"")
+			}
+		case "endpoint":
+			requiredBitSet[1] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Endpoint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"endpoint\"")
+			}
+		case "owner":
+			requiredBitSet[1] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Owner = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"owner\"")
+			}
+		case "reason":
+			requiredBitSet[1] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		case "share":
+			requiredBitSet[1] |= 1 << 3
+			if err := func() error {
+				v, err := d.Float64()
+				s.Share = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"share\"")
+			}
+		case "candidates":
+			requiredBitSet[1] |= 1 << 4
+			if err := func() error {
+				s.Candidates = make([]Candidate, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Candidate
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Candidates = append(s.Candidates, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"candidates\"")
+			}
+		case "limit":
+			if err := func() error {
+				s.Limit.Reset()
+				if err := s.Limit.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"limit\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Explanation")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [2]uint8{
+		0b11111111,
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfExplanation) {
+					name = jsonFieldsNameOfExplanation[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Explanation) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Explanation) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Host) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Host) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("id")
+		e.Str(s.ID)
+	}
+	{
+		e.FieldStart("dataCentre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("address")
+		e.Str(s.Address)
+	}
+	{
+		e.FieldStart("usable")
+		e.Bool(s.Usable)
+	}
+}
+
+var jsonFieldsNameOfHost = [4]string{
+	0: "id",
+	1: "dataCentre",
+	2: "address",
+	3: "usable",
+}
+
+// Decode decodes Host from json.
 func (s *Host) Decode(d *jx.Decoder) error {
 	if s == nil {
 		return errors.New("invalid: unable to decode Host to nil")
@@ -1285,6 +1880,39 @@
 	return s.Decode(d)
 }
 
+// Encode encodes WorkspaceLimit as json.
+func (o OptWorkspaceLimit) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	o.Value.Encode(e)
+}
+
+// Decode decodes WorkspaceLimit from json.
+func (o *OptWorkspaceLimit) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptWorkspaceLimit to nil")
+	}
+	o.Set = true
+	if err := o.Value.Decode(d); err != nil {
+		return err
+	}
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptWorkspaceLimit) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptWorkspaceLimit) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Service) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -1475,3 +2103,167 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *WorkspaceLimit) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WorkspaceLimit) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("rate")
+		e.Float64(s.Rate)
+	}
+	{
+		e.FieldStart("tokens")
+		e.Float64(s.Tokens)
+	}
+	{
+		e.FieldStart("grant")
+		e.Float64(s.Grant)
+	}
+	{
+		e.FieldStart("grantAge")
+		json.EncodeDuration(e, s.GrantAge)
+	}
+	{
+		e.FieldStart("keeper")
+		e.Str(s.Keeper)
+	}
+}
+
+var jsonFieldsNameOfWorkspaceLimit = [5]string{
+	0: "rate",
+	1: "tokens",
+	2: "grant",
+	3: "grantAge",
+	4: "keeper",
+}
+
+// Decode decodes WorkspaceLimit from json.
+func (s *WorkspaceLimit) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WorkspaceLimit to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "rate":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Float64()
+				s.Rate = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"rate\"")
+			}
+		case "tokens":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Float64()
+				s.Tokens = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"tokens\"")
+			}
+		case "grant":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Float64()
+				s.Grant = float64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"grant\"")
+			}
+		case "grantAge":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := json.DecodeDuration(d)
+				s.GrantAge = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"grantAge\"")
+			}
+		case "keeper":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Str()
+				s.Keeper = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"keeper\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WorkspaceLimit")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWorkspaceLimit) {
+					name = jsonFieldsNameOfWorkspaceLimit[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WorkspaceLimit) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WorkspaceLimit) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/api/host/oas_operations_gen.go
+++ b/api/host/oas_operations_gen.go
@@ -6,5 +6,6 @@
 type OperationName = string
 
 const (
-	GetBeliefsOperation OperationName = "GetBeliefs"
+	ExplainRequestOperation OperationName = "ExplainRequest"
+	GetBeliefsOperation     OperationName = "GetBeliefs"
 )
--- a/api/host/oas_response_decoders_gen.go
+++ b/api/host/oas_response_decoders_gen.go
@@ -13,6 +13,98 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func decodeExplainRequestResponse(resp *http.Response) (res *Explanation, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Explanation
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ErrorStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Error
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ErrorStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetBeliefsResponse(resp *http.Response) (res *Beliefs, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/host/oas_response_encoders_gen.go
+++ b/api/host/oas_response_encoders_gen.go
@@ -10,6 +10,27 @@
 	ht "github.com/ogen-go/ogen/http"
 )
 
+func encodeExplainRequestResponse(response *Explanation, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetBeliefsResponse(response *Beliefs, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/api/host/oas_router_gen.go
+++ b/api/host/oas_router_gen.go
@@ -48,29 +48,68 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/beliefs"
+		case '/': // Prefix: "/"
 
-			if l := len("/beliefs"); len(elem) >= l && elem[0:l] == "/beliefs" {
+			if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 				elem = elem[l:]
 			} else {
 				break
 			}
 
 			if len(elem) == 0 {
-				// Leaf node.
-				switch r.Method {
-				case "GET":
-					s.handleGetBeliefsRequest([0]string{}, elemIsEscaped, w, r)
-				default:
-					s.notAllowed(w, r, notAllowedParams{
-						allowedMethods: "GET",
-						allowedHeaders: nil,
-						acceptPost:     "",
-						acceptPatch:    "",
-					})
+				break
+			}
+			switch elem[0] {
+			case 'b': // Prefix: "beliefs"
+
+				if l := len("beliefs"); len(elem) >= l && elem[0:l] == "beliefs" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleGetBeliefsRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
+			case 'e': // Prefix: "explain"
+
+				if l := len("explain"); len(elem) >= l && elem[0:l] == "explain" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleExplainRequestRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
 				}
 
-				return
 			}
 
 		}
@@ -159,29 +198,68 @@
 			break
 		}
 		switch elem[0] {
-		case '/': // Prefix: "/beliefs"
+		case '/': // Prefix: "/"
 
-			if l := len("/beliefs"); len(elem) >= l && elem[0:l] == "/beliefs" {
+			if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 				elem = elem[l:]
 			} else {
 				break
 			}
 
 			if len(elem) == 0 {
-				// Leaf node.
-				switch method {
-				case "GET":
-					r.name = GetBeliefsOperation
-					r.summary = ""
-					r.operationID = "getBeliefs"
-					r.operationGroup = ""
-					r.pathPattern = "/beliefs"
-					r.args = args
-					r.count = 0
-					return r, true
-				default:
-					return
+				break
+			}
+			switch elem[0] {
+			case 'b': // Prefix: "beliefs"
+
+				if l := len("beliefs"); len(elem) >= l && elem[0:l] == "beliefs" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = GetBeliefsOperation
+						r.summary = ""
+						r.operationID = "getBeliefs"
+						r.operationGroup = ""
+						r.pathPattern = "/beliefs"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
 				}
+
+			case 'e': // Prefix: "explain"
+
+				if l := len("explain"); len(elem) >= l && elem[0:l] == "explain" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ExplainRequestOperation
+						r.summary = ""
+						r.operationID = "explainRequest"
+						r.operationGroup = ""
+						r.pathPattern = "/explain"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			}
 
 		}
--- a/api/host/oas_schemas_gen.go
+++ b/api/host/oas_schemas_gen.go
@@ -129,6 +129,138 @@
 	s.Hosts = val
 }
 
+// Ref: #/components/schemas/Candidate
+type Candidate struct {
+	Endpoint   string `json:"endpoint"`
+	DataCentre string `json:"dataCentre"`
+	Owner      string `json:"owner"`
+	Primary    bool   `json:"primary"`
+	// Why the endpoint may not serve the request; empty if it may.
+	RuledOut string `json:"ruledOut"`
+	// The expected time and the price of the link, as waiting time.
+	Cost time.Duration `json:"cost"`
+	// The part of the cost that is due to recent faults.
+	FaultCost time.Duration `json:"faultCost"`
+	// The further cost of an endpoint that the workspace does not prefer.
+	Preference time.Duration `json:"preference"`
+	// This host's requests at the endpoint.
+	InFlight int `json:"inFlight"`
+	// The requests that wait or run at the endpoint, as far as known.
+	Load int `json:"load"`
+	// The mean of recent reads; 0 if there are none.
+	ServiceTime time.Duration `json:"serviceTime"`
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Candidate) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *Candidate) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetOwner returns the value of Owner.
+func (s *Candidate) GetOwner() string {
+	return s.Owner
+}
+
+// GetPrimary returns the value of Primary.
+func (s *Candidate) GetPrimary() bool {
+	return s.Primary
+}
+
+// GetRuledOut returns the value of RuledOut.
+func (s *Candidate) GetRuledOut() string {
+	return s.RuledOut
+}
+
+// GetCost returns the value of Cost.
+func (s *Candidate) GetCost() time.Duration {
+	return s.Cost
+}
+
+// GetFaultCost returns the value of FaultCost.
+func (s *Candidate) GetFaultCost() time.Duration {
+	return s.FaultCost
+}
+
+// GetPreference returns the value of Preference.
+func (s *Candidate) GetPreference() time.Duration {
+	return s.Preference
+}
+
+// GetInFlight returns the value of InFlight.
+func (s *Candidate) GetInFlight() int {
+	return s.InFlight
+}
+
+// GetLoad returns the value of Load.
+func (s *Candidate) GetLoad() int {
+	return s.Load
+}
+
+// GetServiceTime returns the value of ServiceTime.
+func (s *Candidate) GetServiceTime() time.Duration {
+	return s.ServiceTime
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Candidate) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *Candidate) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetOwner sets the value of Owner.
+func (s *Candidate) SetOwner(val string) {
+	s.Owner = val
+}
+
+// SetPrimary sets the value of Primary.
+func (s *Candidate) SetPrimary(val bool) {
+	s.Primary = val
+}
+
+// SetRuledOut sets the value of RuledOut.
+func (s *Candidate) SetRuledOut(val string) {
+	s.RuledOut = val
+}
+
+// SetCost sets the value of Cost.
+func (s *Candidate) SetCost(val time.Duration) {
+	s.Cost = val
+}
+
+// SetFaultCost sets the value of FaultCost.
+func (s *Candidate) SetFaultCost(val time.Duration) {
+	s.FaultCost = val
+}
+
+// SetPreference sets the value of Preference.
+func (s *Candidate) SetPreference(val time.Duration) {
+	s.Preference = val
+}
+
+// SetInFlight sets the value of InFlight.
+func (s *Candidate) SetInFlight(val int) {
+	s.InFlight = val
+}
+
+// SetLoad sets the value of Load.
+func (s *Candidate) SetLoad(val int) {
+	s.Load = val
+}
+
+// SetServiceTime sets the value of ServiceTime.
+func (s *Candidate) SetServiceTime(val time.Duration) {
+	s.ServiceTime = val
+}
+
 // Ref: #/components/schemas/Configuration
 type Configuration struct {
 	Version uint64          `json:"version"`
@@ -430,6 +562,169 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/Explanation
+type Explanation struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"dataCentre"`
+	// Why the request would be refused at once or wait; empty if it would be sent.
+	Refused      string        `json:"refused"`
+	Service      string        `json:"service"`
+	Consistency  string        `json:"consistency"`
+	Rank         int           `json:"rank"`
+	Objective    time.Duration `json:"objective"`
+	NeedsPrimary bool          `json:"needsPrimary"`
+	// The endpoint that the request would be sent to; empty for none.
+	Endpoint string `json:"endpoint"`
+	// The host that runs the statements of the endpoint.
+	Owner string `json:"owner"`
+	// For a read, why it leaves the data centre. One of: home, wait, fault, no endpoint, preference.
+	Reason string `json:"reason"`
+	// The part of the route's reads that leave the data centre, from 0 to 1.
+	Share      float64           `json:"share"`
+	Candidates []Candidate       `json:"candidates"`
+	Limit      OptWorkspaceLimit `json:"limit"`
+}
+
+// GetHost returns the value of Host.
+func (s *Explanation) GetHost() string {
+	return s.Host
+}
+
+// GetDataCentre returns the value of DataCentre.
+func (s *Explanation) GetDataCentre() string {
+	return s.DataCentre
+}
+
+// GetRefused returns the value of Refused.
+func (s *Explanation) GetRefused() string {
+	return s.Refused
+}
+
+// GetService returns the value of Service.
+func (s *Explanation) GetService() string {
+	return s.Service
+}
+
+// GetConsistency returns the value of Consistency.
+func (s *Explanation) GetConsistency() string {
+	return s.Consistency
+}
+
+// GetRank returns the value of Rank.
+func (s *Explanation) GetRank() int {
+	return s.Rank
+}
+
+// GetObjective returns the value of Objective.
+func (s *Explanation) GetObjective() time.Duration {
+	return s.Objective
+}
+
+// GetNeedsPrimary returns the value of NeedsPrimary.
+func (s *Explanation) GetNeedsPrimary() bool {
+	return s.NeedsPrimary
+}
+
+// GetEndpoint returns the value of Endpoint.
+func (s *Explanation) GetEndpoint() string {
+	return s.Endpoint
+}
+
+// GetOwner returns the value of Owner.
+func (s *Explanation) GetOwner() string {
+	return s.Owner
+}
+
+// GetReason returns the value of Reason.
+func (s *Explanation) GetReason() string {
+	return s.Reason
+}
+
+// GetShare returns the value of Share.
+func (s *Explanation) GetShare() float64 {
+	return s.Share
+}
+
+// GetCandidates returns the value of Candidates.
+func (s *Explanation) GetCandidates() []Candidate {
+	return s.Candidates
+}
+
+// GetLimit returns the value of Limit.
+func (s *Explanation) GetLimit() OptWorkspaceLimit {
+	return s.Limit
+}
+
+// SetHost sets the value of Host.
+func (s *Explanation) SetHost(val string) {
+	s.Host = val
+}
+
+// SetDataCentre sets the value of DataCentre.
+func (s *Explanation) SetDataCentre(val string) {
+	s.DataCentre = val
+}
+
+// SetRefused sets the value of Refused.
+func (s *Explanation) SetRefused(val string) {
+	s.Refused = val
+}
+
+// SetService sets the value of Service.
+func (s *Explanation) SetService(val string) {
+	s.Service = val
+}
+
+// SetConsistency sets the value of Consistency.
+func (s *Explanation) SetConsistency(val string) {
+	s.Consistency = val
+}
+
+// SetRank sets the value of Rank.
+func (s *Explanation) SetRank(val int) {
+	s.Rank = val
+}
+
+// SetObjective sets the value of Objective.
+func (s *Explanation) SetObjective(val time.Duration) {
+	s.Objective = val
+}
+
+// SetNeedsPrimary sets the value of NeedsPrimary.
+func (s *Explanation) SetNeedsPrimary(val bool) {
+	s.NeedsPrimary = val
+}
+
+// SetEndpoint sets the value of Endpoint.
+func (s *Explanation) SetEndpoint(val string) {
+	s.Endpoint = val
+}
+
+// SetOwner sets the value of Owner.
+func (s *Explanation) SetOwner(val string) {
+	s.Owner = val
+}
+
+// SetReason sets the value of Reason.
+func (s *Explanation) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetShare sets the value of Share.
+func (s *Explanation) SetShare(val float64) {
+	s.Share = val
+}
+
+// SetCandidates sets the value of Candidates.
+func (s *Explanation) SetCandidates(val []Candidate) {
+	s.Candidates = val
+}
+
+// SetLimit sets the value of Limit.
+func (s *Explanation) SetLimit(val OptWorkspaceLimit) {
+	s.Limit = val
+}
+
 // Ref: #/components/schemas/Host
 type Host struct {
 	ID         string `json:"id"`
@@ -518,6 +813,144 @@
 	s.Age = val
 }
 
+// NewOptBool returns new OptBool with value set to v.
+func NewOptBool(v bool) OptBool {
+	return OptBool{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBool is optional bool.
+type OptBool struct {
+	Value bool
+	Set   bool
+}
+
+// IsSet returns true if OptBool was set.
+func (o OptBool) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBool) Reset() {
+	var v bool
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBool) SetTo(v bool) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBool) Get() (v bool, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBool) Or(d bool) bool {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
+// NewOptString returns new OptString with value set to v.
+func NewOptString(v string) OptString {
+	return OptString{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptString is optional string.
+type OptString struct {
+	Value string
+	Set   bool
+}
+
+// IsSet returns true if OptString was set.
+func (o OptString) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptString) Reset() {
+	var v string
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptString) SetTo(v string) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptString) Get() (v string, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptString) Or(d string) string {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
+// NewOptWorkspaceLimit returns new OptWorkspaceLimit with value set to v.
+func NewOptWorkspaceLimit(v WorkspaceLimit) OptWorkspaceLimit {
+	return OptWorkspaceLimit{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptWorkspaceLimit is optional WorkspaceLimit.
+type OptWorkspaceLimit struct {
+	Value WorkspaceLimit
+	Set   bool
+}
+
+// IsSet returns true if OptWorkspaceLimit was set.
+func (o OptWorkspaceLimit) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptWorkspaceLimit) Reset() {
+	var v WorkspaceLimit
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptWorkspaceLimit) SetTo(v WorkspaceLimit) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptWorkspaceLimit) Get() (v WorkspaceLimit, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptWorkspaceLimit) Or(d WorkspaceLimit) WorkspaceLimit {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // Ref: #/components/schemas/Service
 type Service struct {
 	Name string `json:"name"`
@@ -591,3 +1024,68 @@
 func (s *Service) SetEndpoints(val []Endpoint) {
 	s.Endpoints = val
 }
+
+// The limit of the workspace as this host counts it, for the endpoints that it owns.
+// Ref: #/components/schemas/WorkspaceLimit
+type WorkspaceLimit struct {
+	// Operations per second over all hosts.
+	Rate float64 `json:"rate"`
+	// Operations that this host can admit at once.
+	Tokens float64 `json:"tokens"`
+	// The part of the rate that this host has, from 0 to 1.
+	Grant float64 `json:"grant"`
+	// The age of the grant; 0 for none.
+	GrantAge time.Duration `json:"grantAge"`
+	// The host that divides the limit between the hosts.
+	Keeper string `json:"keeper"`
+}
+
+// GetRate returns the value of Rate.
+func (s *WorkspaceLimit) GetRate() float64 {
+	return s.Rate
+}
+
+// GetTokens returns the value of Tokens.
+func (s *WorkspaceLimit) GetTokens() float64 {
+	return s.Tokens
+}
+
+// GetGrant returns the value of Grant.
+func (s *WorkspaceLimit) GetGrant() float64 {
+	return s.Grant
+}
+
+// GetGrantAge returns the value of GrantAge.
+func (s *WorkspaceLimit) GetGrantAge() time.Duration {
+	return s.GrantAge
+}
+
+// GetKeeper returns the value of Keeper.
+func (s *WorkspaceLimit) GetKeeper() string {
+	return s.Keeper
+}
+
+// SetRate sets the value of Rate.
+func (s *WorkspaceLimit) SetRate(val float64) {
+	s.Rate = val
+}
+
+// SetTokens sets the value of Tokens.
+func (s *WorkspaceLimit) SetTokens(val float64) {
+	s.Tokens = val
+}
+
+// SetGrant sets the value of Grant.
+func (s *WorkspaceLimit) SetGrant(val float64) {
+	s.Grant = val
+}
+
+// SetGrantAge sets the value of GrantAge.
+func (s *WorkspaceLimit) SetGrantAge(val time.Duration) {
+	s.GrantAge = val
+}
+
+// SetKeeper sets the value of Keeper.
+func (s *WorkspaceLimit) SetKeeper(val string) {
+	s.Keeper = val
+}
--- a/api/host/oas_server_gen.go
+++ b/api/host/oas_server_gen.go
@@ -8,6 +8,12 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// ExplainRequest implements explainRequest operation.
+	//
+	// Where this host would send a request now, and why. Nothing is sent.
+	//
+	// GET /explain
+	ExplainRequest(ctx context.Context, params ExplainRequestParams) (*Explanation, error)
 	// GetBeliefs implements getBeliefs operation.
 	//
 	// The host's current view of the cluster, with the age and the version of its data.
--- a/api/host/oas_validators_gen.go
+++ b/api/host/oas_validators_gen.go
@@ -105,6 +105,58 @@
 	return nil
 }
 
+func (s *Explanation) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Share)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "share",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if s.Candidates == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "candidates",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if value, ok := s.Limit.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "limit",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Service) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -127,3 +179,48 @@
 	}
 	return nil
 }
+
+func (s *WorkspaceLimit) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Rate)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "rate",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Tokens)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "tokens",
+			Error: err,
+		})
+	}
+	if err := func() error {
+		if err := (validate.Float{}).Validate(float64(s.Grant)); err != nil {
+			return errors.Wrap(err, "float")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "grant",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/cmd/baobabctl/beliefs_test.go
+++ b/cmd/baobabctl/beliefs_test.go
@@ -14,8 +14,11 @@
 	api "baobabfield.example/api/host"
 )
 
-// fakeHost responds with a fixed debug state, or with an error if it has none.
-type fakeHost struct{ state *api.Beliefs }
+// fakeHost responds with a fixed debug state or explanation, or with an error if it has none.
+type fakeHost struct {
+	state       *api.Beliefs
+	explanation *api.Explanation
+}
 
 func (f fakeHost) GetBeliefs(context.Context) (*api.Beliefs, error) {
 	if f.state == nil {
@@ -24,6 +27,13 @@
 	return f.state, nil
 }
 
+func (f fakeHost) ExplainRequest(context.Context, api.ExplainRequestParams) (*api.Explanation, error) {
+	if f.explanation == nil {
+		return nil, errors.New("host is stopping")
+	}
+	return f.explanation, nil
+}
+
 func (f fakeHost) NewError(_ context.Context, err error) *api.ErrorStatusCode {
 	return &api.ErrorStatusCode{StatusCode: 503, Response: api.Error{Message: err.Error()}}
 }
@@ -31,6 +41,12 @@
 // runDebugState runs the beliefs command against a host and returns its exit code
 // and output.
 func runDebugState(t *testing.T, f fakeHost, args ...string) (int, string) {
+	t.Helper()
+	return runHostCommand(t, f, "beliefs", args...)
+}
+
+// runHostCommand runs a command whose first argument is the address of a host.
+func runHostCommand(t *testing.T, f fakeHost, command string, args ...string) (int, string) {
 	t.Helper()
 	handler, err := api.NewServer(f)
 	if err != nil {
@@ -39,7 +55,7 @@
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	var out bytes.Buffer
-	args = append([]string{"beliefs", strings.TrimPrefix(server.URL, "http://")}, args...)
+	args = append([]string{command, strings.TrimPrefix(server.URL, "http://")}, args...)
 	code := runCommandLine(context.Background(), args, &out, &out)
 	return code, out.String()
 }
--- a/cmd/baobabctl/main.go
+++ b/cmd/baobabctl/main.go
@@ -29,6 +29,7 @@
 	Rollout     RolloutCmd     `cmd:"" help:"Show the configuration in force on each host."`
 	Retirements RetirementsCmd `cmd:"" help:"Show what is being retired, and who still uses it."`
 	Status      StatusCmd      `cmd:"" help:"Show the state of one host."`
+	Explain     ExplainCmd     `cmd:"" help:"Show where one host on the users' platform would send a request now, and why. Nothing is sent."`
 	DebugState  DebugStateCmd  `cmd:"" name:"beliefs" help:"Show the debug state of one host on the users' platform, by its metrics address."`
 	Timeline    TimelineCmd    `cmd:"" help:"Show the time line: the events of all hosts."`
 	Services    ServicesCmd    `cmd:"" help:"List the services in force."`
--- a/node/gateway/debugstate.go
+++ b/node/gateway/debugstate.go
@@ -20,7 +20,7 @@
 type hostAPIServer struct{ g *Gateway }
 
 // newDiagnosticsHandler returns a handler that serves the host API at /beliefs and
-// the metrics at every other path.
+// /explain, and the metrics at every other path.
 func (g *Gateway) newDiagnosticsHandler() (http.Handler, error) {
 	apiServer, err := api.NewServer(hostAPIServer{g: g})
 	if err != nil {
@@ -28,6 +28,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/beliefs", apiServer)
+	mux.Handle("/explain", apiServer)
 	mux.HandleFunc("/", serveMetrics)
 	return mux, nil
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -233,6 +233,8 @@
 		m.reply <- g.machine.Ready()
 	case debugStateRequest:
 		g.replyDebugState(m)
+	case explainRequest:
+		g.replyExplanation(m)
 	case endpointReply:
 		g.stepMachine(ctx, g.decodeEndpointReply(m))
 	case linkEnded:
