core/proxy: a drained session whose key was withdrawn is closed once

The reply to its last statement closed the session, and authenticateOperation closed it again. The memory of the session was subtracted twice, so that the limit for all sessions grew with each such session. TestWithdrawnKeyClosesDrainedSessionOnce failed before.

--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -72,7 +72,9 @@
 		s.backlog = nil
 		m.incrementCounter("baobab_auth_failed_total")
 		m.replyError(s, statement.CodeAuthFailed, "the key is not known")
-		m.closeSession(s, statement.CodeOK, "")
+		if m.sessions[s.id] == s { // the reply closes a drained session
+			m.closeSession(s, statement.CodeOK, "")
+		}
 		return false
 	}
 	s.workspace = w
