core/proxy: the key is checked again before each attempt and after BEGIN

A statement that waited for a primary was sent after its key had been withdrawn, up to its timeout later, or for the workspace that had lost the key to another. The first statement of a transaction that was begun before the configuration had workspaces was sent without one, and refused as if the endpoint could not be reached. The three tests added failed before.

--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -121,6 +121,9 @@
 	m.assignID(r)
 	r.deferredAt, r.unsettledSince = 0, 0
 	if !r.continuesTx {
+		if !m.authenticateAttempt(r) {
+			return
+		}
 		if reason := m.selectEndpoint(r); reason != types.ReasonNone {
 			m.retryOrRefuse(r, reason)
 			return
--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -81,6 +81,34 @@
 	return true
 }
 
+// authenticateAttempt checks the caller's key again before a statement is sent that does not continue
+// a transaction at an endpoint. The configuration may have changed since BEGIN, or while the
+// statement waited, which takes up to its timeout. It refuses the statement and closes the session
+// if the key was withdrawn.
+func (m *Machine) authenticateAttempt(r *request) bool {
+	s := r.session
+	route, ok := m.catalog.Route(s.database)
+	if !ok {
+		route = r.route
+	}
+	w, ok := m.authenticate(s.key, &route)
+	if !ok {
+		m.logRefusedSession(s.database, "key withdrawn")
+		m.incrementCounter("baobab_auth_failed_total")
+		s.tx, s.backlog = nil, nil
+		m.finishRequest(r, statement.Reply{Code: statement.CodeAuthFailed, Text: "the key is not known"})
+		if m.sessions[s.id] == s { // the reply closes a drained session
+			m.closeSession(s, statement.CodeOK, "")
+		}
+		return false
+	}
+	s.workspace, r.route.Public = w, route.Public
+	if r.opensTx {
+		s.tx.route.Public = route.Public
+	}
+	return true
+}
+
 func (m *Machine) logRefusedSession(db types.Database, reason string) {
 	m.log(Info, "session refused", append([]Field{
 		field("database", db), field("reason", reason), field("config", m.catalog.ConfigVersion()),
--- a/core/proxy/identity_order_test.go
+++ b/core/proxy/identity_order_test.go
@@ -13,8 +13,9 @@
 	"baobabfield.example/core/types"
 )
 
-// identityFixture is a machine whose events the test orders itself. Its configuration has the two
-// workspaces of twoWorkspaces.
+// identityFixture is the machine of h-b0, whose events the test orders itself. Its configuration has
+// the two workspaces of twoWorkspaces. The owner of the primary is another host, which receives
+// none of its statements.
 type identityFixture struct {
 	*is.I
 	sim     *simulation
@@ -25,16 +26,18 @@
 
 func newIdentityFixture(t *testing.T, seed uint64) *identityFixture {
 	sim := newWorkspaceSimulation(t, seed)
-	return &identityFixture{I: is.New(t), sim: sim, machine: sim.hosts["h-a0"].machine}
+	return &identityFixture{I: is.New(t), sim: sim, machine: sim.hosts["h-b0"].machine}
 }
 
-// step applies an event, adds its effects to f.effects, and delivers them.
+// step applies an event and adds its effects to f.effects.
 func (f *identityFixture) step(ev proxy.Event) {
-	effects := f.machine.Step(f.sim.now, ev)
-	f.effects = append(f.effects, effects...)
-	for _, e := range effects {
-		f.sim.applyEffect(f.sim.hosts["h-a0"], e)
-	}
+	f.effects = append(f.effects, f.machine.Step(f.sim.now, ev)...)
+}
+
+// tickAfter advances the time of the machine alone.
+func (f *identityFixture) tickAfter(d time.Duration) {
+	f.sim.now = f.sim.now.Add(d)
+	f.step(proxy.Tick{})
 }
 
 // query sends a statement of session 9.
@@ -87,3 +90,72 @@
 	f.Equal(replies, []statement.Code{statement.CodeAuthFailed})
 	f.Equal(closed, 1)
 }
+
+// lastRequest returns the last statement that was sent to another host, and how many there were.
+func (f *identityFixture) lastRequest() (last proxy.ExecRequest, owner types.Host, sent int) {
+	for _, e := range f.effects {
+		if e, ok := e.(proxy.PeerSend); ok {
+			if req, ok := e.Message.(proxy.ExecRequest); ok {
+				last, owner = req, e.Host
+				sent++
+			}
+		}
+	}
+	return last, owner, sent
+}
+
+// deferLast answers the last statement such that it is sent again later.
+func (f *identityFixture) deferLast() {
+	last, owner, _ := f.lastRequest()
+	f.step(proxy.PeerMessage{From: owner, Message: proxy.ExecResult{ID: last.ID, Reason: types.ReasonNotPrimary}})
+}
+
+// Guards against a statement that waits for a primary and is sent after its key was withdrawn, in
+// and outside a transaction.
+func TestDeferredStatementOfWithdrawnKeyIsNotSent(t *testing.T) {
+	for _, begin := range []bool{false, true} {
+		f := newIdentityFixture(t, 72)
+		f.step(proxy.CallerStarted{Session: 9, Database: "own-db", Key: "key-s1"})
+		if begin {
+			f.query("x.1", "BEGIN")
+		}
+		f.query("x.2", "WRITE 1")
+		f.deferLast()
+		_, _, before := f.lastRequest()
+		f.Equal(before, 1)
+		f.configure(3, twoWorkspaces()[:1], "own-db")
+		f.tickAfter(100 * time.Millisecond)
+		_, _, after := f.lastRequest()
+		f.Equal(after, before)
+		replies, closed := f.codes()
+		f.Equal(replies[len(replies)-1], statement.CodeAuthFailed)
+		f.Equal(closed, 1)
+	}
+}
+
+// Guards against a statement that is sent again for the workspace that has lost its key to another.
+func TestDeferredStatementFollowsItsKey(t *testing.T) {
+	f := newIdentityFixture(t, 73)
+	f.step(proxy.CallerStarted{Session: 9, Database: "own-db", Key: "key-s1"})
+	f.query("x.1", "WRITE 1")
+	f.deferLast()
+	f.configure(3, []catalog.Workspace{{Name: "north", Keys: []string{"key-s1"}}, {Name: "south", Keys: []string{"key-n1"}}}, "own-db")
+	f.tickAfter(100 * time.Millisecond)
+	last, _, sent := f.lastRequest()
+	f.Equal(sent, 2)
+	f.Equal(last.Workspace, types.Workspace("north"))
+}
+
+// Guards against a first statement of a transaction without a workspace, which every owner refuses:
+// the configuration gains its first workspaces after BEGIN.
+func TestTransactionBegunBeforeFirstWorkspaceIsServed(t *testing.T) {
+	f := newIdentityFixture(t, 74)
+	f.configure(3, nil, "own-db")
+	f.step(proxy.CallerStarted{Session: 9, Database: "own-db", Key: "key-s1"})
+	f.query("x.1", "BEGIN")
+	f.configure(4, twoWorkspaces(), "own-db")
+	f.query("x.2", "WRITE 1")
+	last, _, sent := f.lastRequest()
+	f.Equal(sent, 1)
+	f.Equal(last.Workspace, types.Workspace("south"))
+}
