core/proxy: open transactions go on when the configuration gains its first workspaces

Owners refused all their further statements for the missing workspace, so that every open transaction was aborted, with a valid key as well. TestOpenTransactionOutlivesFirstWorkspace failed before.

--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -159,7 +159,8 @@
 }
 
 // mayRunFor reports whether this owner knows for whom a request runs. A host that does not know
-// workspaces sends none.
+// workspaces sends none. A transaction that this owner has begun goes on: it may have begun before the
+// configuration had workspaces, and its frontend ends it if the key is not valid.
 func (m *Machine) mayRunFor(req *ExecRequest) bool {
-	return !m.catalog.HasWorkspaces() || req.Workspace != "" || req.Public
+	return !m.catalog.HasWorkspaces() || req.Workspace != "" || req.Public || (req.Tx != 0 && req.Begin == nil)
 }
--- a/core/proxy/identity_order_test.go
+++ b/core/proxy/identity_order_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -159,3 +160,60 @@
 	f.Equal(sent, 1)
 	f.Equal(last.Workspace, types.Workspace("south"))
 }
+
+// ownerFixture is the owner of the endpoint e-a, which gets requests from the host h-b0.
+type ownerFixture struct {
+	*is.I
+	sim   *simulation
+	owner *hostSim
+	// results holds the results that the owner has sent.
+	results map[proxy.RequestID]proxy.ExecResult
+}
+
+func newOwnerFixture(t *testing.T, sim *simulation) *ownerFixture {
+	f := &ownerFixture{I: is.New(t), sim: sim, results: map[proxy.RequestID]proxy.ExecResult{}}
+	for _, e := range sim.hosts["h-b0"].machine.DebugState(sim.now).Services[0].Endpoints {
+		if e.ID == "e-a" {
+			f.owner = sim.hosts[e.Owner]
+		}
+	}
+	sim.isLost = func(_ types.Host, msg proxy.Message) bool {
+		if res, ok := msg.(proxy.ExecResult); ok {
+			f.results[res.ID] = res
+		}
+		return false
+	}
+	return f
+}
+
+// send sends the owner a statement of a transaction. The first one begins it.
+func (f *ownerFixture) send(id proxy.RequestID, tx proxy.TxID, w types.Workspace, isFirst bool) {
+	req := proxy.ExecRequest{
+		ID: id, Service: testService, Endpoint: "e-a", RequirePrimary: true, Tx: tx, Query: query(fmt.Sprintf("x.%d", id), "READ 1"), Workspace: w,
+		DueIn: time.Second, DeadlineIn: time.Second, MaxStaleness: time.Minute,
+	}
+	if isFirst {
+		begin := query("x.0", "BEGIN")
+		req.Begin = &begin
+	}
+	f.sim.deliver(f.owner, proxy.PeerMessage{From: "h-b0", Message: req})
+}
+
+// Guards against open transactions that all end because the configuration gains its first
+// workspaces: their requests name none, and the owner must still run them. It must not begin new
+// ones.
+func TestOpenTransactionOutlivesFirstWorkspace(t *testing.T) {
+	f := newOwnerFixture(t, newSimulation(t, 75, 2))
+	f.send(101, 5, "", true)
+	f.sim.runFor(500 * time.Millisecond)
+	f.True(f.results[101].TxOpen)
+	f.sim.workspaces = twoWorkspaces()
+	f.sim.configure(2)
+	f.sim.runFor(maxConfigDelay / 2)
+	f.send(102, 5, "", false)
+	f.send(103, 6, "", true)
+	f.sim.runFor(500 * time.Millisecond)
+	f.Equal(f.results[102].Reason, types.ReasonNone)
+	f.True(f.results[102].TxOpen)
+	f.Equal(f.results[103].Reason, types.ReasonUnreachable)
+}
