core/proxy: transactions of a withdrawn key end in all states

A caller that always had a statement in flight kept the transaction open, and so did a version that removed the route together with the key. TestTransactionOfWithdrawnKeyEndsInAllStates failed before.

--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -135,22 +135,27 @@
 }
 
 // isWithdrawn reports whether the key of a session was valid and is not any more. A session whose
-// route is gone keeps its key, since its next statement is refused for the route.
+// route is gone keeps its key outside a transaction, since its next statement is refused for the
+// route.
 func (m *Machine) isWithdrawn(s *session) bool {
 	route, ok := m.catalog.Route(s.database)
 	if !ok {
-		return false
+		if s.tx == nil {
+			return false
+		}
+		route = s.tx.route
 	}
 	_, ok = m.authenticate(s.key, &route)
 	return !ok
 }
 
 // abortWithdrawnTransactions ends the transactions that have gone on for long after the key of
-// their caller was withdrawn.
+// their caller was withdrawn, after the statements that have been read: a caller can always have one
+// in flight.
 func (m *Machine) abortWithdrawnTransactions() {
 	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
-		if s.withdrawnAt != 0 && s.tx != nil && s.currentRequest == nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
+		if s.withdrawnAt != 0 && s.tx != nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
 			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
 			s.endsTx = true
 			m.drainSession(s)
--- a/core/proxy/identity_order_test.go
+++ b/core/proxy/identity_order_test.go
@@ -35,10 +35,18 @@
 	f.effects = append(f.effects, f.machine.Step(f.sim.now, ev)...)
 }
 
-// tickAfter advances the time of the machine alone.
+// tickAfter advances the time of the machine alone. The other hosts answer its pings.
 func (f *identityFixture) tickAfter(d time.Duration) {
-	f.sim.now = f.sim.now.Add(d)
-	f.step(proxy.Tick{})
+	const interval = 100 * time.Millisecond
+	for end := f.sim.now.Add(d); f.sim.now.Before(end); {
+		f.sim.now = f.sim.now.Add(interval)
+		for _, h := range f.sim.sortedHosts() {
+			if h.machine != f.machine {
+				f.step(proxy.PeerMessage{From: h.id, Message: proxy.Pong{}})
+			}
+		}
+		f.step(proxy.Tick{})
+	}
 }
 
 // query sends a statement of session 9.
@@ -217,3 +225,40 @@
 	f.True(f.results[102].TxOpen)
 	f.Equal(f.results[103].Reason, types.ReasonUnreachable)
 }
+
+// Guards against a transaction that uses a withdrawn key without end: its caller always has a
+// statement in flight, or the version that withdraws the key also removes the route.
+func TestTransactionOfWithdrawnKeyEndsInAllStates(t *testing.T) {
+	for name, routes := range map[string][]types.Database{"statement in flight": {"own-db"}, "route removed": {"other-db"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newIdentityFixture(t, 76)
+			f.configure(3, twoWorkspaces(), "own-db")
+			f.step(proxy.CallerStarted{Session: 9, Database: "own-db", Key: "key-s1"})
+			f.query("x.1", "BEGIN")
+			f.query("x.2", "READ 1")
+			for n := 3; n < 5; n++ {
+				f.query(fmt.Sprintf("x.%d", n), "READ 1")
+			}
+			answer := func() {
+				last, owner, _ := f.lastRequest()
+				f.step(proxy.PeerMessage{From: owner, Message: proxy.ExecResult{
+					ID: last.ID, MayHaveRun: true, Reply: statement.Reply{State: statement.StateInTransaction}, TxOpen: true,
+				}})
+			}
+			answer()
+			f.configure(4, twoWorkspaces()[:1], routes...)
+			if name == "route removed" {
+				answer()
+				answer()
+			}
+			f.tickAfter(maxConfigDelay * 6 / 10)
+			f.step(proxy.CallerDrained{Session: 9})
+			if name != "route removed" {
+				answer()
+				answer()
+			}
+			_, closed := f.codes()
+			f.Equal(closed, 1)
+		})
+	}
+}
