core/proxy: a transaction that ends before its first statement runs is refunded

If the statement waited for the authority or a position, the operation counted towards the limit although nothing had run: 202 of 480 such operations were refused in TestTransactionEndedBeforeItRanIsRefunded before, none now.

--- a/core/proxy/ownedtx.go
+++ b/core/proxy/ownedtx.go
@@ -59,6 +59,7 @@
 	o.waitingExecutions = slices.DeleteFunc(o.waitingExecutions, func(ex *execution) bool {
 		if ex.tx == tx.id {
 			m.removeExecution(ex)
+			m.refundOperation(ex, &ExecResult{})
 		}
 		return ex.tx == tx.id
 	})
