core/proxy: a transaction pending at a released endpoint can begin elsewhere

The owner kept the transaction without a connection, and refused it as broken when its frontend sent the first statement for another endpoint of the same owner. TestTransactionPendingAtReleasedEndpointBeginsElsewhere failed before.

--- a/core/proxy/identity_order_test.go
+++ b/core/proxy/identity_order_test.go
@@ -194,10 +194,14 @@
 	return f
 }
 
-// send sends the owner a statement of a transaction. The first one begins it.
+// send sends the owner a statement of a transaction for e-a. The first one begins it.
 func (f *ownerFixture) send(id proxy.RequestID, tx proxy.TxID, w types.Workspace, isFirst bool) {
+	f.sendTo("e-a", id, tx, w, isFirst)
+}
+
+func (f *ownerFixture) sendTo(endpoint types.Endpoint, id proxy.RequestID, tx proxy.TxID, w types.Workspace, isFirst bool) {
 	req := proxy.ExecRequest{
-		ID: id, Service: testService, Endpoint: "e-a", RequirePrimary: true, Tx: tx, Query: query(fmt.Sprintf("x.%d", id), "READ 1"), Workspace: w,
+		ID: id, Service: testService, Endpoint: endpoint, RequirePrimary: endpoint == "e-a", Tx: tx, Query: query(fmt.Sprintf("x.%d", id), "READ 1"), Workspace: w,
 		DueIn: time.Second, DeadlineIn: time.Second, MaxStaleness: time.Minute,
 	}
 	if isFirst {
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -137,12 +137,17 @@
 		m.markCounted(ex)
 	}
 	o := m.owned[ex.endpoint]
-	tx := m.ownedTxs[txKey{host: ex.from, tx: ex.request.Tx}]
+	key := txKey{host: ex.from, tx: ex.request.Tx}
+	tx := m.ownedTxs[key]
 	switch {
 	case ex.tx != 0 && (tx == nil || tx.id != ex.tx): // the frontend has ended the transaction
 		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 	case o == nil:
+		if ex.tx != 0 {
+			// The frontend may begin the transaction at another endpoint of this host.
+			delete(m.ownedTxs, key)
+		}
 		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 		m.sendResult(ex, ExecResult{Reason: types.ReasonUnreachable})
