wire/peerwire: a number of one workspace does not make messages about limits invalid

A receiver drops the whole message if a number is out of range. A host with a workspace of more than 2^24 free tokens, or a keeper whose lent shares add up to slightly more than 1, as 9 times 1/9 does, was not heard by the others, for all workspaces of the group. TestLimitMessagesOfVeryHighLimitsAreValid failed before.

--- a/wire/peerwire/limits.go
+++ b/wire/peerwire/limits.go
@@ -12,7 +12,9 @@
 
 const (
 	// maxLimitTokens and maxLimitRate bound the numbers in messages about limits, so that a
-	// faulty host cannot make sums of them overflow.
+	// faulty host cannot make sums of them overflow. Higher numbers, which follow from a very high
+	// limit, are lowered before they are sent: an invalid number ends the whole message, with those
+	// of all other workspaces.
 	maxLimitTokens = 1 << 24
 	maxLimitRate   = 1e9
 )
@@ -24,7 +26,7 @@
 	}
 	for _, d := range r.Demands {
 		out.Demands = append(out.Demands, &meshpb.LimitDemand{
-			Workspace: string(d.Workspace), Rate: float32(d.Rate), Need: uint32(d.Need), Returned: uint32(d.Returned),
+			Workspace: string(d.Workspace), Rate: float32(min(d.Rate, maxLimitRate)), Need: limitTokens(d.Need), Returned: limitTokens(d.Returned),
 		})
 	}
 	return out
@@ -36,7 +38,8 @@
 		ValidUs: uint64(g.ValidFor.Microseconds()), Hosts: uint32(g.Hosts),
 	}
 	for _, w := range g.Grants {
-		out.Grants = append(out.Grants, &meshpb.WorkspaceGrant{Workspace: string(w.Workspace), Share: w.Share, Tokens: uint32(w.Tokens)})
+		// The sum of the lent shares can exceed 1 by a rounding error.
+		out.Grants = append(out.Grants, &meshpb.WorkspaceGrant{Workspace: string(w.Workspace), Share: min(w.Share, 1), Tokens: limitTokens(w.Tokens)})
 	}
 	return out
 }
@@ -75,6 +78,8 @@
 	return out, nil
 }
 
+func limitTokens(n int) uint32 { return uint32(max(0, min(n, maxLimitTokens))) }
+
 // isShare reports whether a number is a fraction; it is false for NaN.
 func isShare(x float64) bool { return x >= 0 && x <= 1 }
 
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -80,6 +80,27 @@
 	}
 }
 
+// Numbers that follow from a very high limit of one workspace must not make the message invalid, which
+// also holds the numbers of all other workspaces of the group.
+func TestLimitMessagesOfVeryHighLimitsAreValid(t *testing.T) {
+	const most = 1 << 24
+	for _, tc := range []struct{ sent, want proxy.Message }{
+		{
+			proxy.LimitReport{Share: 0.5, Demands: []limits.Demand{{Workspace: "high", Rate: 1e12, Need: 1 << 40, Returned: 1 << 40}, {Workspace: "w", Rate: 2, Returned: 3}}},
+			proxy.LimitReport{Share: 0.5, Demands: []limits.Demand{{Workspace: "high", Rate: 1e9, Need: most, Returned: most}, {Workspace: "w", Rate: 2, Returned: 3}}},
+		},
+		{
+			proxy.LimitGrant{Grants: []limits.Grant{{Workspace: "high", Share: 1.0000000000000002, Tokens: 1 << 40}, {Workspace: "w", Tokens: 3}}},
+			proxy.LimitGrant{Grants: []limits.Grant{{Workspace: "high", Share: 1, Tokens: most}, {Workspace: "w", Tokens: 3}}},
+		},
+	} {
+		got, err := peerwire.Decode(peerwire.NewEncoder().Encode(tc.sent))
+		if err != nil || !reflect.DeepEqual(got, tc.want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, tc.want)
+		}
+	}
+}
+
 // largeChanges returns changes with one object of about size bytes that compresses well.
 func largeChanges(revision types.Revision, size int) proxy.ChangesResponse {
 	return proxy.ChangesResponse{Kinds: []feed.Changes{{Kind: "k", AsOf: revision, Objects: []feed.Object{
