--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -58,6 +58,13 @@
 	for _, h := range locality.StrongHosts(candidates) {
 		eligible[h.ID] = true
 	}
+	// A data centre without strong hosts may have weak owners. Without a share of their own, they
+	// would refuse all operations while they reach no strong host.
+	for _, dc := range m.catalog.EndpointDataCentres() {
+		for _, h := range m.ownerCandidates(dc, candidates) {
+			eligible[h.ID] = true
+		}
+	}
 	hosts := make([]limits.Host, 0, len(known))
 	for _, h := range known {
 		leaving := h.Leaving || m.peerLeaves(h.ID, h.StartedUnixMs)
--- a/core/proxy/limits_test.go
+++ b/core/proxy/limits_test.go
@@ -150,3 +150,45 @@
 		t.Errorf("%d messages about limits were sent", sent)
 	}
 }
+
+// Owners that are weaker than half of the most powerful host must have a share of the limits. They own
+// the endpoints of a data centre without a strong host, and without a share they would refuse all
+// operations while the strong hosts are cut off.
+func TestWeakOwnersHaveShareOfLimits(t *testing.T) {
+	const rate, burst = 40, 10
+	sim := newSimulation(t, 68, 5)
+	for _, h := range sim.sortedHosts() {
+		h.cpuMillicores = 300
+		if h.id == "h-a3" {
+			h.cpuMillicores = 800
+		}
+		sim.killHost(h.id)
+		sim.startHost(h.id, h.dc)
+	}
+	sim.configureWorkspaces(2, []catalog.Workspace{{Name: "limited", Keys: []string{"key-1"}, Rate: rate, Burst: burst}}, "primary-db", "bounded-db", "own-db")
+	sim.runFor(10 * time.Second)
+	owned := 0
+	for _, e := range sim.hosts["h-b0"].machine.DebugState(sim.now).Services[0].Endpoints {
+		if sim.hosts[e.Owner].cpuMillicores == 300 {
+			owned++
+		}
+	}
+	if owned != 2 {
+		t.Fatalf("weak hosts own %d endpoints", owned)
+	}
+	var above []*callerSim
+	for range 4 {
+		above = append(above, sim.callers.openSessionWithKey("h-b0", "primary-db", "write", "key-1"))
+	}
+	sim.runFor(time.Second)
+	sim.cutDataCentre("a", true)
+	sim.runFor(8 * time.Second)
+	before, _ := totals(above)
+	sim.runFor(5 * time.Second)
+	sim.reportViolations()
+	okAt, refused := totals(above)
+	checkLimit(t, okAt, rate, burst)
+	if n := len(okAt) - len(before); n < rate {
+		t.Errorf("%d operations succeeded in 5 s without the strong hosts, %d were refused", n, refused)
+	}
+}
