--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -72,13 +72,43 @@
 		s.backlog = nil
 		m.incrementCounter("baobab_auth_failed_total")
 		m.replyError(s, statement.CodeAuthFailed, "the key is not known")
-		m.closeSession(s, statement.CodeOK, "")
+		if m.sessions[s.id] == s { // the reply closes a drained session
+			m.closeSession(s, statement.CodeOK, "")
+		}
 		return false
 	}
 	s.workspace = w
 	return true
 }
 
+// authenticateAttempt checks the caller's key again before a statement is sent that does not continue
+// a transaction at an endpoint. The configuration may have changed since BEGIN, or while the
+// statement waited, which takes up to its timeout. It refuses the statement and closes the session
+// if the key was withdrawn.
+func (m *Machine) authenticateAttempt(r *request) bool {
+	s := r.session
+	route, ok := m.catalog.Route(s.database)
+	if !ok {
+		route = r.route
+	}
+	w, ok := m.authenticate(s.key, &route)
+	if !ok {
+		m.logRefusedSession(s.database, "key withdrawn")
+		m.incrementCounter("baobab_auth_failed_total")
+		s.tx, s.backlog = nil, nil
+		m.finishRequest(r, statement.Reply{Code: statement.CodeAuthFailed, Text: "the key is not known"})
+		if m.sessions[s.id] == s { // the reply closes a drained session
+			m.closeSession(s, statement.CodeOK, "")
+		}
+		return false
+	}
+	s.workspace, r.route.Public = w, route.Public
+	if r.opensTx {
+		s.tx.route.Public = route.Public
+	}
+	return true
+}
+
 func (m *Machine) logRefusedSession(db types.Database, reason string) {
 	m.log(Info, "session refused", append([]Field{
 		field("database", db), field("reason", reason), field("config", m.catalog.ConfigVersion()),
@@ -105,22 +135,27 @@
 }
 
 // isWithdrawn reports whether the key of a session was valid and is not any more. A session whose
-// route is gone keeps its key, since its next statement is refused for the route.
+// route is gone keeps its key outside a transaction, since its next statement is refused for the
+// route.
 func (m *Machine) isWithdrawn(s *session) bool {
 	route, ok := m.catalog.Route(s.database)
 	if !ok {
-		return false
+		if s.tx == nil {
+			return false
+		}
+		route = s.tx.route
 	}
 	_, ok = m.authenticate(s.key, &route)
 	return !ok
 }
 
 // abortWithdrawnTransactions ends the transactions that have gone on for long after the key of
-// their caller was withdrawn.
+// their caller was withdrawn, after the statements that have been read: a caller can always have one
+// in flight.
 func (m *Machine) abortWithdrawnTransactions() {
 	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
-		if s.withdrawnAt != 0 && s.tx != nil && s.currentRequest == nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
+		if s.withdrawnAt != 0 && s.tx != nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
 			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
 			s.endsTx = true
 			m.drainSession(s)
@@ -129,7 +164,8 @@
 }
 
 // mayRunFor reports whether this owner knows for whom a request runs. A host that does not know
-// workspaces sends none.
+// workspaces sends none. A transaction that this owner has begun goes on: it may have begun before the
+// configuration had workspaces, and its frontend ends it if the key is not valid.
 func (m *Machine) mayRunFor(req *ExecRequest) bool {
-	return !m.catalog.HasWorkspaces() || req.Workspace != "" || req.Public
+	return !m.catalog.HasWorkspaces() || req.Workspace != "" || req.Public || (req.Tx != 0 && req.Begin == nil)
 }
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -58,6 +58,13 @@
 	for _, h := range locality.StrongHosts(candidates) {
 		eligible[h.ID] = true
 	}
+	// A data centre without strong hosts may have weak owners. Without a share of their own, they
+	// would refuse all operations while they reach no strong host.
+	for _, dc := range m.catalog.EndpointDataCentres() {
+		for _, h := range m.ownerCandidates(dc, candidates) {
+			eligible[h.ID] = true
+		}
+	}
 	hosts := make([]limits.Host, 0, len(known))
 	for _, h := range known {
 		leaving := h.Leaving || m.peerLeaves(h.ID, h.StartedUnixMs)
@@ -137,12 +144,17 @@
 		m.markCounted(ex)
 	}
 	o := m.owned[ex.endpoint]
-	tx := m.ownedTxs[txKey{host: ex.from, tx: ex.request.Tx}]
+	key := txKey{host: ex.from, tx: ex.request.Tx}
+	tx := m.ownedTxs[key]
 	switch {
 	case ex.tx != 0 && (tx == nil || tx.id != ex.tx): // the frontend has ended the transaction
 		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 	case o == nil:
+		if ex.tx != 0 {
+			// The frontend may begin the transaction at another endpoint of this host.
+			delete(m.ownedTxs, key)
+		}
 		m.removeExecution(ex)
 		m.refundOperation(ex, &ExecResult{})
 		m.sendResult(ex, ExecResult{Reason: types.ReasonUnreachable})
