--- a/core/limits/fleet_test.go
+++ b/core/limits/fleet_test.go
@@ -51,7 +51,9 @@
 	// lost, late and doubled are the probabilities of faults of a message.
 	lost, late, doubled float64
 	// skew is the exponent with which operations are concentrated on few hosts.
-	skew              float64
+	skew float64
+	// owners is the number of hosts that receive operations; zero for all.
+	owners            int
 	limits            []limits.Limit
 	workspaces        map[types.Workspace]*workspaceSim
 	messages, entries int
@@ -74,11 +76,17 @@
 	blind     map[types.Host]bool
 	tickAt    types.Time
 	nextOp    uint64
-	pending   map[uint64]*workspaceSim
+	pending   map[uint64]pendingSim
 	reports   int
 	keeperFor map[int]types.Host
 }
 
+// pendingSim is an operation that waits for a grant.
+type pendingSim struct {
+	workspace *workspaceSim
+	since     time.Duration
+}
+
 // workspaceSim holds the operations of a workspace and the limits that were in force.
 type workspaceSim struct {
 	name    types.Workspace
@@ -88,6 +96,8 @@
 	weights []float64
 	sent    int
 	refused int
+	// waits holds the times for which operations were pending.
+	waits []time.Duration
 	// idealTokens is the level of one token bucket for the whole deployment with the same
 	// depth; idealRefused is the number of operations that it refuses.
 	idealTokens  float64
@@ -117,7 +127,7 @@
 
 func (f *fleet) addHost() *hostSim {
 	h := &hostSim{
-		id: types.Host(fmt.Sprintf("h%d", len(f.hosts))), pending: map[uint64]*workspaceSim{}, blind: map[types.Host]bool{}, keeperFor: map[int]types.Host{},
+		id: types.Host(fmt.Sprintf("h%d", len(f.hosts))), pending: map[uint64]pendingSim{}, blind: map[types.Host]bool{}, keeperFor: map[int]types.Host{},
 		offset: time.Duration(f.rng.IntN(1000)+1) * time.Hour, drift: 1 + 0.004*(f.rng.Float64()-0.5),
 	}
 	f.hosts = append(f.hosts, h)
@@ -190,9 +200,10 @@
 		f.send(h, msg)
 	}
 	for _, r := range h.machine.TakeResolutions() {
-		if w := h.pending[r.Operation]; w != nil {
+		if p, ok := h.pending[r.Operation]; ok {
 			delete(h.pending, r.Operation)
-			f.record(h, w, r.Decision)
+			p.workspace.waits = append(p.workspace.waits, f.now-p.since)
+			f.record(h, p.workspace, r.Decision)
 		}
 	}
 	for _, c := range h.machine.TakeKeeperChanges() {
@@ -266,7 +277,7 @@
 	h.nextOp++
 	d := h.machine.Admit(f.clock(h), w.name, h.nextOp)
 	if d.Verdict == limits.Pending {
-		h.pending[h.nextOp] = w
+		h.pending[h.nextOp] = pendingSim{w, f.now}
 	} else {
 		f.record(h, w, d)
 	}
@@ -317,6 +328,9 @@
 	out := make([]float64, len(f.hosts))
 	sum := 0.0
 	for i := range out {
+		if f.owners > 0 && i >= f.owners {
+			break
+		}
 		out[i] = math.Pow(f.rng.Float64(), f.skew)
 		sum += out[i]
 	}
@@ -467,8 +481,9 @@
 // resetCounts begins a new measurement of refusals.
 func (f *fleet) resetCounts() {
 	for _, w := range f.workspaces {
-		w.sent, w.refused, w.idealRefused = 0, 0, 0
+		w.sent, w.refused, w.idealRefused, w.waits = 0, 0, 0, nil
 	}
+	f.messages, f.entries = 0, 0
 }
 
 // refusedFraction returns the part of the operations that were refused, and that one token bucket
@@ -481,6 +496,27 @@
 	return float64(refused) / float64(sent), float64(idealRefused) / float64(sent)
 }
 
+// waits returns the part of the operations that were pending, and the mean and the 99th percentile
+// of the wait of all operations.
+func (f *fleet) waits() (pending float64, mean, p99 time.Duration) {
+	var all []time.Duration
+	sent := 0
+	for _, w := range f.workspaces {
+		sent += w.sent
+		all = append(all, w.waits...)
+	}
+	pending = float64(len(all)) / float64(sent)
+	sum := time.Duration(0)
+	for _, d := range all {
+		sum += d
+	}
+	slices.Sort(all)
+	if i := len(all) - 1 - sent/100; i >= 0 {
+		p99 = all[i]
+	}
+	return pending, sum / time.Duration(sent), p99
+}
+
 // excess is what the hosts may use of a workspace beyond its limit.
 type excess struct {
 	// share is the highest sum of the shares in use, seconds the integral of what exceeds 1.
--- a/core/limits/limits_test.go
+++ b/core/limits/limits_test.go
@@ -47,6 +47,45 @@
 	}
 }
 
+// Nearly all operations below the limit must be admitted at once. An operation that waits for a
+// single token waits for the next report, a round trip and the keeper's processor.
+func TestCalmFleetAdmitsWithoutWait(t *testing.T) {
+	for _, c := range []struct {
+		hosts, owners, workspaces int
+		moves                     bool
+		most                      float64
+	}{
+		{hosts: 8, workspaces: 84, most: 0.03},
+		{hosts: 8, workspaces: 84, moves: true, most: 0.06},
+		{hosts: 134, owners: 24, workspaces: 84, most: 0.06},
+	} {
+		t.Run(fmt.Sprintf("%d-%d-%d-%v", c.hosts, c.owners, c.workspaces, c.moves), func(t *testing.T) {
+			f := newFleet(t, 1, c.hosts, zipfLimits(c.workspaces, 1500))
+			f.owners = c.owners
+			f.generate(0.62)
+			f.runFor(10 * time.Second)
+			f.resetCounts()
+			const seconds = 20
+			for range seconds {
+				if c.moves {
+					f.moveLoad()
+				}
+				f.runFor(time.Second)
+			}
+			refused, ideal := f.refusedFraction()
+			pending, mean, p99 := f.waits()
+			t.Logf("pending %.2f %%, mean wait %v, 99th percentile %v; refused %.4f %%; per host and second %.1f messages with %.1f entries; worst span %.2f of the bound",
+				100*pending, mean, p99, 100*refused, float64(f.messages)/float64(c.hosts)/seconds, float64(f.entries)/float64(c.hosts)/seconds, f.checkBound(0))
+			if pending > c.most {
+				t.Errorf("%.4f of the operations were pending", pending)
+			}
+			if refused > ideal+0.001 {
+				t.Errorf("refused %.4f of the operations, one bucket would refuse %.4f", refused, ideal)
+			}
+		})
+	}
+}
+
 // A workspace above its limit gets about its limit.
 func TestOverloadedWorkspaceGetsItsLimit(t *testing.T) {
 	f := newFleet(t, 2, 30, zipfLimits(10, 1000))
