core/limits: hosts keep single tokens ahead of use

A host requests as many single tokens as it expects to need in a report interval. They are valid for as long as a grant, and each report extends them, so that they count towards the depth and are backed by the loans as shares are. Shares are granted only for 25 operations a second and a depth of 8.

--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -14,14 +14,16 @@
 	tokens float64
 	// advancedAt is the time up to which tokens have been added.
 	advancedAt types.Time
-	// share is the granted fraction of the limit, valid until shareUntil. stock is the number of
-	// single tokens beside it, valid until stockUntil.
-	// shareProcess is the keeper's process.
+	// share is the granted fraction of the limit, valid until shareUntil. shareProcess is the
+	// keeper's process.
 	share        float64
 	shareUntil   types.Time
 	shareProcess uint64
+	// stock is the number of single tokens beside the share, valid until stockUntil, from the
+	// keeper's process stockProcess.
 	stock        int
 	stockUntil   types.Time
+	stockProcess uint64
 	// surplus are the tokens above the depth after a share was reduced. They can be returned until
 	// surplusUntil, when the earlier share would have expired.
 	surplus      float64
@@ -29,9 +31,11 @@
 	// demand counts the operations, decaying with demandTime, as of demandAt.
 	demand   float64
 	demandAt types.Time
-	pending  []pendingOperation
-	// asked is the number of pending operations in the last report.
-	asked int
+	// tokenDemand is the same with tokenDemandTime.
+	tokenDemand float64
+	pending     []pendingOperation
+	// asked is the number of pending operations in the last report, and held that of single tokens.
+	asked, held int
 	// exhaustedUntil is set after a grant below the demand.
 	exhaustedUntil types.Time
 	// listed is set while the bucket is in the group's list of active ones.
@@ -93,6 +97,9 @@
 	m.advance(b, now)
 	if b.stock > 0 && now.Before(b.stockUntil) {
 		b.stock--
+		if b.stock == 0 && b.tokens < 1 {
+			b.group.needsTokens = true
+		}
 		return true
 	}
 	if b.tokens >= 1 {
@@ -115,6 +122,10 @@
 		returned = int(b.surplus)
 	}
 	b.surplus, b.surplusUntil = 0, 0
+	if n := b.validStock(now) - b.tokenLevel(now); n > 0 {
+		b.stock -= n
+		returned += n
+	}
 	if n := int(b.tokens - rate*keptTime.Seconds() - minKeptTokens); n > 0 && now.Before(b.shareUntil) {
 		b.tokens -= float64(n)
 		returned += n
@@ -122,7 +133,30 @@
 	return returned
 }
 
+// validStock returns the number of valid single tokens.
+func (b *bucket) validStock(now types.Time) int {
+	if !now.Before(b.stockUntil) {
+		b.stock = 0
+	}
+	return b.stock
+}
+
+// tokenLevel returns the number of tokens that a host wants to have after a report, so that nearly
+// all operations until the reply to the next one find a token.
+func (b *bucket) tokenLevel(now types.Time) int {
+	idle := now.Sub(b.demandAt)
+	if idle >= b.group.tokenRetention {
+		return 0
+	}
+	expected := b.tokenDemand * math.Exp(-idle.Seconds()/tokenDemandTime.Seconds()) * (reportInterval.Seconds() / tokenDemandTime.Seconds())
+	if idle > reportInterval {
+		expected = min(expected, 3*reportInterval.Seconds()/idle.Seconds())
+	}
+	return int(math.Ceil(expected + levelDeviations*math.Sqrt(expected)))
+}
+
 func (b *bucket) countDemand(now types.Time) {
+	b.tokenDemand = b.tokenDemand*math.Exp(-now.Sub(b.demandAt).Seconds()/tokenDemandTime.Seconds()) + 1
 	b.demand = b.demandRate(now)*demandTime.Seconds() + 1
 	b.demandAt = now
 }
@@ -158,7 +192,7 @@
 		return
 	}
 	m.advance(b, now)
-	if now.Before(b.stockUntil) {
+	if b.validStock(now) > 0 {
 		b.stock++
 	} else {
 		b.tokens++
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"baobabfield.example/core/random"
 	"baobabfield.example/core/types"
@@ -33,6 +34,10 @@
 	lastReportAt    types.Time
 	// urgent is set if a report is due after urgentReportInterval.
 	urgent bool
+	// needsTokens is set if a report is due after tokenReportInterval.
+	needsTokens bool
+	// tokenRetention is the present time after the last operation for which single tokens are kept.
+	tokenRetention time.Duration
 
 	// staticFrom is the time from which the static share is used: the end of the last loan, or
 	// of startDelay. lentTo is the process that has the loan.
@@ -50,7 +55,7 @@
 }
 
 func (g *group) init(number int) {
-	g.number = number
+	g.number, g.tokenRetention = number, tokenRetention
 	g.silentUntil = map[types.Host]types.Time{}
 	g.keeper.init()
 }
@@ -146,6 +151,9 @@
 	if g.urgent {
 		return g.lastReportAt.Add(urgentReportInterval)
 	}
+	if g.needsTokens {
+		return g.lastReportAt.Add(tokenReportInterval)
+	}
 	return g.lastReportAt.Add(reportInterval)
 }
 
@@ -189,9 +197,10 @@
 			}
 		}
 	}
+	idle := 0
 	g.active = slices.DeleteFunc(g.active, func(b *bucket) bool {
-		rate := b.demandRate(now)
-		if rate < minDemand && len(b.pending) == 0 && !now.Before(b.shareUntil) {
+		rate, level := b.demandRate(now), b.tokenLevel(now)
+		if rate < minDemand && len(b.pending) == 0 && !now.Before(b.shareUntil) && level == 0 && b.validStock(now) == 0 {
 			b.listed = false
 			return true
 		}
@@ -199,13 +208,27 @@
 		if r.KeeperProcess != 0 {
 			returned = m.takeSurplus(b, now, rate)
 		}
-		if rate >= minDemand || len(b.pending) > 0 || returned > 0 {
-			b.asked = len(b.pending)
-			r.Demands = append(r.Demands, Demand{Workspace: b.limit.Workspace, Rate: rate, Need: len(b.pending), Returned: returned})
+		b.asked, b.held = len(b.pending), 0
+		if g.keeperProcess == b.stockProcess {
+			b.held = b.validStock(now)
+		}
+		ahead := max(level-b.held-int(b.tokens), 0)
+		if rate < minDemand {
+			idle++
+		}
+		if rate >= minDemand || len(b.pending) > 0 || returned > 0 || b.held > 0 || ahead > 0 {
+			r.Demands = append(r.Demands, Demand{
+				Workspace: b.limit.Workspace, Rate: rate, Need: len(b.pending), Ahead: ahead, Held: b.held, Returned: returned,
+			})
 		}
 		return false
 	})
-	g.lastReportAt, g.urgent = now, false
+	if idle > maxIdleTokens {
+		g.tokenRetention = max(g.tokenRetention*7/8, minTokenRetention)
+	} else {
+		g.tokenRetention = min(g.tokenRetention*17/16, tokenRetention)
+	}
+	g.lastReportAt, g.urgent, g.needsTokens = now, false, false
 	if g.unansweredSince == 0 {
 		g.unansweredSince = now
 	}
@@ -273,15 +296,20 @@
 		}
 	}
 	until := sentAt.Add(min(msg.ValidFor, grantTime))
+	tokensFor := msg.TokensFor
+	if tokensFor <= 0 {
+		tokensFor = earlierTokenTime
+	}
+	tokensUntil := sentAt.Add(min(tokensFor, tokenTime))
 	for _, b := range g.active {
 		m.advance(b, now)
 		grant, listed := granted[b]
 		m.replaceShare(b, now, grant.Share, until, msg.KeeperProcess)
-		if grant.Tokens > 0 {
-			b.stock, b.stockUntil = grant.Tokens, sentAt.Add(tokenTime)
+		if listed {
+			b.applyTokens(now, grant, tokensUntil, msg.KeeperProcess)
 		}
 		isShort := listed && grant.Tokens < b.asked
-		b.asked = 0
+		b.asked, b.held = 0, 0
 		if isShort {
 			b.exhaustedUntil = now.Add(exhaustedTime)
 		}
@@ -292,6 +320,29 @@
 	}
 }
 
+// applyTokens adds new single tokens and extends the time of those that the bucket has. The keeper
+// counts all of them as valid for as long as the new ones. Tokens that it does not extend are returned,
+// and those of another process are dropped, since it does not count them.
+func (b *bucket) applyTokens(now types.Time, grant Grant, until types.Time, process uint64) {
+	if b.validStock(now) > 0 && b.stockProcess != process && grant.Tokens > 0 {
+		b.stock = 0
+	}
+	if b.stock > 0 && b.held > 0 && !grant.Keep {
+		if b.surplus > 0 && now.Before(b.surplusUntil) {
+			b.surplusUntil = min(b.surplusUntil, b.stockUntil)
+		} else {
+			b.surplus, b.surplusUntil = 0, b.stockUntil
+		}
+		b.surplus += float64(b.stock)
+		b.stock = 0
+		b.group.urgent = true
+	}
+	if grant.Tokens > 0 || grant.Keep && b.stockProcess == process {
+		b.stock += grant.Tokens
+		b.stockUntil, b.stockProcess = until, process
+	}
+}
+
 // replaceShare replaces the granted share of a bucket. A higher share that another keeper has
 // granted stays until it expires: both are backed by loans.
 func (m *Machine) replaceShare(b *bucket, now types.Time, share float64, until types.Time, process uint64) {
--- a/core/limits/keeper.go
+++ b/core/limits/keeper.go
@@ -61,16 +61,20 @@
 	// reportedAt is the time of the report with the demand.
 	reportedAt types.Time
 	grants     []outstandingGrant
+	// held is the number of single tokens that the host had when it sent the last report with a
+	// demand. It had received the reply with heldClock. They, and the tokens of later replies, are
+	// valid until tokensUntil.
+	held        int
+	heldClock   types.Time
+	tokensUntil types.Time
 }
 
 // outstandingGrant is a grant that a host may still use.
 type outstandingGrant struct {
-	clock types.Time
-	share float64
-	until types.Time
-	// tokens are valid until tokensUntil.
-	tokens      int
-	tokensUntil types.Time
+	clock  types.Time
+	share  float64
+	until  types.Time
+	tokens int
 }
 
 func (k *keeper) init() {
@@ -146,17 +150,22 @@
 }
 
 // outstanding returns the highest share and the tokens that a host may use. A grant has been
-// replaced if the host has reported a later one.
+// replaced if the host has reported a later one. Tokens are part of those that the host holds if it
+// has reported the reply with them.
 func (c *consumer) outstanding(now types.Time) (share float64, tokens int) {
 	confirmed := c.reporter.clock
+	hasTokens := now.Before(c.tokensUntil)
 	c.grants = slices.DeleteFunc(c.grants, func(g outstandingGrant) bool {
-		return !now.Before(g.tokensUntil) && (g.clock.Before(confirmed) || !now.Before(g.until))
+		return (!hasTokens || !g.clock.After(c.heldClock)) && (g.clock.Before(confirmed) || !now.Before(g.until))
 	})
+	if hasTokens {
+		tokens = c.held
+	}
 	for _, g := range c.grants {
 		if !g.clock.Before(confirmed) && now.Before(g.until) {
 			share = max(share, g.share)
 		}
-		if now.Before(g.tokensUntil) {
+		if hasTokens && g.clock.After(c.heldClock) {
 			tokens += g.tokens
 		}
 	}
@@ -204,14 +213,14 @@
 	r.reportedAt, r.hosts = now, msg.Hosts
 	m.noteHostCount(now, msg.Hosts)
 	k.lastClock = max(now, k.lastClock+1)
-	reply := &Grants{Seq: msg.Seq, Group: g.number, KeeperProcess: m.process, KeeperClock: k.lastClock, ValidFor: grantTime, Hosts: k.maxHosts(now, m.membership.count)}
+	reply := &Grants{Seq: msg.Seq, Group: g.number, KeeperProcess: m.process, KeeperClock: k.lastClock, ValidFor: grantTime, TokensFor: tokenTime, Hosts: k.maxHosts(now, m.membership.count)}
 	lent := k.lentFor(now, grantTime)
 	for _, d := range msg.Demands {
 		if a := k.accounts[d.Workspace]; a != nil {
 			if clock == 0 {
-				d.Returned = 0 // the report may be a duplicate
+				d.Returned, d.Held = 0, 0 // the report may be a duplicate
 			}
-			reply.Grants = append(reply.Grants, k.grant(now, a, r, d, lent))
+			reply.Grants = append(reply.Grants, k.grant(now, a, r, d, clock, lent))
 		}
 	}
 	m.messages = append(m.messages, Message{To: from, Grants: reply})
@@ -260,11 +269,11 @@
 	a.consumers = slices.DeleteFunc(a.consumers, func(c *consumer) bool { return c.reporter == r })
 }
 
-// grant decides on a host's demand. lent is the sum of the loans that outlast the grant.
-func (k *keeper) grant(now types.Time, a *account, from *reporter, d Demand, lent float64) Grant {
+// grant decides on a host's demand. clock is that of the report if it is known, and lent the sum of
+// the loans that outlast the grant.
+func (k *keeper) grant(now types.Time, a *account, from *reporter, d Demand, clock types.Time, lent float64) Grant {
 	k.advanceAccount(a, now)
 	a.tokens += float64(max(d.Returned, 0))
-	k.advanceAccount(a, now) // limits the tokens to the depth
 	c := a.consumerByHost[from.host]
 	if c == nil {
 		c = &consumer{reporter: from}
@@ -272,6 +281,10 @@
 		a.consumers = append(a.consumers, c)
 	}
 	c.demand, c.reportedAt = d.Rate, now
+	if clock != 0 {
+		c.held, c.heldClock = max(d.Held, 0), clock
+	}
+	k.advanceAccount(a, now) // limits the tokens to the depth
 	own, _ := c.outstanding(now)
 	others := a.granted - own
 	// The depths of the shares and the single tokens together stay within the depth.
@@ -284,15 +297,37 @@
 	if d.Rate < least || a.limit.depth()*grantDepthFraction*share < minGrantDepth {
 		share = 0
 	}
-	out := Grant{Workspace: d.Workspace, Share: share, Tokens: min(d.Need, int(a.tokens))}
-	a.tokens -= float64(out.Tokens)
-	c.grants = append(c.grants, outstandingGrant{
-		clock: k.lastClock, share: share, until: now.Add(grantTime), tokens: out.Tokens, tokensUntil: now.Add(tokenTime),
-	})
+	c.grants = append(c.grants, outstandingGrant{clock: k.lastClock, share: share, until: now.Add(grantTime)})
 	k.advanceAccount(a, now)
+	out := Grant{Workspace: d.Workspace, Share: share}
+	out.Tokens, out.Keep = k.grantTokens(now, a, c, d, lent)
 	return out
 }
 
+// grantTokens decides on the single tokens of a host, after its share. They are valid as long as a
+// grant, so that the depth for them is that of the loans which last as long.
+func (k *keeper) grantTokens(now types.Time, a *account, c *consumer, d Demand, lent float64) (tokens int, keep bool) {
+	depth := a.limit.depth()
+	free := depth*(lent-grantDepthFraction*a.granted) - float64(a.outstandingTokens)
+	reserve := tokenReserve * depth * lent
+	required := 1.0
+	if d.Rate < minDemand {
+		required = reserve
+	}
+	available := min(free, a.tokens)
+	keep = d.Held > 0 && free >= 0 && a.tokens >= required
+	tokens = min(max(d.Need, 0), int(max(available, 0)))
+	available -= float64(tokens) + reserve
+	tokens += min(max(d.Ahead, 0), int(max(available, 0)))
+	if tokens > 0 || keep {
+		a.tokens -= float64(tokens)
+		c.grants[len(c.grants)-1].tokens = tokens
+		c.tokensUntil = now.Add(tokenTime)
+		k.advanceAccount(a, now)
+	}
+	return tokens, keep
+}
+
 // fairShare returns the share of a consumer by max-min fairness between the demands. If they are
 // below what is lent, each gets a part of the rest in proportion, and half of the rest stays with
 // the keeper.
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -27,6 +27,8 @@
 	// urgentReportInterval that between reports while operations are pending.
 	reportInterval       = 300 * time.Millisecond
 	urgentReportInterval = 50 * time.Millisecond
+	// tokenReportInterval is that while a bucket is empty and no operation is pending.
+	tokenReportInterval = 150 * time.Millisecond
 	// reportAlignment is the time by which a report is sent early together with another one.
 	reportAlignment = 30 * time.Millisecond
 	// loanTime is the time for which a host's static shares are lent, from the reply before the
@@ -36,8 +38,23 @@
 	// report and is renewed by the next one, so that up to two report intervals and two round
 	// trips of it have passed when a grant is decided. What remains covers the grant.
 	grantTime = 560 * time.Millisecond
-	// tokenTime is the time for which single tokens are valid.
-	tokenTime = 150 * time.Millisecond
+	// tokenTime is the time for which single tokens are valid, unless the keeper extends it. It
+	// lasts over one report without a reply, and like a grant it must end before the loans.
+	tokenTime = grantTime
+	// earlierTokenTime is that of the tokens of a keeper that does not send it.
+	earlierTokenTime = 150 * time.Millisecond
+	// tokenRetention is the time after the last operation for which a host keeps single tokens of
+	// a workspace. It is shorter while more than maxIdleTokens workspaces of a group have tokens
+	// and no demand, since each of them is an entry in every report.
+	tokenRetention    = 15 * time.Second
+	minTokenRetention = 500 * time.Millisecond
+	maxIdleTokens     = 32
+	// levelDeviations is the number of standard deviations by which a host's single tokens exceed
+	// the operations that it expects in a report interval.
+	levelDeviations = 2
+	// tokenReserve is the part of the depth below which the keeper's bucket gives tokens only to
+	// operations that wait.
+	tokenReserve = 0.15
 	// maxPendingTime is the time for which an operation waits for a grant.
 	maxPendingTime = 100 * time.Millisecond
 	// startDelay is the time after its start for which a process does not use or lend its
@@ -71,6 +88,9 @@
 	// demandTime is the time constant of the demand estimate. Demand that moves to another host
 	// is followed within about a second.
 	demandTime = 300 * time.Millisecond
+	// tokenDemandTime is the time constant of the estimate that determines how many single tokens
+	// a host keeps. With demandTime, a few operations a second would change it with each one.
+	tokenDemandTime = 2 * time.Second
 	// minDemand is the demand per second below which a host reports none.
 	minDemand = 0.05
 	// burstFraction and minDepth give the depth of all buckets of a workspace together:
@@ -89,12 +109,12 @@
 	nearlyFullFraction = 0.7
 	// minGrantDepth is the depth below which a share is not granted. A bucket that is less deep
 	// loses much of its share. The demand is served with single tokens instead.
-	minGrantDepth = 2
+	minGrantDepth = 8
 	// minGrantedDemand is the demand per second from which a share is granted, and minKeptDemand
 	// that below which it is withdrawn. The operations of a lower demand come so irregularly that
 	// most of a share would be unused.
-	minGrantedDemand = 12
-	minKeptDemand    = 6
+	minGrantedDemand = 25
+	minKeptDemand    = 12
 	// maxGrantSurplus bounds the part of a host's demand by which a grant exceeds it.
 	maxGrantSurplus = 0.25
 	// confirmedReduction is the part of the earlier share below which a share causes an early
@@ -151,10 +171,12 @@
 // Demand is the demand for a workspace at the sender of a report.
 type Demand struct {
 	Workspace types.Workspace
-	// Rate is the demand in operations per second, Need the number of single tokens that the
-	// sender requests.
-	Rate float64
-	Need int
+	// Rate is the demand in operations per second, Need the number of single tokens that pending
+	// operations wait for, and Ahead the number that the sender requests for later ones.
+	Rate        float64
+	Need, Ahead int
+	// Held is the number of single tokens of this keeper that the sender has and wants to keep.
+	Held int
 	// Returned is the number of tokens that the sender gives up, since it has no use for them.
 	Returned int
 }
@@ -167,6 +189,8 @@
 	KeeperProcess uint64
 	KeeperClock   types.Time
 	ValidFor      time.Duration
+	// TokensFor is the time from the sending of the report for which single tokens are valid.
+	TokensFor time.Duration
 	// Hosts is the highest number of eligible hosts that a host has recently reported.
 	Hosts  int
 	Grants []Grant
@@ -175,10 +199,12 @@
 // Grant is a part of a workspace's limit.
 type Grant struct {
 	Workspace types.Workspace
-	// Share is the fraction of the limit. Tokens is the number of single operations beside it,
-	// which are valid for tokenTime.
+	// Share is the fraction of the limit. Tokens is the number of new single tokens beside it.
 	Share  float64
 	Tokens int
+	// Keep is set if the single tokens that the host has are valid as long as new ones. If it is
+	// not set, the host returns them.
+	Keep bool
 }
 
 // Message is a message to another host, or to this host: either Report or Grants is set.
