--- a/core/limits/keeper.go
+++ b/core/limits/keeper.go
@@ -315,7 +315,8 @@
 		required = reserve
 	}
 	available := min(free, a.tokens)
-	keep = d.Held > 0 && free >= 0 && a.tokens >= required
+	// Tokens that are not counted any more have expired, so that the report was delayed.
+	keep = d.Held > 0 && now.Before(c.tokensUntil) && free >= 0 && a.tokens >= required
 	tokens = min(max(d.Need, 0), int(max(available, 0)))
 	available -= float64(tokens) + reserve
 	tokens += min(max(d.Ahead, 0), int(max(available, 0)))
--- a/core/limits/machine_test.go
+++ b/core/limits/machine_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// A keeper must grant no share that is backed by a loan which expires earlier than the grant.
+// A keeper must grant no share and no token that is backed by a loan which expires earlier.
 func TestGrantIsBackedByItsLoans(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
@@ -113,7 +113,64 @@
 	is.True(p.reply(r).Grants[0].Share > 0.5)
 	p.now = p.now.Add(700 * time.Millisecond) // the loans last for less than a grant
 	r.Seq, r.LendFor = r.Seq+1, 0
-	is.Equal(p.reply(r).Grants[0].Share, 0.0)
+	r.Demands[0].Need, r.Demands[0].Held = 5, 2
+	grant := p.reply(r).Grants[0]
+	is.Equal(grant.Share, 0.0)
+	is.Equal(grant.Tokens, 0)
+	is.True(!grant.Keep)
+}
+
+// replyWithTokens delivers a reply to the host's next report with only single tokens, and returns the
+// time of the report.
+func (p *pair) replyWithTokens(process uint64, tokens int, tokensFor time.Duration) types.Time {
+	r := p.takeReport(anyReport)
+	p.host.HandleGrants(p.now, "keeper", &limits.Grants{
+		Seq: r.Seq, Group: r.Group, KeeperProcess: process, KeeperClock: 1, ValidFor: time.Second, TokensFor: tokensFor,
+		Grants: []limits.Grant{{Workspace: testWorkspace, Tokens: tokens, Keep: true}},
+	})
+	return p.now
+}
+
+func (p *pair) tokensOfHost(now types.Time) float64 {
+	_, tokens := p.host.InUse(now, testWorkspace)
+	return tokens
+}
+
+// newIdlePair returns a pair whose host has neither demand nor a share.
+func newIdlePair() *pair {
+	p := newPair()
+	for range 3000 {
+		p.now = p.now.Add(time.Millisecond)
+		p.host.Tick(p.now)
+		p.keeper.Tick(p.now)
+		p.exchange()
+	}
+	return p
+}
+
+// Tokens of two keepers must not be held together: each keeper counts only its own, until its own end.
+func TestTokensOfAnotherKeeperReplaceEarlierOnes(t *testing.T) {
+	is := is.New(t)
+	p := newIdlePair()
+	p.replyWithTokens(7, 3000, time.Second)
+	is.True(p.tokensOfHost(p.now) >= 2999)
+	p.replyWithTokens(8, 2000, time.Second) // at most 300 of the first ones have been used
+	is.True(p.tokensOfHost(p.now) <= 2000)
+}
+
+// A keeper of an earlier build counts its tokens for 150 ms only.
+func TestTokensOfAnEarlierBuildExpireEarly(t *testing.T) {
+	for _, c := range []struct {
+		tokensFor time.Duration
+		held      bool
+	}{{0, false}, {time.Second, true}} {
+		is := is.New(t)
+		p := newIdlePair()
+		sentAt := p.replyWithTokens(7, 30, c.tokensFor)
+		is.True(p.tokensOfHost(sentAt.Add(140*time.Millisecond)) >= 29)
+		is.Equal(p.tokensOfHost(sentAt.Add(160*time.Millisecond)) >= 29, c.held)
+		is.True(p.tokensOfHost(sentAt.Add(600*time.Millisecond)) < 29)
+	}
 }
 
 // A new process must not use its static share while the loans of an earlier one may be in use, and
