--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -197,6 +197,17 @@
 			}
 		}
 	}
+	m.appendDemands(now, g, &r)
+	g.lastReportAt, g.urgent, g.needsTokens = now, false, false
+	if g.unansweredSince == 0 {
+		g.unansweredSince = now
+	}
+	m.send(now, g, g.keeperHost, &r, false)
+}
+
+// appendDemands adds the demands of a group to a report. Buckets without demand and tokens become
+// inactive.
+func (m *Machine) appendDemands(now types.Time, g *group, r *Report) {
 	idle := 0
 	g.active = slices.DeleteFunc(g.active, func(b *bucket) bool {
 		rate, level := b.demandRate(now), b.tokenLevel(now)
@@ -228,11 +239,6 @@
 	} else {
 		g.tokenRetention = min(g.tokenRetention*17/16, tokenRetention)
 	}
-	g.lastReportAt, g.urgent, g.needsTokens = now, false, false
-	if g.unansweredSince == 0 {
-		g.unansweredSince = now
-	}
-	m.send(now, g, g.keeperHost, &r, false)
 }
 
 func (m *Machine) send(now types.Time, g *group, to types.Host, r *Report, isProbe bool) {
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -27,7 +27,9 @@
 	// urgentReportInterval that between reports while operations are pending.
 	reportInterval       = 300 * time.Millisecond
 	urgentReportInterval = 50 * time.Millisecond
-	// tokenReportInterval is that while a bucket is empty and no operation is pending.
+	// tokenReportInterval is that while a bucket is empty and no operation is pending. In the
+	// simulation of 8 hosts, 1.4 % of the operations were pending with 150 ms, 1.1 % with 50 ms and
+	// 23 % more messages, and 2.1 % with 300 ms.
 	tokenReportInterval = 150 * time.Millisecond
 	// reportAlignment is the time by which a report is sent early together with another one.
 	reportAlignment = 30 * time.Millisecond
@@ -53,7 +55,8 @@
 	// the operations that it expects in a report interval.
 	levelDeviations = 2
 	// tokenReserve is the part of the depth below which the keeper's bucket gives tokens only to
-	// operations that wait.
+	// operations that wait. In the simulation of 24 owners, 7.5 % of the operations were pending with
+	// 0.25 and 4.4 % with 0.15, while equally few were refused.
 	tokenReserve = 0.15
 	// maxPendingTime is the time for which an operation waits for a grant.
 	maxPendingTime = 100 * time.Millisecond
@@ -108,11 +111,14 @@
 	// nearlyFullFraction is the part of its depth at which a bucket causes an early report.
 	nearlyFullFraction = 0.7
 	// minGrantDepth is the depth below which a share is not granted. A bucket that is less deep
-	// loses much of its share. The demand is served with single tokens instead.
+	// loses much of its share, and is often nearly full, which causes early reports. The demand is
+	// served with single tokens instead. In the simulation of 8 hosts at 0.62 of the limits, a depth
+	// of 2 instead of 5 gave 6 % more messages.
 	minGrantDepth = 8
 	// minGrantedDemand is the demand per second from which a share is granted, and minKeptDemand
 	// that below which it is withdrawn. The operations of a lower demand come so irregularly that
-	// most of a share would be unused.
+	// most of a share would be unused. In the simulation of 8 hosts, 12 instead of 25 gave 14 % more
+	// messages.
 	minGrantedDemand = 25
 	minKeptDemand    = 12
 	// maxGrantSurplus bounds the part of a host's demand by which a grant exceeds it.
