node/gateway: a reader that waits ends when a write to its caller has failed

The reader waited for memory, or for the session to go on after a drain. Both depend on replies that are not written any more, so the connection and its memory were kept for ever.

--- a/node/gateway/caller.go
+++ b/node/gateway/caller.go
@@ -178,7 +178,7 @@
 	g.post(callerAccepted{session: id, conn: callerConn{out: out, drain: drain, resume: resume, granted: granted, abort: abort}})
 	writerDone := make(chan struct{})
 	go func() {
-		g.writeCallerReplies(sock, id, out, drain)
+		g.writeCallerReplies(sock, id, out, drain, abort)
 		close(writerDone)
 		g.post(callerWriterDone{session: id})
 	}()
@@ -186,19 +186,19 @@
 		defer ended()
 		defer abort()
 		defer stopAbort()
-		g.readCallerMessages(sock, id, resume, granted, writerDone)
+		g.readCallerMessages(ctx, sock, id, resume, granted, writerDone)
 	}()
 }
 
 // readCallerMessages posts a caller's messages to the gateway's task until the
 // connection ends. Each time the reading is drained it waits for a message from resume, or
-// for the end of the writer, which closes the connection.
-func (g *Gateway) readCallerMessages(sock net.Conn, id proxy.SessionID, resume, granted, writerDone <-chan struct{}) {
+// for the end of the writer, which closes the connection. ctx ends if a write has failed.
+func (g *Gateway) readCallerMessages(ctx context.Context, sock net.Conn, id proxy.SessionID, resume, granted, writerDone <-chan struct{}) {
 	defer func() {
 		_ = sock.Close()
 		g.post(proxy.CallerDisconnected{Session: id})
 	}()
-	reader := &callerReader{sock: sock, reserve: func(bytes int) bool { return g.awaitGrant(id, bytes, granted, writerDone) }}
+	reader := &callerReader{sock: sock, reserve: func(bytes int) bool { return g.awaitGrant(ctx, id, bytes, granted, writerDone) }}
 	r := bufio.NewReaderSize(reader, callerReadBufferBytes)
 	reader.beginMessage(0, startupTimeout)
 	db, key, err := g.settings.Codec.ReadStartup(r)
@@ -223,6 +223,8 @@
 				continue
 			case <-writerDone:
 				return
+			case <-ctx.Done():
+				return
 			}
 		}
 		q, err := g.settings.Codec.ReadQuery(r)
@@ -238,12 +240,13 @@
 
 // awaitGrant waits until the gateway's task grants memory to a reader. It returns false if the
 // connection is being closed.
-func (g *Gateway) awaitGrant(id proxy.SessionID, bytes int, granted, writerDone <-chan struct{}) bool {
+func (g *Gateway) awaitGrant(ctx context.Context, id proxy.SessionID, bytes int, granted, writerDone <-chan struct{}) bool {
 	g.post(callerReserves{session: id, bytes: bytes})
 	select {
 	case <-granted:
 		return true
 	case <-writerDone:
+	case <-ctx.Done():
 	case <-g.stopped:
 	}
 	return false
@@ -356,24 +359,30 @@
 }
 
 // writeCallerReplies writes queued replies until the queue closes or a write fails,
-// and closes the connection. A message from drain ends a read that waits for a message.
-func (g *Gateway) writeCallerReplies(sock net.Conn, id proxy.SessionID, out <-chan []byte, drain <-chan struct{}) {
-	for g.writeNextReply(sock, id, out, drain) {
-		continue
+// and closes the connection. A message from drain ends a read that waits for a message. After a
+// failed write, abort ends a reader that waits: what it waits for may depend on the replies that
+// are not written any more.
+func (g *Gateway) writeCallerReplies(sock net.Conn, id proxy.SessionID, out <-chan []byte, drain <-chan struct{}, abort func()) {
+	failed := false
+	for more := true; more; {
+		more, failed = g.writeNextReply(sock, id, out, drain)
 	}
 	_ = sock.Close()
+	if failed {
+		abort()
+	}
 	for range out {
 		continue
 	}
 }
 
-// writeNextReply waits for a queued reply or a drain. It returns false after the last reply or
-// a failed write.
-func (g *Gateway) writeNextReply(sock net.Conn, id proxy.SessionID, out <-chan []byte, drain <-chan struct{}) bool {
+// writeNextReply waits for a queued reply or a drain. It returns more as false after the last reply
+// or a failed write.
+func (g *Gateway) writeNextReply(sock net.Conn, id proxy.SessionID, out <-chan []byte, drain <-chan struct{}) (more, failed bool) {
 	select {
 	case buf, ok := <-out:
 		if !ok {
-			return false
+			return false, false
 		}
 		_ = sock.SetWriteDeadline(time.Now().Add(g.settings.ReplyTimeout))
 		_, err := sock.Write(buf)
@@ -383,10 +392,10 @@
 		if err == nil {
 			g.post(callerWrote{session: id, bytes: len(buf)})
 		}
-		return err == nil
+		return err == nil, err != nil
 	case <-drain:
 		_ = sock.SetReadDeadline(drainDeadline)
-		return true
+		return true, false
 	}
 }
 
--- a/node/gateway/caller_test.go
+++ b/node/gateway/caller_test.go
@@ -233,6 +233,26 @@
 	f.expect(callerWriterDone{session: 1})
 }
 
+// Guards against a connection that is never removed: a write fails while the reader waits for memory
+// that is only freed once the unread replies have been written.
+func TestWaitForMemoryEndsWithFailedWrite(t *testing.T) {
+	f := newTimedFixture(t)
+	go func() { _, _ = io.WriteString(f.caller, strings.Repeat("x", 3*callerReadBufferBytes)) }()
+	f.expect(callerReserves{session: 1, bytes: largestMessageBytes})
+	f.conn.out <- []byte("unread")
+	f.expect(proxy.CallerDisconnected{Session: 1})
+}
+
+// Guards against a drained connection that is not removed when a write fails: its session waits for
+// the unread replies before it runs the statements that it has received.
+func TestDrainedConnectionEndsWithFailedWrite(t *testing.T) {
+	f := newTimedFixture(t)
+	signalCaller(f.conn.drain)
+	f.expect(proxy.CallerDrained{Session: 1})
+	f.conn.out <- []byte("unread")
+	f.expect(proxy.CallerDisconnected{Session: 1})
+}
+
 // failingListener fails the first calls of Accept.
 type failingListener struct {
 	net.Listener
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -34,7 +34,7 @@
 	}()
 	go func() {
 		time.Sleep(50 * time.Millisecond)
-		g.writeCallerReplies(gatewayEnd, 1, out, nil)
+		g.writeCallerReplies(gatewayEnd, 1, out, nil, func() {})
 		g.post(callerWriterDone{})
 	}()
 	g.sendToCaller(1, []byte("COMPLETE -\r\n"))
