core/proxy: a drained session whose key was withdrawn is closed once

The refusal ends the drain and closes the session, and the session was then closed again. The memory of all sessions counted too little from then on, so that its limit did not hold.

--- a/core/proxy/identity_test.go
+++ b/core/proxy/identity_test.go
@@ -160,6 +160,33 @@
 	is.True(drainedAt != 0)
 }
 
+// Guards against a drained session that is removed twice when its last statement is refused for the
+// withdrawn key: the memory of all sessions then counts too little.
+func TestDrainedSessionOfWithdrawnKeyIsClosedOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newWorkspaceSimulation(t, 69)
+	m := sim.hosts["h-a0"].machine
+	m.Step(sim.now, proxy.CallerStarted{Session: 9, Database: "own-db", Key: "key-s1"})
+	m.Step(sim.now, proxy.CallerBlocked{Session: 9})
+	m.Step(sim.now, proxy.CallerQuery{Session: 9, Query: query("x.1", "READ 1")})
+	sim.workspaces = twoWorkspaces()[:1]
+	sim.configure(3)
+	sim.runFor(maxConfigDelay)
+	m.Step(sim.now, proxy.CallerDrained{Session: 9})
+	replies, closes := 0, 0
+	for _, e := range m.Step(sim.now, proxy.CallerUnblocked{Session: 9}) {
+		switch e := e.(type) {
+		case proxy.CallerReply:
+			is.Equal(e.Reply.Code, statement.CodeAuthFailed)
+			replies++
+		case proxy.CallerClose:
+			closes++
+		}
+	}
+	is.Equal(replies, 1)
+	is.Equal(closes, 1)
+}
+
 // Guards against a restarted host that accepts a withdrawn key because its first list of the
 // configuration is old: it waits for a current one.
 func TestRestartedHostWithOldListDoesNotAcceptWithdrawnKey(t *testing.T) {
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -340,8 +340,12 @@
 	m.removeSession(s)
 }
 
-// closeSession closes a caller's connection.
+// closeSession closes a caller's connection. It does nothing if a reply before has ended a drain and
+// closed it.
 func (m *Machine) closeSession(s *session, code statement.Code, text string) {
+	if m.sessions[s.id] != s {
+		return
+	}
 	m.emit(CallerClose{Session: s.id, Code: code, Text: text})
 	m.removeSession(s)
 }
