core/pool: requests that end without a reply are charged their slot time

A workspace whose connections broke, whose replies were lost or whose statements were closed at their deadline was charged the mean service time only. In a test with one slot it got 15 times the slot time of another one.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -516,8 +516,8 @@
 	stoppedEarly := len(c.pendingCommands) > 0
 	serviceTime := now.Sub(c.sentAt)
 	sentAt, abandoned := c.sentAt, c.isAbandoned
+	p.releaseSlot(now, c)
 	c.currentRequest, c.pendingCommands = nil, nil
-	p.releaseSlot(c)
 	if !abandoned {
 		p.queue.finish(now, qr)
 	}
@@ -566,10 +566,12 @@
 	c.tx = 0
 }
 
-func (p *Pool) releaseSlot(c *conn) {
+// releaseSlot releases the slot of a connection, if it holds one, and charges its workspace.
+func (p *Pool) releaseSlot(now types.Time, c *conn) {
 	if c.holdsSlot {
 		c.holdsSlot = false
 		p.slotsInUse--
+		p.queue.finish(now, c.currentRequest)
 	}
 }
 
@@ -601,8 +603,8 @@
 		mayHaveRun := len(c.pendingCommands) == 0
 		p.emit(Result{ID: qr.req.ID, MayHaveRun: mayHaveRun, Reason: reason, QueueTime: c.sentAt.Sub(qr.queuedAt), ServiceTime: now.Sub(c.sentAt)})
 	}
+	p.releaseSlot(now, c)
 	c.currentRequest = nil
-	p.releaseSlot(c)
 	p.releaseTx(c)
 	p.removeConn(c)
 }
--- a/core/pool/fair_test.go
+++ b/core/pool/fair_test.go
@@ -224,3 +224,45 @@
 	}
 	is.True((used["short"] - used["long"]).Abs() <= 60*time.Millisecond)
 }
+
+// Guards against slot time that is not charged because the request ends without a reply: its
+// connection breaks, or its reply is overdue and it is sent again. A workspace with such requests
+// would get more slot time than the others.
+func TestSharesCountSlotTimeOfRequestsWithoutReply(t *testing.T) {
+	for _, breaks := range []bool{true, false} {
+		h := newHarness(t, 1, 300)
+		h.pool.Configure(pool.Config{Slots: 1, MaxConnections: 300, ByWorkspace: true})
+		far := h.now.Add(time.Hour)
+		for i := range 200 {
+			h.submit(pool.Request{ID: pool.RequestID(1 + 2*i), Workspace: "short", Query: read("short"), Due: far, Deadline: far})
+			h.submit(pool.Request{ID: pool.RequestID(2 + 2*i), Workspace: "lost", Query: read("lost"), Due: far, Deadline: far})
+		}
+		used := map[string]time.Duration{}
+		longest := time.Duration(0)
+		for range 100 {
+			conn := h.sendOrder[0]
+			kind := h.sentCommands[conn].ID
+			began := h.now
+			switch {
+			case kind == "short":
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.replyToOldest(statement.Reply{})
+			case breaks:
+				h.now = h.now.Add(150 * time.Millisecond)
+				h.sendOrder = h.sendOrder[1:]
+				h.pool.HandleDisconnect(h.now, conn)
+				h.runEffects()
+			default:
+				for sent := len(h.sendOrder); len(h.sendOrder) == sent; {
+					h.advance(5 * time.Millisecond)
+				}
+				h.sendOrder = h.sendOrder[1:]
+			}
+			used[kind] += h.now.Sub(began)
+			longest = max(longest, h.now.Sub(began))
+		}
+		if d := (used["short"] - used["lost"]).Abs(); d > 2*longest {
+			t.Errorf("breaks %v: slot time %v", breaks, used)
+		}
+	}
+}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -248,7 +248,7 @@
 	if !c.holdsSlot || now.Before(c.overdueAt) {
 		return
 	}
-	p.releaseSlot(c)
+	p.releaseSlot(now, c)
 	qr := c.currentRequest
 	if c.isAbandoned || qr.isResent || qr.req.Tx != 0 || qr.req.Query.Stmt.Writes() {
 		return
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -126,9 +126,12 @@
 	qr.charged = r.shares.start(qr.req.Workspace, qr.chargedTime)
 }
 
-// finish corrects the charge of a request that has ended by the slot time that it used.
+// finish corrects the charge of a request to the slot time that it has used. It is called when the
+// slot is released, and again if the reply comes later.
 func (q *queue) finish(now types.Time, qr *queuedRequest) {
-	q.ranks[clampRank(qr.req.Rank)].shares.charge(qr.charged, now.Sub(qr.startedAt)-qr.chargedTime)
+	used := now.Sub(qr.startedAt)
+	q.ranks[clampRank(qr.req.Rank)].shares.charge(qr.charged, used-qr.chargedTime)
+	qr.chargedTime = used
 }
 
 // visitCandidates calls visit with the queued requests in the order in which they should
