core/pool: a read that waits to be sent again may have run

Its result said that it had not run when it was refused in the queue or its second connection failed first, and the owner refunded an operation that had run to the limit of its workspace.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -595,13 +595,14 @@
 	p.dropConn(now, c, reason)
 }
 
+// hasSentStatement reports whether the statement of the current request has been sent. It is the
+// last command: it has not been sent while commands are pending.
+func (c *conn) hasSentStatement() bool { return len(c.pendingCommands) == 0 }
+
 // dropConn removes a connection. Its request ends without a reply.
 func (p *Pool) dropConn(now types.Time, c *conn, reason types.Reason) {
 	if qr := c.currentRequest; qr != nil && !c.isAbandoned {
-		// The statement is the last command: it has not been sent while commands are
-		// pending.
-		mayHaveRun := len(c.pendingCommands) == 0
-		p.emit(Result{ID: qr.req.ID, MayHaveRun: mayHaveRun, Reason: reason, QueueTime: c.sentAt.Sub(qr.queuedAt), ServiceTime: now.Sub(c.sentAt)})
+		p.emit(Result{ID: qr.req.ID, MayHaveRun: c.hasSentStatement() || qr.mayHaveRun, Reason: reason, QueueTime: c.sentAt.Sub(qr.queuedAt), ServiceTime: now.Sub(c.sentAt)})
 	}
 	p.releaseSlot(now, c)
 	c.currentRequest = nil
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -149,7 +149,7 @@
 func (p *Pool) emit(e Effect) { p.effects = append(p.effects, e) }
 
 func (p *Pool) refuse(qr *queuedRequest, now types.Time, reason types.Reason) {
-	p.emit(Result{ID: qr.req.ID, Reason: reason, QueueTime: now.Sub(qr.queuedAt)})
+	p.emit(Result{ID: qr.req.ID, MayHaveRun: qr.mayHaveRun, Reason: reason, QueueTime: now.Sub(qr.queuedAt)})
 }
 
 // Submit queues a request, or refuses it if it cannot be served in time.
@@ -254,7 +254,7 @@
 		return
 	}
 	c.isAbandoned = true
-	qr.isResent = true
+	qr.isResent, qr.mayHaveRun = true, c.hasSentStatement()
 	p.queue.push(qr)
 }
 
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -247,6 +247,20 @@
 	h.is.Equal(h.results[2].Reason, types.ReasonLate)
 }
 
+// Guards against a read that counts as not run, and whose limit is refunded, although it was sent to
+// the endpoint: its reply was overdue, and it ends before it is sent again.
+func TestReadThatWaitsToBeSentAgainMayHaveRun(t *testing.T) {
+	h := newHarness(t, 1, 4)
+	h.submit(pool.Request{ID: 1, Query: read("r")})
+	h.submit(pool.Request{ID: 2, Query: write("w")})
+	h.advance(300 * time.Millisecond)
+	h.is.Equal(h.sentCommands[h.sendOrder[1]].ID, "w")
+	h.pool.Drain(h.now)
+	h.runEffects()
+	h.is.Equal(h.results[1].Reason, types.ReasonLeaving)
+	h.is.True(h.results[1].MayHaveRun)
+}
+
 func TestDisconnectReportsWhetherStatementMayHaveRun(t *testing.T) {
 	h := newHarness(t, 2, 4)
 	h.submit(pool.Request{ID: 1, Query: write("w")})
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -25,6 +25,8 @@
 	queuedAt types.Time
 	// isResent is set on a read that is sent to the endpoint for the second time.
 	isResent bool
+	// mayHaveRun is set on a queued request that the endpoint may have run already.
+	mayHaveRun bool
 	// deadlineIndex is the position in queue.byDeadline.
 	deadlineIndex int
 	// share is that of a queued request; nil for a statement of an open transaction.
