core/pool: least interval at which requests that lack a connection are reviewed

The interval was the mean time to open a connection. To an endpoint on the same machine this is some ten microseconds, and the owner's task ticked all the time while a request waited.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -92,7 +92,7 @@
 func (p *Pool) openMissing(now types.Time, missing []*queuedRequest) {
 	p.openFor(now, missing, false)
 	if len(missing) > 0 || (p.dialsInFlight > 0 && p.queue.size() > 0) {
-		p.reviewAt = now.Add(p.policy.openingTime())
+		p.reviewAt = now.Add(max(p.policy.openingTime(), minReviewInterval))
 	}
 }
 
--- a/core/pool/connections.go
+++ b/core/pool/connections.go
@@ -29,6 +29,9 @@
 	defaultOpeningTime = 12 * time.Millisecond
 	// openingAverageSamples sets the weight, 1/openingAverageSamples, of a new sample.
 	openingAverageSamples = 8
+	// minReviewInterval is the least time after which requests that lack a connection are considered
+	// again. Connections to a near endpoint open within microseconds.
+	minReviewInterval = 5 * time.Millisecond
 	// openingSlotTime is the time for which a connection that is being opened counts as slot use.
 	// One that takes longer probably waits for the network.
 	openingSlotTime = 100 * time.Millisecond
--- a/core/pool/workspaces_test.go
+++ b/core/pool/workspaces_test.go
@@ -523,3 +523,37 @@
 	run(3 * time.Second)
 	is.Equal(p.ConnectionCount(), 5)
 }
+
+// beginTx opens a transaction of a workspace, which holds its connection.
+func (h *harness) beginTx(id pool.RequestID, w types.Workspace) {
+	begin := pool.Query{ID: "begin", Stmt: statement.Statement{Kind: statement.KindBegin, Text: "BEGIN"}}
+	h.submit(pool.Request{ID: id, Tx: pool.TxID(id), Workspace: w, Begin: &begin, Query: write("w")})
+	h.replyToOldest(statement.Reply{State: statement.StateInTransaction})
+	h.replyToOldest(statement.Reply{State: statement.StateInTransaction})
+}
+
+// Guards against an owner that is busy with ticks while a request waits for a connection, because
+// connections to a near endpoint open within microseconds.
+func TestWaitForConnectionNeedsFewTicks(t *testing.T) {
+	h := newWorkspaceHarness(t, 4, 1)
+	h.pool.Submit(h.now, pool.Request{ID: 1, Workspace: "a", Query: read("r"), Due: h.now.Add(time.Second), Deadline: h.now.Add(time.Second)})
+	dial, ok := h.pool.TakeEffects()[0].(pool.Dial)
+	h.is.True(ok)
+	h.now = h.now.Add(50 * time.Microsecond)
+	h.pool.HandleConnected(h.now, dial.Conn)
+	h.runEffects()
+	h.replyToOldest(statement.Reply{})
+	h.beginTx(2, "a")
+	h.submit(pool.Request{ID: 3, Workspace: "b", Query: read("r")})
+	ticks := 0
+	for end := h.now.Add(100 * time.Millisecond); h.now.Before(end) && ticks < 1000; ticks++ {
+		at, ok := h.pool.NextWake()
+		h.is.True(ok)
+		h.now = max(h.now, at)
+		h.pool.Tick(h.now)
+		h.runEffects()
+	}
+	if ticks > 25 {
+		t.Errorf("%d ticks within 100 ms", ticks)
+	}
+}
