core/pool: a connection accepted after a refused dial counts towards what the endpoint accepts

With two dials under way, one refused and one accepted, more connections were open than the refusal allowed, and no idle one was replaced for up to 2 s.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -339,6 +339,7 @@
 	p.dialFailures = 0
 	p.retryDialAt = 0
 	p.dialsInFlight--
+	p.accepted = max(p.accepted, len(p.connList)-p.dialsInFlight)
 	p.policy.recordOpening(now.Sub(c.stateSince))
 	if !now.Before(p.acceptedUntil) {
 		p.refusedDials = 0
--- a/core/pool/workspaces_test.go
+++ b/core/pool/workspaces_test.go
@@ -557,3 +557,41 @@
 		t.Errorf("%d ticks within 100 ms", ticks)
 	}
 }
+
+// Guards against a workspace that waits although another one has an idle connection: one dial was
+// refused while another one succeeded, so that more connections are open than the refusal allows.
+func TestConnectionAcceptedAfterRefusalCounts(t *testing.T) {
+	h := newWorkspaceHarness(t, 8, 10)
+	h.beginTx(1, "a")
+	far := h.now.Add(time.Hour)
+	awaitDials := func(n int) (ids []pool.ConnID) {
+		for end := h.now.Add(3 * time.Second); len(ids) < n && h.now.Before(end); {
+			for _, e := range h.pool.TakeEffects() {
+				if d, ok := e.(pool.Dial); ok {
+					ids = append(ids, d.Conn)
+				}
+			}
+			h.now = h.now.Add(10 * time.Millisecond)
+			h.pool.Tick(h.now)
+		}
+		h.is.Equal(len(ids), n)
+		return ids
+	}
+	h.pool.Submit(h.now, pool.Request{ID: 2, Workspace: "c", Query: read("c"), Due: h.now.Add(100 * time.Millisecond), Deadline: far})
+	for range 5 { // the refusals count for longer and longer
+		h.pool.HandleDialRefused(h.now, awaitDials(1)[0])
+	}
+	h.pool.Submit(h.now, pool.Request{ID: 3, Workspace: "b", Query: read("b"), Due: h.now.Add(100 * time.Millisecond), Deadline: far})
+	dials := awaitDials(2)
+	h.pool.HandleDialRefused(h.now, dials[0])
+	h.pool.HandleConnected(h.now, dials[1])
+	h.runEffects()
+	for range 20 {
+		if len(h.sendOrder) > 0 {
+			h.replyToOldest(statement.Reply{})
+		}
+		h.advance(10 * time.Millisecond)
+	}
+	h.is.Equal(h.results[2].Reply.Code, statement.CodeOK)
+	h.is.Equal(len(h.results), 3)
+}
