node/gateway: a dial that was given up closes its connection at once

The owner gives up a dial after 500 ms and opens another connection. While the endpoint did not reply to the startup message, the old connection stayed open for up to 1.5 s more and counted towards the endpoint's limit.

--- a/node/gateway/endpoint.go
+++ b/node/gateway/endpoint.go
@@ -92,6 +92,8 @@
 		g.logDialFailure(d, err.Error(), failed.Absent)
 		return nil, nil, failed
 	}
+	stop := context.AfterFunc(ctx, func() { _ = sock.Close() })
+	defer stop()
 	_ = sock.SetDeadline(time.Now().Add(dialTimeout))
 	r = bufio.NewReaderSize(sock, endpointReadBufferBytes)
 	if _, err = sock.Write(g.settings.Codec.AppendStartup(nil, d.Service, d.Endpoint, d.Workspace)); err == nil {
--- a/node/gateway/endpoint_test.go
+++ b/node/gateway/endpoint_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -42,3 +45,26 @@
 		is.NoErr(ln.Close())
 	}
 }
+
+// Guards against connections beyond the endpoint's limit: a dial that was given up kept its
+// connection until the reply to the startup message was overdue, while others were opened.
+func TestDialThatWasGivenUpIsClosedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = ln.Close() }()
+	g := &Gateway{settings: Settings{Codec: platform.LineCodec{}}, logs: NewLogWriter(io.Discard), inbox: make(chan any, inboxSize), stopped: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	go g.runEndpointConn(ctx, proxy.EndpointDial{Conn: 7, Service: "s", Endpoint: "e", Address: ln.Addr().String()}, nil)
+	sock, err := ln.Accept()
+	is.NoErr(err)
+	defer func() { _ = sock.Close() }()
+	r := bufio.NewReader(sock)
+	_, err = r.ReadString('\n')
+	is.NoErr(err)
+	cancel()
+	_ = sock.SetReadDeadline(time.Now().Add(dialTimeout / 2))
+	_, err = r.ReadByte()
+	is.True(err != nil)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+}
