core/proxy: the first connection of a workspace at a primary is confirmed at once

As long as connections of other workspaces were trusted, a new one waited for the periodic confirmation of the authority.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -305,6 +305,15 @@
 	})
 }
 
+// HasTrustedAlternative reports whether a trusted connection is open for the workspace of the
+// given one.
+func (p *Pool) HasTrustedAlternative(id ConnID) bool {
+	opened := p.connByID[id]
+	return opened != nil && slices.ContainsFunc(p.connList, func(c *conn) bool {
+		return c.state != stateDialing && c.workspace == opened.workspace && p.IsTrusted(c.openedAt)
+	})
+}
+
 // IsTrusted reports whether a connection that was opened at the given time is trusted.
 func (p *Pool) IsTrusted(openedAt types.Time) bool { return !openedAt.After(p.trustedUntil) }
 
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -58,6 +58,10 @@
 	// absenceValidity without one.
 	absentCount  int
 	lastAbsentAt types.Time
+	// trustQueryDue is set if the status of a primary is to be queried for new connections.
+	// trustQueriedAt is when it was last queried for them.
+	trustQueryDue  bool
+	trustQueriedAt types.Time
 	// positionQueriedAt is when the endpoint was last queried for its position.
 	positionQueriedAt types.Time
 	// unreachableUntil is set if other hosts can reach the endpoint and this host cannot.
@@ -324,6 +328,7 @@
 		if o.authority != nil {
 			o.authority.SetReplicas(m.replicasOf(o))
 			m.sendAuthorityQueries(o)
+			m.sendTrustQuery(o)
 			if o.authority.Valid(m.now) {
 				o.fencedSince = 0
 			}
@@ -395,7 +400,7 @@
 	default:
 		if o := m.owned[c.endpoint]; o != nil {
 			o.pool.HandleConnected(m.now, id)
-			m.confirmNewConn(o)
+			m.confirmNewConn(o, id)
 		}
 	}
 }
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"baobabfield.example/core/lead"
+	"baobabfield.example/core/pool"
 	"baobabfield.example/core/types"
 )
 
@@ -17,6 +18,9 @@
 	// claimFreeReadInterval is the time between two reads of the leadership records while they
 	// show a campaign, or the store does not respond.
 	claimFreeReadInterval = time.Second
+	// trustQueryInterval is the least time between two queries of a primary's status for new
+	// connections of workspaces. At the connection limit these are opened all the time.
+	trustQueryInterval = 50 * time.Millisecond
 )
 
 // mayUsePrimary reports whether the authority permits an execution at the primary. Otherwise
@@ -66,12 +70,27 @@
 }
 
 // confirmNewConn requests confirmations that cover a new connection to a primary. While the
-// pool has a trusted connection this is not urgent: requests use that one until the periodic
-// confirmations cover the new one.
-func (m *Machine) confirmNewConn(o *ownedEndpoint) {
-	if !o.pool.HasTrustedConnection() {
+// pool has a trusted connection for the same workspace this is not urgent: requests use that one
+// until the periodic confirmations cover the new one. While it has one for another workspace, a
+// status of the primary is enough, see pool.TrustConnections.
+func (m *Machine) confirmNewConn(o *ownedEndpoint, id pool.ConnID) {
+	switch {
+	case !o.pool.HasTrustedConnection():
 		m.reconfirmAuthority(o)
+	case o.authority != nil && !o.pool.HasTrustedAlternative(id):
+		o.trustQueryDue = true
+		m.sendTrustQuery(o)
+	}
+}
+
+// sendTrustQuery queries the status of a primary if connections of further workspaces are to be
+// trusted.
+func (m *Machine) sendTrustQuery(o *ownedEndpoint) {
+	if !o.trustQueryDue || m.now.Sub(o.trustQueriedAt) < trustQueryInterval {
+		return
 	}
+	o.trustQueryDue, o.trustQueriedAt = false, m.now
+	m.enqueueCommand(lead.Command{Endpoint: o.id, Op: lead.OpQueryStatus}, purposeAuthority)
 }
 
 // reconfirmAuthority requests confirmations that cover the connections open now.
