--- a/core/pool/workspaces_test.go
+++ b/core/pool/workspaces_test.go
@@ -38,6 +38,7 @@
 type randomConn struct {
 	workspace types.Workspace
 	ready     bool
+	openedAt  types.Time
 	running   *pool.Command
 	variables statement.SessionVariables
 	templates map[string]statement.Template
@@ -100,6 +101,9 @@
 	if req.Workspace != c.workspace {
 		r.t.Fatalf("statement of workspace %q on a connection of %q", req.Workspace, c.workspace)
 	}
+	if req.RequireTrusted && !r.pool.IsTrusted(c.openedAt) {
+		r.t.Fatalf("statement on a connection that is not trusted")
+	}
 	if c.tx != 0 && c.tx != req.Tx {
 		r.t.Fatalf("statement of transaction %d inside transaction %d", req.Tx, c.tx)
 	}
@@ -179,6 +183,7 @@
 		req.Query = read(id)
 	}
 	if req.Begin != nil || req.Tx == 0 {
+		req.RequireTrusted = r.rng.IntN(4) == 0
 		for range r.rng.IntN(3) {
 			req.Variables = req.Variables.With([]string{"a", "b"}[r.rng.IntN(2)], string(req.Workspace))
 		}
@@ -201,15 +206,53 @@
 		r.submit()
 	}
 	r.applyEffects()
+	switch n := r.rng.IntN(200); {
+	case n < 10:
+		r.pool.TrustConnections(r.now, r.now.Add(-time.Duration(r.rng.IntN(30))*time.Millisecond))
+	case n == 10 && len(r.openTxs) > 0:
+		r.pool.AbortTx(r.now, r.openTxs[0].Tx)
+		r.openTxs = r.openTxs[1:]
+	}
+	r.applyEffects()
 	if r.rng.IntN(5) == 0 {
 		r.pool.Tick(r.now)
 		r.applyEffects()
+		r.checkDeadlines()
 		if at, ok := r.pool.NextWake(); ok && !at.After(r.now) {
 			r.t.Fatalf("after a tick the next one is due at once")
 		}
 	}
 }
 
+// checkDeadlines checks after a tick that no request is kept beyond its deadline, or, if it runs,
+// beyond the time at which its reply is overdue.
+func (r *randomRun) checkDeadlines() {
+	const longestRun = 300 * time.Millisecond
+	for id, req := range r.requests {
+		if r.now.Sub(req.Deadline) > longestRun {
+			r.t.Fatalf("request %d has no result %v after its deadline", id, r.now.Sub(req.Deadline))
+		}
+	}
+}
+
+// checkEnd checks that a draining pool ends all requests, releases its slots and becomes idle.
+func (r *randomRun) checkEnd() {
+	r.pool.Drain(r.now)
+	r.now = r.now.Add(2 * time.Second)
+	r.pool.Tick(r.now)
+	r.applyEffects()
+	for tx := range r.nextTx {
+		r.pool.AbortTx(r.now, tx+1)
+	}
+	r.applyEffects()
+	if queued, running := r.pool.Load(); len(r.requests) > 0 || queued != 0 || running != 0 || !r.pool.IsIdle() {
+		r.t.Fatalf("%d requests have no result, %d are queued, %d slots are in use at the end", len(r.requests), queued, running)
+	}
+	if r.results < 500 {
+		r.t.Fatalf("only %d requests were played", r.results)
+	}
+}
+
 // stepConn plays one random event of a connection.
 func (r *randomRun) stepConn(id pool.ConnID, c *randomConn) {
 	switch n := r.rng.IntN(40); {
@@ -223,7 +266,7 @@
 		r.remove(id)
 		r.pool.HandleDialRefused(r.now, id)
 	case !c.ready:
-		c.ready = true
+		c.ready, c.openedAt = true, r.now
 		r.pool.HandleConnected(r.now, id)
 	case c.running != nil:
 		r.reply(id, c)
@@ -232,27 +275,21 @@
 
 // No statement runs on a connection of another workspace, with variables of another session or as
 // a template of another one, and no connection is opened at the limit, whatever happens. Every
-// request ends by its deadline.
+// request has one result by its deadline, and no slot stays in use.
 func TestWorkspacesStayApartUnderRandomEvents(t *testing.T) {
 	for _, byWorkspace := range []bool{true, false} {
 		for seed := range uint64(60) {
-			r := newRandomRun(t, seed, byWorkspace)
-			for i := range 3000 {
-				if i%500 == 250 {
-					r.limit = 3 + r.rng.IntN(6)
-					r.pool.Configure(pool.Config{Slots: 3, MaxConnections: r.limit, ByWorkspace: byWorkspace})
+			t.Run(fmt.Sprintf("by workspace %v, seed %d", byWorkspace, seed), func(t *testing.T) {
+				r := newRandomRun(t, seed, byWorkspace)
+				for i := range 3000 {
+					if i%500 == 250 {
+						r.limit = 3 + r.rng.IntN(6)
+						r.pool.Configure(pool.Config{Slots: 3, MaxConnections: r.limit, ByWorkspace: byWorkspace})
+					}
+					r.step()
 				}
-				r.step()
-			}
-			r.now = r.now.Add(2 * time.Second)
-			r.pool.Tick(r.now)
-			r.applyEffects()
-			if len(r.requests) > 0 {
-				t.Fatalf("seed %d: %d requests have no result after their deadline", seed, len(r.requests))
-			}
-			if r.results < 500 {
-				t.Fatalf("seed %d: only %d requests were played", seed, r.results)
-			}
+				r.checkEnd()
+			})
 		}
 	}
 }
