--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -92,7 +92,7 @@
 func (p *Pool) openMissing(now types.Time, missing []*queuedRequest) {
 	p.openFor(now, missing, false)
 	if len(missing) > 0 || (p.dialsInFlight > 0 && p.queue.size() > 0) {
-		p.reviewAt = now.Add(p.policy.openingTime())
+		p.reviewAt = now.Add(max(p.policy.openingTime(), minReviewInterval))
 	}
 }
 
@@ -102,15 +102,16 @@
 func (p *Pool) openFor(now types.Time, missing []*queuedRequest, inTurn bool) bool {
 	opened := false
 	var holdings []holding
+	var index map[types.Workspace]int
 	for _, qr := range missing {
 		if p.freeSlots(now) <= 0 || !p.mayDial(now) {
 			break
 		}
 		if holdings == nil {
-			holdings = p.holdings(now)
+			holdings, index = p.holdings(now)
 		}
-		i := slices.IndexFunc(holdings, func(h holding) bool { return h.workspace == qr.req.Workspace })
-		if i >= 0 && holdings[i].needsAnother() && p.openAs(now, holdings, i, isOverdue(now, qr), inTurn) {
+		i, ok := index[qr.req.Workspace]
+		if ok && holdings[i].needsAnother() && p.openAs(now, holdings, i, isOverdue(now, qr), inTurn) {
 			opened, holdings = true, nil
 		}
 	}
@@ -142,10 +143,10 @@
 }
 
 // holdings returns what the workspaces hold at the endpoint and wait for, in the order of their
-// oldest connections.
-func (p *Pool) holdings(now types.Time) []holding {
-	var out []holding
-	index := map[types.Workspace]int{}
+// oldest connections, and the index of each workspace.
+func (p *Pool) holdings(now types.Time) (out []holding, index map[types.Workspace]int) {
+	out = make([]holding, 0, len(p.queue.countByWorkspace)+len(p.connList))
+	index = make(map[types.Workspace]int, cap(out))
 	of := func(w types.Workspace) *holding {
 		i, ok := index[w]
 		if !ok {
@@ -172,7 +173,7 @@
 			of(qr.req.Workspace).waiting++
 		}
 	}
-	return out
+	return out, index
 }
 
 // endsTx reports whether the connection is free for other requests after its current statement.
@@ -205,7 +206,7 @@
 		}
 	}
 	for len(p.connList) > p.cfg.MaxConnections {
-		holdings := p.holdings(now)
+		holdings, _ := p.holdings(now)
 		v, _ := p.policy.leastReused(now, holdings, -1, false)
 		if v < 0 {
 			return
@@ -339,6 +340,7 @@
 	p.dialFailures = 0
 	p.retryDialAt = 0
 	p.dialsInFlight--
+	p.accepted = max(p.accepted, len(p.connList)-p.dialsInFlight)
 	p.policy.recordOpening(now.Sub(c.stateSince))
 	if !now.Before(p.acceptedUntil) {
 		p.refusedDials = 0
@@ -516,8 +518,8 @@
 	stoppedEarly := len(c.pendingCommands) > 0
 	serviceTime := now.Sub(c.sentAt)
 	sentAt, abandoned := c.sentAt, c.isAbandoned
+	p.releaseSlot(now, c)
 	c.currentRequest, c.pendingCommands = nil, nil
-	p.releaseSlot(c)
 	if !abandoned {
 		p.queue.finish(now, qr)
 	}
@@ -566,10 +568,12 @@
 	c.tx = 0
 }
 
-func (p *Pool) releaseSlot(c *conn) {
+// releaseSlot releases the slot of a connection, if it holds one, and charges its workspace.
+func (p *Pool) releaseSlot(now types.Time, c *conn) {
 	if c.holdsSlot {
 		c.holdsSlot = false
 		p.slotsInUse--
+		p.queue.finish(now, c.currentRequest)
 	}
 }
 
@@ -593,16 +597,17 @@
 	p.dropConn(now, c, reason)
 }
 
+// hasSentStatement reports whether the statement of the current request has been sent. It is the
+// last command: it has not been sent while commands are pending.
+func (c *conn) hasSentStatement() bool { return len(c.pendingCommands) == 0 }
+
 // dropConn removes a connection. Its request ends without a reply.
 func (p *Pool) dropConn(now types.Time, c *conn, reason types.Reason) {
 	if qr := c.currentRequest; qr != nil && !c.isAbandoned {
-		// The statement is the last command: it has not been sent while commands are
-		// pending.
-		mayHaveRun := len(c.pendingCommands) == 0
-		p.emit(Result{ID: qr.req.ID, MayHaveRun: mayHaveRun, Reason: reason, QueueTime: c.sentAt.Sub(qr.queuedAt), ServiceTime: now.Sub(c.sentAt)})
+		p.emit(Result{ID: qr.req.ID, MayHaveRun: c.hasSentStatement() || qr.mayHaveRun, Reason: reason, QueueTime: c.sentAt.Sub(qr.queuedAt), ServiceTime: now.Sub(c.sentAt)})
 	}
+	p.releaseSlot(now, c)
 	c.currentRequest = nil
-	p.releaseSlot(c)
 	p.releaseTx(c)
 	p.removeConn(c)
 }
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -149,7 +149,7 @@
 func (p *Pool) emit(e Effect) { p.effects = append(p.effects, e) }
 
 func (p *Pool) refuse(qr *queuedRequest, now types.Time, reason types.Reason) {
-	p.emit(Result{ID: qr.req.ID, Reason: reason, QueueTime: now.Sub(qr.queuedAt)})
+	p.emit(Result{ID: qr.req.ID, MayHaveRun: qr.mayHaveRun, Reason: reason, QueueTime: now.Sub(qr.queuedAt)})
 }
 
 // Submit queues a request, or refuses it if it cannot be served in time.
@@ -248,13 +248,13 @@
 	if !c.holdsSlot || now.Before(c.overdueAt) {
 		return
 	}
-	p.releaseSlot(c)
+	p.releaseSlot(now, c)
 	qr := c.currentRequest
 	if c.isAbandoned || qr.isResent || qr.req.Tx != 0 || qr.req.Query.Stmt.Writes() {
 		return
 	}
 	c.isAbandoned = true
-	qr.isResent = true
+	qr.isResent, qr.mayHaveRun = true, c.hasSentStatement()
 	p.queue.push(qr)
 }
 
@@ -305,6 +305,15 @@
 	})
 }
 
+// HasTrustedAlternative reports whether a trusted connection is open for the workspace of the
+// given one.
+func (p *Pool) HasTrustedAlternative(id ConnID) bool {
+	opened := p.connByID[id]
+	return opened != nil && slices.ContainsFunc(p.connList, func(c *conn) bool {
+		return c.state != stateDialing && c.workspace == opened.workspace && p.IsTrusted(c.openedAt)
+	})
+}
+
 // IsTrusted reports whether a connection that was opened at the given time is trusted.
 func (p *Pool) IsTrusted(openedAt types.Time) bool { return !openedAt.After(p.trustedUntil) }
 
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -25,6 +25,8 @@
 	queuedAt types.Time
 	// isResent is set on a read that is sent to the endpoint for the second time.
 	isResent bool
+	// mayHaveRun is set on a queued request that the endpoint may have run already.
+	mayHaveRun bool
 	// deadlineIndex is the position in queue.byDeadline.
 	deadlineIndex int
 	// share is that of a queued request; nil for a statement of an open transaction.
@@ -126,9 +128,12 @@
 	qr.charged = r.shares.start(qr.req.Workspace, qr.chargedTime)
 }
 
-// finish corrects the charge of a request that has ended by the slot time that it used.
+// finish corrects the charge of a request to the slot time that it has used. It is called when the
+// slot is released, and again if the reply comes later.
 func (q *queue) finish(now types.Time, qr *queuedRequest) {
-	q.ranks[clampRank(qr.req.Rank)].shares.charge(qr.charged, now.Sub(qr.startedAt)-qr.chargedTime)
+	used := now.Sub(qr.startedAt)
+	q.ranks[clampRank(qr.req.Rank)].shares.charge(qr.charged, used-qr.chargedTime)
+	qr.chargedTime = used
 }
 
 // visitCandidates calls visit with the queued requests in the order in which they should
