soak: workspaces, keys and limits

The configuration of odd seeds has three workspaces. Keys are replaced, a limit changes, and hosts restart after a withdrawal without the store. Checked are the workspace of each connection, the operations in each span, withdrawn, new and unknown keys, and that no key leaves the hosts.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -32,6 +32,8 @@
 	addedDatabase string
 	seed          uint64
 	limits        hostLimits
+	// workspaces is nil if the configuration has none.
+	workspaces *workspaceLog
 }
 
 // hostLimits are the limits of a host process.
@@ -53,6 +55,8 @@
 	zone            string
 	frontendAddress string
 	settingsPath    string
+	metricsAddress  string
+	storeRelay      *relay
 	meshRelay       *relay
 	cmd             *exec.Cmd
 	// changeSemaphore holds an element while a goroutine of tryChange changes the process.
@@ -63,6 +67,9 @@
 // port.
 const internalPorts = 2
 
+// gracePeriod is the time that a host has to stop after SIGTERM.
+const gracePeriod = 4 * time.Second
+
 // buildHost compiles baobabd and returns the path of the binary.
 func buildHost(t *testing.T) string {
 	t.Helper()
@@ -78,18 +85,19 @@
 // the given number of hosts. All of them end with the test.
 func newCluster(t *testing.T, seed uint64, binaryPath string, hosts int) *cluster {
 	t.Helper()
-	return newLimitedCluster(t, seed, binaryPath, hosts, defaultHostLimits)
+	return newLimitedCluster(t, seed, binaryPath, hosts, defaultHostLimits, nil)
 }
 
-// newLimitedCluster is newCluster for hosts with the given limits.
-func newLimitedCluster(t *testing.T, seed uint64, binaryPath string, hosts int, limits hostLimits) *cluster {
+// newLimitedCluster is newCluster for hosts with the given limits and a configuration with the
+// given workspaces.
+func newLimitedCluster(t *testing.T, seed uint64, binaryPath string, hosts int, limits hostLimits, workspaces *workspaceLog) *cluster {
 	t.Helper()
 	f, err := fleet.Start(seed)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 2)), binaryPath: binaryPath, fleet: f, seed: seed, limits: limits}
+	c := &cluster{t: t, rng: rand.New(rand.NewPCG(seed, 2)), binaryPath: binaryPath, fleet: f, seed: seed, limits: limits, workspaces: workspaces}
 	for i, zone := range []string{"a", "b", "c"} {
 		instance, err := f.AddInstance("i-"+zone, "svc", zone, i == 0, func(target string) string {
 			r := newRelay(t, target)
@@ -106,6 +114,7 @@
 		c.hosts = append(c.hosts, c.newHostProcess(i))
 	}
 	for _, p := range c.hosts {
+		c.workspaces.recordFault(p.name, 0) // a new process has no share of the limits yet
 		p.start()
 		t.Cleanup(p.kill)
 	}
@@ -135,7 +144,7 @@
 		add(c.addedDatabase, "primary", 0)
 	}
 	c.fleet.Store().Put("config", "main", map[string]any{
-		"version": c.configVersion, "routes": routes, "limits": map[string]any{"txIdleMs": 3000},
+		"version": c.configVersion, "tenants": c.workspaces.tenants(), "routes": routes, "limits": map[string]any{"txIdleMs": 3000},
 		"services": []map[string]any{{"name": "svc", "maxConns": 40, "syncReplicas": 0}},
 	})
 }
@@ -148,10 +157,12 @@
 		p.binaryPath = *earlierBinary
 	}
 	storeRelay := newRelay(c.t, c.fleet.Store().Address())
+	p.storeRelay = storeRelay
 	c.relays = append(c.relays, storeRelay)
 	frontendPort, readinessPort := reservePorts(c.t, 1), reservePorts(c.t, 1)
 	internalPort := reservePorts(c.t, internalPorts)
 	p.frontendAddress = loopback(frontendPort)
+	p.metricsAddress = loopback(internalPort + 1)
 	p.meshRelay = newRelay(c.t, loopback(internalPort))
 	c.relays = append(c.relays, p.meshRelay)
 	dir := c.t.TempDir()
@@ -165,10 +176,10 @@
 listen: {frontend: %q, readiness: %q}
 internalPorts: [%d, %d]
 limits: {memoryMb: %d, maxFds: %d}
-bounds: {graceS: 4}
+bounds: {graceS: %d, configApplyMs: %d}
 platform: {address: %q}
 cloud: {address: %q}
-`, p.name, p.zone, p.frontendAddress, loopback(readinessPort), internalPort, internalPort+internalPorts-1, c.limits.memoryMB, c.limits.maxFiles, storeRelay.address(), storeRelay.address())
+`, p.name, p.zone, p.frontendAddress, loopback(readinessPort), internalPort, internalPort+internalPorts-1, c.limits.memoryMB, c.limits.maxFiles, gracePeriod/time.Second, c.configBound().Milliseconds(), storeRelay.address(), storeRelay.address())
 	if err := os.WriteFile(p.settingsPath, []byte(settings), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
@@ -209,6 +220,7 @@
 	case p.changeSemaphore <- struct{}{}:
 		go func() {
 			change()
+			p.cluster.workspaces.recordFault(p.name, 0)
 			<-p.changeSemaphore
 		}()
 	default:
@@ -232,6 +244,7 @@
 	if c.silenceRng == nil || c.silenceRng.IntN(3) != 0 {
 		return
 	}
+	c.workspaces.recordFault(allHosts, 0)
 	for _, r := range c.relays {
 		if c.silenceRng.IntN(100) < silencePercent {
 			r.silenceRequests <- struct{}{}
@@ -243,31 +256,41 @@
 // number of its draws from rng are part of what a seed reproduces.
 func (c *cluster) injectRandomFault() {
 	c.silenceConnections()
+	c.changeWorkspaces()
 	p := c.hosts[c.rng.IntN(len(c.hosts))]
 	instance := c.instances[c.rng.IntN(len(c.instances))]
 	r := c.relays[c.rng.IntN(len(c.relays))]
 	duration := time.Duration(200+c.rng.IntN(1800)) * time.Millisecond
 	switch c.rng.IntN(12) {
 	case 0:
+		c.workspaces.recordFault(p.name, duration)
 		p.tryChange(func() { p.kill(); time.Sleep(duration); p.start() })
 	case 1:
+		c.workspaces.recordFault(p.name, duration)
 		p.tryChange(func() { p.signal(syscall.SIGSTOP); time.Sleep(duration); p.signal(syscall.SIGCONT) })
 	case 2:
+		c.workspaces.recordFault(p.name, gracePeriod)
 		p.tryChange(func() { p.signal(syscall.SIGTERM); _ = p.cmd.Wait(); p.start() })
 	case 3:
+		c.workspaces.recordFault(p.name, 0)
 		p.signal(syscall.SIGHUP)
 	case 4, 5, 6:
+		c.workspaces.recordFault(c.hostOf(r), duration)
 		r.modeChanges <- relayMode(1 + c.rng.IntN(3))
 		time.AfterFunc(duration, func() { r.modeChanges <- modeForward; r.resetRequests <- struct{}{} })
 	case 7:
+		c.workspaces.recordFault(c.hostOf(r), 0)
 		r.resetRequests <- struct{}{}
 	case 8:
+		c.workspaces.recordFault(noHost, duration)
 		instance.Crash()
 		time.AfterFunc(duration, func() { _ = instance.Restart() })
 	case 9:
+		c.workspaces.recordFault(allHosts, duration)
 		c.fleet.Store().SetFaults(storeFaults[c.rng.IntN(len(storeFaults))])
 		time.AfterFunc(duration, func() { c.fleet.Store().SetFaults(platform.Faults{}) })
 	case 10:
+		c.workspaces.recordFault(noHost, duration)
 		instance.SetResponseLoss(10)
 		time.AfterFunc(duration, func() { instance.SetResponseLoss(0) })
 	case 11:
--- a/soak/misbehaving_test.go
+++ b/soak/misbehaving_test.go
@@ -67,7 +67,7 @@
 func newCrowdTest(t *testing.T, binary string, files int) *crowdTest {
 	t.Helper()
 	limits := hostLimits{memoryMB: memoryLimitMB, maxFiles: files, environment: crowdEnvironment}
-	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, limits)}
+	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, limits, nil)}
 	c.awaitAnswer()
 	for _, p := range c.hosts {
 		kb, ok := peakMemoryKB(p.cmd.Process.Pid)
@@ -448,7 +448,7 @@
 func TestLargestValidMessagesAreServedByDefault(t *testing.T) {
 	binary := buildHost(t)
 	t.Cleanup(func() { _ = os.Remove(binary) })
-	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, hostLimits{memoryMB: memoryLimitMB, maxFiles: manyFiles})}
+	c := &crowdTest{cluster: newLimitedCluster(t, 1, binary, crowdHosts, hostLimits{memoryMB: memoryLimitMB, maxFiles: manyFiles}, nil)}
 	c.awaitAnswer()
 	c.awaitLargeAnswer()
 	const callers, ahead = 2, 64
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -52,7 +52,7 @@
 	c.t.Helper()
 	report := reporter(c.t)
 	for _, p := range c.hosts {
-		if reply := p.startup(c.addedDatabase); !strings.HasPrefix(reply, "READY") {
+		if reply := p.startup(c.addedDatabase, "check"); !strings.HasPrefix(reply, "READY") {
 			report(fmt.Sprintf("%s replies %q %v after the change", p.name, reply, configBound))
 		}
 	}
@@ -62,7 +62,7 @@
 // last reply.
 func (p *hostProcess) awaitStartup(database string, deadline time.Time) string {
 	for {
-		reply := p.startup(database)
+		reply := p.startup(database, "check")
 		if strings.HasPrefix(reply, "READY") || time.Now().After(deadline) {
 			return reply
 		}
@@ -71,14 +71,14 @@
 }
 
 // startup opens and closes a session at the host and returns the reply.
-func (p *hostProcess) startup(database string) string {
+func (p *hostProcess) startup(database, key string) string {
 	conn, err := net.DialTimeout("tcp", p.frontendAddress, time.Second)
 	if err != nil {
 		return err.Error()
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s check\r\n", database); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
 		return err.Error()
 	}
 	reply, err := bufio.NewReader(conn).ReadString('\n')
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,11 +30,15 @@
 // failed before:
 //   - 112: no write succeeded within recoveryLimit. Replicas stayed paused after the
 //     holders of their campaigns had been killed.
+//
+// The configuration of odd seeds has workspaces.
 var regressionSeeds = []uint64{7, 112}
 
 // TestSoak runs each seed on a cluster of its own. It checks that every statement gets
 // its own reply, that writes succeed again after the faults, and that the operation log
-// of the stand-in databases shows no violated guarantee.
+// of the stand-in databases shows no violated guarantee. With workspaces it also guards against
+// statements on connections of another workspace, keys that leave the hosts, withdrawn keys that
+// still work, valid ones that do not, and operations above or refused below a limit.
 func TestSoak(t *testing.T) {
 	binary := buildHost(t)
 	t.Cleanup(func() { _ = os.Remove(binary) })
@@ -43,7 +47,9 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runSeed(t, newCluster(t, seed, binary, *hostCount)) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			runSeed(t, newLimitedCluster(t, seed, binary, *hostCount, defaultHostLimits, newWorkspaceLog(t, seed)))
+		})
 	}
 }
 
@@ -93,9 +99,17 @@
 	stop := make(chan struct{})
 	ended := make(chan struct{})
 	callerCount := 3 * *hostCount
+	if c.workspaces != nil {
+		callerCount++ // with an unknown key
+	}
 	for i := range callerCount {
 		s := &session{cluster: c, name: fmt.Sprintf("s%d", i), rng: rand.New(rand.NewPCG(c.seed, uint64(i))), results: results}
 		s.database = []string{"primary", "bounded_staleness", "read_your_writes"}[i%3]
+		s.workspace = i / 3 % workspaceCount
+		if i == 3**hostCount {
+			s.workspace = unknownWorkspace
+		}
+		c.addCaller(s)
 		go func() {
 			s.run(stop)
 			ended <- struct{}{}
@@ -109,11 +123,13 @@
 		c.injectRandomFault()
 		time.Sleep(time.Duration(100+c.rng.IntN(600)) * time.Millisecond)
 	}
+	c.restartAfterWithdrawal()
 	time.Sleep(2500 * time.Millisecond) // every fault ends by itself within 2 s
 	drainResults(results, counts)
 	if !awaitResult(results, counts, "write ok", recoveryLimit) {
 		t.Errorf("no write has succeeded within %v after the last fault", recoveryLimit)
 	}
+	violations := c.checkWorkspaces()
 	close(stop)
 	for range callerCount {
 		<-ended
@@ -121,7 +137,7 @@
 	drainResults(results, counts)
 	t.Log(counts)
 	report := reporter(t)
-	for i, violation := range c.fleet.Violations() {
+	for i, violation := range append(c.fleet.Violations(), violations...) {
 		if i < 10 {
 			report(violation)
 		}
@@ -168,6 +184,10 @@
 	conn           net.Conn
 	reader         *bufio.Reader
 	statementCount int
+	// workspace is the index of the caller's workspace, if the configuration has any.
+	workspace int
+	// host and key are those of the connection.
+	host, key string
 }
 
 func (s *session) run(stop <-chan struct{}) {
@@ -203,11 +223,14 @@
 	}
 	s.conn, s.reader = conn, bufio.NewReader(conn)
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", s.database, s.name); err != nil {
+	key, startedAt := s.cluster.workspaces.keyOf(s), time.Now()
+	s.host, s.key = p.name, key
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", s.database, key); err != nil {
 		s.close()
 		return false
 	}
 	line, err := s.reader.ReadString('\n')
+	s.cluster.workspaces.recordReply(s, startedAt, line)
 	if err != nil || !strings.HasPrefix(line, "READY") {
 		s.close()
 		return false
@@ -217,7 +240,7 @@
 
 // notAppliedCodes are the error codes with which a host guarantees that no write of the
 // operation takes effect.
-var notAppliedCodes = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MAXCONN": true, "WRONGNODE": true}
+var notAppliedCodes = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MAXCONN": true, "WRONGNODE": true, "AUTHFAIL": true}
 
 // runOperation runs one random statement or transaction. It records the outcome in the
 // operation log of the stand-in databases and in the results.
@@ -238,6 +261,7 @@
 			writeIDs = append(writeIDs, id)
 		}
 		s.cluster.fleet.RecordSent(id, startedAt, s.database == "primary")
+		s.cluster.workspaces.recordSent(s, id, startedAt)
 		code, state, ok := s.query(id, statement)
 		if !ok {
 			s.close()
@@ -280,6 +304,7 @@
 // query sends a statement and reads its reply. The code is empty if it succeeded, and
 // the state is that of the session. The last result is false if the connection failed.
 func (s *session) query(id, statement string) (code, state string, ok bool) {
+	startedAt := time.Now()
 	_ = s.conn.SetDeadline(time.Now().Add(5 * time.Second))
 	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, statement); err != nil {
 		return "", "", false
@@ -301,6 +326,7 @@
 			}
 		case "ERROR":
 			code = fields[1]
+			s.cluster.workspaces.recordReply(s, startedAt, line)
 		case "READY":
 			return code, fields[1], true
 		}
--- a/standin/fleet/execute.go
+++ b/standin/fleet/execute.go
@@ -68,6 +68,7 @@
 	case writes:
 		i.commitWrites([]string{id})
 	}
+	i.fleet.operations.recordExecution(c, id)
 	rows := "DATAROW " + id + "\r\n"
 	if verb == "READ" && i.readRowBytes > 0 {
 		rows += "DATAROW " + strings.Repeat("x", i.readRowBytes) + "\r\n"
--- a/standin/fleet/instance.go
+++ b/standin/fleet/instance.go
@@ -220,6 +220,8 @@
 	readOnly           bool
 	failed             bool
 	pendingWrites      []string
+	// workspace is the second field of STARTUP.
+	workspace string
 }
 
 func (i *Instance) acceptConnections(l net.Listener) {
@@ -251,7 +253,9 @@
 		close(c.outbox)
 		return
 	}
+	c.workspace = fields[2]
 	i.fleet.runOnFleet(func() {
+		i.fleet.operations.checkLine(i, first)
 		i.connections[c] = true
 		c.send("READY I " + i.logPosition() + "\r\n")
 	})
@@ -283,6 +287,7 @@
 
 // handleLine executes a request line, in a slot if its statement needs one.
 func (i *Instance) handleLine(c *connection, line string) {
+	i.fleet.operations.checkLine(i, line)
 	rest, ok := strings.CutPrefix(line, "QUERY ")
 	if !ok || !i.alive {
 		return
--- a/standin/fleet/operation_log.go
+++ b/standin/fleet/operation_log.go
@@ -25,6 +25,20 @@
 	sent map[string]sentStatement
 	// acknowledgedWrites are the most recently acknowledged writes, oldest first.
 	acknowledgedWrites []string
+	// workspaces holds the workspace of each caller that has declared one.
+	workspaces map[string]string
+	// forbiddenText must be in no line that an instance receives; empty for none.
+	forbiddenText string
+	// executions holds the statements of these callers that ran.
+	executions []Execution
+}
+
+// Execution is a statement that an instance ran without an error.
+type Execution struct {
+	ID string
+	// Workspace is the one that the connection was opened for.
+	Workspace string
+	At        time.Time
 }
 
 // sentStatement is a statement that a caller sent.
@@ -41,7 +55,7 @@
 const checkedWrites = 200
 
 func newOperationLog() operationLog {
-	return operationLog{writes: map[string]*writeHistory{}, sent: map[string]sentStatement{}}
+	return operationLog{writes: map[string]*writeHistory{}, sent: map[string]sentStatement{}, workspaces: map[string]string{}}
 }
 
 func (l *operationLog) historyOf(id string) *writeHistory {
@@ -103,6 +117,9 @@
 		l.checkReadIsCurrent(i, id, sent.beganAt)
 	}
 	caller, _, _ := strings.Cut(id, ".")
+	if workspace, ok := l.workspaces[caller]; ok && workspace != c.workspace {
+		i.fleet.recordViolation("statement %s of workspace %q ran on a connection of %q at instance %s", id, workspace, c.workspace, i.ID)
+	}
 	for _, other := range c.pendingWrites {
 		if otherCaller, _, _ := strings.Cut(other, "."); otherCaller != caller {
 			i.fleet.recordViolation("statement %s ran in the transaction of caller %s", id, otherCaller)
@@ -113,6 +130,37 @@
 	}
 }
 
+// RecordWorkspace records the workspace of a caller. Its statements may run only on connections
+// of that workspace, and are kept for Executions.
+func (f *Fleet) RecordWorkspace(caller, workspace string) {
+	f.runOnFleet(func() { f.operations.workspaces[caller] = workspace })
+}
+
+// ForbidText records a violation for each line with the text that an instance receives from now on.
+func (f *Fleet) ForbidText(text string) {
+	f.runOnFleet(func() { f.operations.forbiddenText = text })
+}
+
+// Executions returns the statements that ran so far of callers with a workspace.
+func (f *Fleet) Executions() (out []Execution) {
+	f.runOnFleet(func() { out = append(out, f.operations.executions...) })
+	return out
+}
+
+func (l *operationLog) recordExecution(c *connection, id string) {
+	caller, _, _ := strings.Cut(id, ".")
+	if _, ok := l.workspaces[caller]; ok {
+		l.executions = append(l.executions, Execution{ID: id, Workspace: c.workspace, At: time.Now()})
+	}
+}
+
+// checkLine checks that a line that an instance received holds no forbidden text.
+func (l *operationLog) checkLine(i *Instance, line string) {
+	if l.forbiddenText != "" && strings.Contains(line, l.forbiddenText) {
+		i.fleet.recordViolation("instance %s received the line %q with the text %q", i.ID, line, l.forbiddenText)
+	}
+}
+
 // checkReadIsCurrent checks that the log of the instance that runs a read contains the
 // writes that were acknowledged before the read began.
 func (l *operationLog) checkReadIsCurrent(i *Instance, id string, beganAt time.Time) {
