--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -175,24 +175,16 @@
 	if len(b.pending) == 0 && m.take(b, now) {
 		return m.decide(b, now, Admitted)
 	}
-	maxWait := maxPendingTime
-	switch {
-	case m.isStarting(now) && len(b.pending) < maxStartupPending:
-		maxWait = startupPendingTime
-	case now.Before(b.exhaustedUntil) || !g.expectsReply(now):
+	if now.Before(b.exhaustedUntil) || !g.expectsReply(now) {
 		m.advance(b, now)
 		return m.refuse(b, now)
 	}
-	b.pending = append(b.pending, pendingOperation{operation: operation, deadline: now.Add(maxWait)})
+	b.pending = append(b.pending, pendingOperation{operation: operation, deadline: now.Add(maxPendingTime)})
 	g.notePending()
 	m.sendDueReports(now)
 	return m.decide(b, now, Pending)
 }
 
-// isStarting reports whether this process has started so recently that a lack of tokens does not mean
-// that the workspace is above its limit.
-func (m *Machine) isStarting(now types.Time) bool { return now.Sub(m.startedAt) < startupTime }
-
 // Refund returns the token of an operation that has been admitted and did not run.
 func (m *Machine) Refund(now types.Time, w types.Workspace) {
 	b := m.buckets[w]
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -314,7 +314,7 @@
 		if listed {
 			b.applyTokens(now, grant, tokensUntil, msg.KeeperProcess)
 		}
-		isShort := listed && grant.Tokens < b.asked && !m.isStarting(now)
+		isShort := listed && grant.Tokens < b.asked
 		b.asked, b.held = 0, 0
 		if isShort {
 			b.exhaustedUntil = now.Add(exhaustedTime)
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -60,12 +60,6 @@
 	tokenReserve = 0.15
 	// maxPendingTime is the time for which an operation waits for a grant.
 	maxPendingTime = 100 * time.Millisecond
-	// startupTime is the time after its start in which a process has few tokens, and possibly the
-	// keeper too, if all hosts have restarted. Operations then wait for up to startupPendingTime
-	// instead of being refused, at most maxStartupPending for each workspace.
-	startupTime        = 2 * time.Second
-	startupPendingTime = 500 * time.Millisecond
-	maxStartupPending  = 256
 	// startDelay is the time after its start for which a process does not use or lend its
 	// static share, because an earlier process of the host may have lent it. What remains of
 	// loanTime adds 0.45 times the rate if all holders restart at once; the overshoot that the
