--- a/api/host/oas_json_gen.go
+++ b/api/host/oas_json_gen.go
@@ -2130,8 +2130,8 @@
 		json.EncodeDuration(e, s.GrantAge)
 	}
 	{
-		e.FieldStart("keeper")
-		e.Str(s.Keeper)
+		e.FieldStart("allocator")
+		e.Str(s.Allocator)
 	}
 }
 
@@ -2140,7 +2140,7 @@
 	1: "tokens",
 	2: "grant",
 	3: "grantAge",
-	4: "keeper",
+	4: "allocator",
 }
 
 // Decode decodes WorkspaceLimit from json.
@@ -2200,17 +2200,17 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"grantAge\"")
 			}
-		case "keeper":
+		case "allocator":
 			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Str()
-				s.Keeper = string(v)
+				s.Allocator = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"keeper\"")
+				return errors.Wrap(err, "decode field \"allocator\"")
 			}
 		default:
 			return d.Skip()
--- a/api/host/oas_schemas_gen.go
+++ b/api/host/oas_schemas_gen.go
@@ -1037,7 +1037,7 @@
 	// The age of the grant; 0 for none.
 	GrantAge time.Duration `json:"grantAge"`
 	// The host that divides the limit between the hosts.
-	Keeper string `json:"keeper"`
+	Allocator string `json:"allocator"`
 }
 
 // GetRate returns the value of Rate.
@@ -1060,9 +1060,9 @@
 	return s.GrantAge
 }
 
-// GetKeeper returns the value of Keeper.
-func (s *WorkspaceLimit) GetKeeper() string {
-	return s.Keeper
+// GetAllocator returns the value of Allocator.
+func (s *WorkspaceLimit) GetAllocator() string {
+	return s.Allocator
 }
 
 // SetRate sets the value of Rate.
@@ -1085,7 +1085,7 @@
 	s.GrantAge = val
 }
 
-// SetKeeper sets the value of Keeper.
-func (s *WorkspaceLimit) SetKeeper(val string) {
-	s.Keeper = val
+// SetAllocator sets the value of Allocator.
+func (s *WorkspaceLimit) SetAllocator(val string) {
+	s.Allocator = val
 }
--- a/cmd/baobabctl/explain.go
+++ b/cmd/baobabctl/explain.go
@@ -62,7 +62,7 @@
 	}
 	if limit, ok := e.Limit.Get(); ok {
 		p.addLine("Limit of workspace %s: %g operations/s over all hosts; this host has %.2f of it (granted %v ago by %s) and %.1f tokens",
-			c.Workspace, limit.Rate, limit.Grant, limit.GrantAge, dashIfEmpty(limit.Keeper), limit.Tokens)
+			c.Workspace, limit.Rate, limit.Grant, limit.GrantAge, dashIfEmpty(limit.Allocator), limit.Tokens)
 	}
 	if len(e.Candidates) == 0 {
 		return
--- a/cmd/baobabctl/explain_test.go
+++ b/cmd/baobabctl/explain_test.go
@@ -20,7 +20,7 @@
 			{Endpoint: "e-1", DataCentre: "pelotas", Primary: true, RuledOut: "leaving"},
 			{Endpoint: "e-2", DataCentre: "sao-jose", Owner: "edge-5", Cost: 90 * time.Millisecond, Load: 7, InFlight: 2},
 		},
-		Limit: api.NewOptWorkspaceLimit(api.WorkspaceLimit{Rate: 40, Tokens: 1.5, Grant: 0.125, GrantAge: 300 * time.Millisecond, Keeper: "edge-9"}),
+		Limit: api.NewOptWorkspaceLimit(api.WorkspaceLimit{Rate: 40, Tokens: 1.5, Grant: 0.125, GrantAge: 300 * time.Millisecond, Allocator: "edge-9"}),
 	}}
 	code, text := runHostCommand(t, f, "explain", "db", "--workspace", "north")
 	is.Equal(code, exitDone)
--- a/core/limits/keeper.go
+++ b/core/limits/allocator.go
@@ -8,8 +8,8 @@
 	"baobabfield.example/core/types"
 )
 
-// keeper is the state of a host as the keeper of a group.
-type keeper struct {
+// allocator is the state of a host as the allocator of a group.
+type allocator struct {
 	// lastClock is the clock value of the last reply. Every reply has a higher one.
 	lastClock types.Time
 	// reporters are in the order of their first report, so that sums do not depend on the order of
@@ -23,7 +23,7 @@
 	accounts    map[types.Workspace]*account
 }
 
-// reporter is what the keeper knows of a host that reports.
+// reporter is what the allocator knows of a host that reports.
 type reporter struct {
 	host types.Host
 	// clock and seq are those of its last report, which tells the newest grants that it uses.
@@ -38,11 +38,11 @@
 	hosts int
 }
 
-// account is the part of a workspace's limit that the keeper has not granted as shares.
+// account is the part of a workspace's limit that the allocator has not granted as shares.
 type account struct {
 	limit  Limit
 	tokens float64
-	// advancedAt and lentSeconds are those of the keeper when tokens were last added, and granted
+	// advancedAt and lentSeconds are those of the allocator when tokens were last added, and granted
 	// the outstanding shares since then.
 	advancedAt  types.Time
 	lentSeconds float64
@@ -77,12 +77,12 @@
 	tokens int
 }
 
-func (k *keeper) init() {
+func (k *allocator) init() {
 	k.reporterByHost, k.accounts = map[types.Host]*reporter{}, map[types.Workspace]*account{}
 }
 
 // configure replaces the accounts. A new account begins without tokens.
-func (k *keeper) configure(now types.Time, buckets []*bucket) {
+func (k *allocator) configure(now types.Time, buckets []*bucket) {
 	k.advance(now)
 	kept := make(map[types.Workspace]bool, len(buckets))
 	for _, b := range buckets {
@@ -104,7 +104,7 @@
 
 // advance integrates the loans up to now. If a loan has expired, all accounts are reduced to their
 // new depth, because the lender has used the share itself since then.
-func (k *keeper) advance(now types.Time) {
+func (k *allocator) advance(now types.Time) {
 	if !k.advancedAt.Before(now) {
 		return
 	}
@@ -126,15 +126,15 @@
 	}
 }
 
-func (k *keeper) clipAll(now types.Time) {
+func (k *allocator) clipAll(now types.Time) {
 	for _, a := range k.accounts {
 		k.advanceAccount(a, now)
 	}
 }
 
-// advanceAccount adds the tokens up to now, to which the keeper has been advanced. The outstanding
+// advanceAccount adds the tokens up to now, to which the allocator has been advanced. The outstanding
 // shares have not increased since the last time.
-func (k *keeper) advanceAccount(a *account, now types.Time) {
+func (k *allocator) advanceAccount(a *account, now types.Time) {
 	added := k.lentSeconds - a.lentSeconds - a.granted*now.Sub(a.advancedAt).Seconds()
 	a.tokens += max(added, 0) * a.limit.Rate
 	a.advancedAt, a.lentSeconds = now, k.lentSeconds
@@ -173,7 +173,7 @@
 }
 
 // lentFor returns the sum of the loans that last for a time from now.
-func (k *keeper) lentFor(now types.Time, d time.Duration) float64 {
+func (k *allocator) lentFor(now types.Time, d time.Duration) float64 {
 	sum := 0.0
 	for _, r := range k.reporters {
 		if !r.lentUntil.Before(now.Add(d)) {
@@ -190,7 +190,7 @@
 		return
 	}
 	g := &m.groups[msg.Group]
-	k := &g.keeper
+	k := &g.allocator
 	k.advance(now)
 	k.dropReporters(now)
 	r := k.reporterByHost[from]
@@ -200,8 +200,8 @@
 		k.reporters = append(k.reporters, r)
 	}
 	clock := types.Time(0)
-	if msg.KeeperProcess == m.process && !msg.KeeperClock.After(k.lastClock) {
-		clock = msg.KeeperClock
+	if msg.AllocatorProcess == m.process && !msg.AllocatorClock.After(k.lastClock) {
+		clock = msg.AllocatorClock
 	}
 	if clock.Before(r.clock) && clock != 0 || clock != 0 && clock == r.clock && msg.Seq <= r.seq {
 		return // delayed or duplicated
@@ -213,7 +213,7 @@
 	r.reportedAt, r.hosts = now, msg.Hosts
 	m.noteHostCount(now, msg.Hosts)
 	k.lastClock = max(now, k.lastClock+1)
-	reply := &Grants{Seq: msg.Seq, Group: g.number, KeeperProcess: m.process, KeeperClock: k.lastClock, ValidFor: grantTime, TokensFor: tokenTime, Hosts: k.maxHosts(now, m.membership.count)}
+	reply := &Grants{Seq: msg.Seq, Group: g.number, AllocatorProcess: m.process, AllocatorClock: k.lastClock, ValidFor: grantTime, TokensFor: tokenTime, Hosts: k.maxHosts(now, m.membership.count)}
 	lent := k.lentFor(now, grantTime)
 	for _, d := range msg.Demands {
 		if a := k.accounts[d.Workspace]; a != nil {
@@ -226,8 +226,8 @@
 	m.messages = append(m.messages, Message{To: from, Grants: reply})
 }
 
-// setLoan records the loan of a report, which counts from the keeper's clock in it.
-func (k *keeper) setLoan(now types.Time, r *reporter, clock types.Time, msg *Report) {
+// setLoan records the loan of a report, which counts from the allocator's clock in it.
+func (k *allocator) setLoan(now types.Time, r *reporter, clock types.Time, msg *Report) {
 	until := clock.Add(min(msg.LendFor, loanTime))
 	if msg.LendFor <= 0 || !now.Before(until) {
 		return
@@ -241,7 +241,7 @@
 }
 
 // maxHosts returns the highest number of eligible hosts that a host has recently reported.
-func (k *keeper) maxHosts(now types.Time, own int) int {
+func (k *allocator) maxHosts(now types.Time, own int) int {
 	for _, r := range k.reporters {
 		if now.Sub(r.reportedAt) < hostCountValidity {
 			own = max(own, r.hosts)
@@ -251,7 +251,7 @@
 }
 
 // dropReporters removes the hosts that have not reported for some time.
-func (k *keeper) dropReporters(now types.Time) {
+func (k *allocator) dropReporters(now types.Time) {
 	k.reporters = slices.DeleteFunc(k.reporters, func(r *reporter) bool {
 		if now.Sub(r.reportedAt) <= 2*hostCountValidity {
 			return false
@@ -271,7 +271,7 @@
 
 // grant decides on a host's demand. clock is that of the report if it is known, and lent the sum of
 // the loans that outlast the grant.
-func (k *keeper) grant(now types.Time, a *account, from *reporter, d Demand, clock types.Time, lent float64) Grant {
+func (k *allocator) grant(now types.Time, a *account, from *reporter, d Demand, clock types.Time, lent float64) Grant {
 	k.advanceAccount(a, now)
 	a.tokens += float64(max(d.Returned, 0))
 	c := a.consumerByHost[from.host]
@@ -306,7 +306,7 @@
 
 // grantTokens decides on the single tokens of a host, after its share. They are valid as long as a
 // grant, so that the depth for them is that of the loans which last as long.
-func (k *keeper) grantTokens(now types.Time, a *account, c *consumer, d Demand, lent float64) (tokens int, keep bool) {
+func (k *allocator) grantTokens(now types.Time, a *account, c *consumer, d Demand, lent float64) (tokens int, keep bool) {
 	depth := a.limit.depth()
 	free := depth*(lent-grantDepthFraction*a.granted) - float64(a.outstandingTokens)
 	reserve := tokenReserve * depth * lent
@@ -331,8 +331,8 @@
 
 // fairShare returns the share of a consumer by max-min fairness between the demands. If they are
 // below what is lent, each gets a part of the rest in proportion, and half of the rest stays with
-// the keeper.
-func (k *keeper) fairShare(now types.Time, a *account, c *consumer, lent float64) float64 {
+// the allocator.
+func (k *allocator) fairShare(now types.Time, a *account, c *consumer, lent float64) float64 {
 	demands := make([]float64, 0, len(a.consumers))
 	sum := 0.0
 	a.consumers = slices.DeleteFunc(a.consumers, func(other *consumer) bool {
--- a/core/limits/bucket.go
+++ b/core/limits/bucket.go
@@ -15,12 +15,12 @@
 	// advancedAt is the time up to which tokens have been added.
 	advancedAt types.Time
 	// share is the granted fraction of the limit, valid until shareUntil. shareProcess is the
-	// keeper's process.
+	// allocator's process.
 	share        float64
 	shareUntil   types.Time
 	shareProcess uint64
 	// stock is the number of single tokens beside the share, valid until stockUntil, from the
-	// keeper's process stockProcess.
+	// allocator's process stockProcess.
 	stock        int
 	stockUntil   types.Time
 	stockProcess uint64
@@ -202,7 +202,7 @@
 }
 
 func (m *Machine) decide(b *bucket, now types.Time, v Verdict) Decision {
-	d := Decision{Verdict: v, Limit: b.limit.Rate, Tokens: b.tokens, Keeper: b.group.keeperHost}
+	d := Decision{Verdict: v, Limit: b.limit.Rate, Tokens: b.tokens, Allocator: b.group.allocatorHost}
 	if now.Before(b.shareUntil) {
 		d.Share = b.share
 		d.GrantAge = now.Sub(b.shareUntil.Add(-grantTime))
--- a/core/limits/fleet_test.go
+++ b/core/limits/fleet_test.go
@@ -72,13 +72,13 @@
 	delayed     []func()
 	// side is the side of a partition that the host is on.
 	side int
-	// blind holds the hosts that this host does not use as keepers.
-	blind     map[types.Host]bool
-	tickAt    types.Time
-	nextOp    uint64
-	pending   map[uint64]pendingSim
-	reports   int
-	keeperFor map[int]types.Host
+	// blind holds the hosts that this host does not use as allocators.
+	blind        map[types.Host]bool
+	tickAt       types.Time
+	nextOp       uint64
+	pending      map[uint64]pendingSim
+	reports      int
+	allocatorFor map[int]types.Host
 }
 
 // pendingSim is an operation that waits for a grant.
@@ -127,7 +127,7 @@
 
 func (f *fleet) addHost() *hostSim {
 	h := &hostSim{
-		id: types.Host(fmt.Sprintf("h%d", len(f.hosts))), pending: map[uint64]pendingSim{}, blind: map[types.Host]bool{}, keeperFor: map[int]types.Host{},
+		id: types.Host(fmt.Sprintf("h%d", len(f.hosts))), pending: map[uint64]pendingSim{}, blind: map[types.Host]bool{}, allocatorFor: map[int]types.Host{},
 		offset: time.Duration(f.rng.IntN(1000)+1) * time.Hour, drift: 1 + 0.004*(f.rng.Float64()-0.5),
 	}
 	f.hosts = append(f.hosts, h)
@@ -206,8 +206,8 @@
 			f.record(h, p.workspace, r.Decision)
 		}
 	}
-	for _, c := range h.machine.TakeKeeperChanges() {
-		h.keeperFor[c.Group] = c.To
+	for _, c := range h.machine.TakeAllocatorChanges() {
+		h.allocatorFor[c.Group] = c.To
 	}
 	h.machine.TakeLimitedChanges()
 	at, ok := h.machine.NextWake(f.clock(h))
--- a/core/limits/group.go
+++ b/core/limits/group.go
@@ -8,25 +8,25 @@
 	"baobabfield.example/core/types"
 )
 
-// group is a group of workspaces with a common keeper.
+// group is a group of workspaces with a common allocator.
 type group struct {
 	number  int
 	buckets []*bucket
 	// active holds the buckets with demand, pending operations or a grant.
 	active []*bucket
-	// keeper is the state of this host as the keeper of the group.
-	keeper keeper
+	// allocator is the state of this host as the allocator of the group.
+	allocator allocator
 
-	// candidates are the possible keepers in the order of preference. silentUntil holds those
+	// candidates are the possible allocators in the order of preference. silentUntil holds those
 	// that have not replied, and when they are tried again.
-	candidates  []types.Host
-	silentUntil map[types.Host]types.Time
-	keeperHost  types.Host
-	// keeperProcess and keeperClock are those of the last reply of keeperHost, which arrived at
+	candidates    []types.Host
+	silentUntil   map[types.Host]types.Time
+	allocatorHost types.Host
+	// allocatorProcess and allocatorClock are those of the last reply of allocatorHost, which arrived at
 	// repliedAt; zero for none.
-	keeperProcess uint64
-	keeperClock   types.Time
-	repliedAt     types.Time
+	allocatorProcess uint64
+	allocatorClock   types.Time
+	repliedAt        types.Time
 	// unansweredSince is when the oldest report after the last reply was sent; zero for none.
 	unansweredSince types.Time
 	sent            []sentReport
@@ -50,14 +50,14 @@
 	seq uint64
 	at  types.Time
 	to  types.Host
-	// isProbe is set for a report without demands to a keeper that was silent.
+	// isProbe is set for a report without demands to an allocator that was silent.
 	isProbe bool
 }
 
 func (g *group) init(number int) {
 	g.number, g.tokenRetention = number, tokenRetention
 	g.silentUntil = map[types.Host]types.Time{}
-	g.keeper.init()
+	g.allocator.init()
 }
 
 // removeExcept removes the buckets of the workspaces that are not kept and returns them.
@@ -87,7 +87,7 @@
 	}
 }
 
-// setCandidates sets the possible keepers. Rendezvous hashing orders them, so that a host that
+// setCandidates sets the possible allocators. Rendezvous hashing orders them, so that a host that
 // comes or goes moves few groups.
 func (g *group) setCandidates(hosts []types.Host) {
 	weight := func(h types.Host) uint64 { return random.Hash(holderHashSeed+1+uint64(g.number), string(h)) }
@@ -105,8 +105,8 @@
 	}
 }
 
-// selectKeeper selects the first candidate that is not silent.
-func (m *Machine) selectKeeper(g *group, silent bool) {
+// selectAllocator selects the first candidate that is not silent.
+func (m *Machine) selectAllocator(g *group, silent bool) {
 	var selected types.Host
 	for _, h := range g.candidates {
 		if _, isSilent := g.silentUntil[h]; !isSilent {
@@ -117,20 +117,20 @@
 	if selected == "" && len(g.candidates) > 0 {
 		selected = g.candidates[0]
 	}
-	if selected == g.keeperHost {
+	if selected == g.allocatorHost {
 		return
 	}
 	if len(g.buckets) > 0 {
-		m.keeperChanges = append(m.keeperChanges, KeeperChange{Group: g.number, From: g.keeperHost, To: selected, Silent: silent})
+		m.allocatorChanges = append(m.allocatorChanges, AllocatorChange{Group: g.number, From: g.allocatorHost, To: selected, Silent: silent})
 	}
-	g.keeperHost, g.keeperProcess, g.keeperClock = selected, 0, 0
+	g.allocatorHost, g.allocatorProcess, g.allocatorClock = selected, 0, 0
 	g.unansweredSince = 0
 	g.notePending()
 }
 
 // expectsReply reports whether a grant may be on its way, or will be requested now.
 func (g *group) expectsReply(now types.Time) bool {
-	return g.keeperHost != "" && (g.unansweredSince == 0 || now.Sub(g.unansweredSince) < keeperSilenceTimeout/2)
+	return g.allocatorHost != "" && (g.unansweredSince == 0 || now.Sub(g.unansweredSince) < allocatorSilenceTimeout/2)
 }
 
 // notePending requests a report before the next regular one.
@@ -140,7 +140,7 @@
 
 // needsReports reports whether this host takes part in the group.
 func (m *Machine) needsReports(g *group) bool {
-	return len(g.buckets) > 0 && g.keeperHost != "" && (m.share > 0 || len(g.active) > 0)
+	return len(g.buckets) > 0 && g.allocatorHost != "" && (m.share > 0 || len(g.active) > 0)
 }
 
 // nextReportAt returns the time of the next report.
@@ -176,20 +176,20 @@
 	}
 }
 
-// sendReport sends a report to the keeper. It lends the static share if the keeper has answered
+// sendReport sends a report to the allocator. It lends the static share if the allocator has answered
 // and no other process has a valid loan.
 func (m *Machine) sendReport(now types.Time, g *group) {
-	r := Report{Group: g.number, KeeperProcess: g.keeperProcess, KeeperClock: g.keeperClock, Hosts: m.membership.count}
+	r := Report{Group: g.number, AllocatorProcess: g.allocatorProcess, AllocatorClock: g.allocatorClock, Hosts: m.membership.count}
 	isFree := !now.Before(g.staticFrom)
-	// The keeper read its clock before its reply arrived here, so that the loan ends no later there.
+	// The allocator read its clock before its reply arrived here, so that the loan ends no later there.
 	// Reports without a reply do not make the loan longer.
 	lentUntil := g.repliedAt.Add(loanTime + loanTime*clockDriftPercent/100)
-	if g.keeperProcess != 0 && m.share > 0 && (isFree || g.lentTo == g.keeperProcess) && now.Before(lentUntil) {
+	if g.allocatorProcess != 0 && m.share > 0 && (isFree || g.lentTo == g.allocatorProcess) && now.Before(lentUntil) {
 		if isFree {
 			g.advanceAll(m, now)
 		}
 		r.LendFor, r.Share = loanTime, m.share
-		g.lentTo = g.keeperProcess
+		g.lentTo = g.allocatorProcess
 		g.staticFrom = max(g.staticFrom, lentUntil)
 		if isFree {
 			for _, b := range g.buckets {
@@ -202,7 +202,7 @@
 	if g.unansweredSince == 0 {
 		g.unansweredSince = now
 	}
-	m.send(now, g, g.keeperHost, &r, false)
+	m.send(now, g, g.allocatorHost, &r, false)
 }
 
 // appendDemands adds the demands of a group to a report. Buckets without demand and tokens become
@@ -216,11 +216,11 @@
 			return true
 		}
 		returned := 0
-		if r.KeeperProcess != 0 {
+		if r.AllocatorProcess != 0 {
 			returned = m.takeSurplus(b, now, rate)
 		}
 		b.asked, b.held = len(b.pending), 0
-		if g.keeperProcess == b.stockProcess {
+		if g.allocatorProcess == b.stockProcess {
 			b.held = b.validStock(now)
 		}
 		ahead := max(level-b.held-int(b.tokens), 0)
@@ -251,7 +251,7 @@
 	m.messages = append(m.messages, Message{To: to, Report: r})
 }
 
-// HandleGrants handles a keeper's reply.
+// HandleGrants handles an allocator's reply.
 func (m *Machine) HandleGrants(now types.Time, from types.Host, msg *Grants) {
 	m.start(now)
 	if msg.Group < 0 || msg.Group >= groupCount {
@@ -259,28 +259,28 @@
 	}
 	g := &m.groups[msg.Group]
 	delete(g.silentUntil, from)
-	m.selectKeeper(g, false)
+	m.selectAllocator(g, false)
 	i := slices.IndexFunc(g.sent, func(s sentReport) bool { return s.seq == msg.Seq && s.to == from })
-	if i < 0 || msg.Seq <= g.appliedSeq || from != g.keeperHost {
+	if i < 0 || msg.Seq <= g.appliedSeq || from != g.allocatorHost {
 		return
 	}
 	report := g.sent[i]
 	g.sent = g.sent[i+1:]
 	g.appliedSeq = msg.Seq
-	g.keeperProcess, g.keeperClock, g.repliedAt = msg.KeeperProcess, msg.KeeperClock, now
+	g.allocatorProcess, g.allocatorClock, g.repliedAt = msg.AllocatorProcess, msg.AllocatorClock, now
 	g.unansweredSince = 0
 	if len(g.sent) > 0 {
 		g.unansweredSince = g.sent[0].at
 	}
 	m.noteHostCount(now, msg.Hosts)
 	if report.isProbe {
-		g.dropShares(m, now, msg.KeeperProcess)
+		g.dropShares(m, now, msg.AllocatorProcess)
 		return
 	}
 	m.applyGrants(now, g, msg, report.at)
 }
 
-// dropShares ends the grants of a keeper's process. The keeper takes a report that repeats its
+// dropShares ends the grants of an allocator's process. The allocator takes a report that repeats its
 // later clock as the confirmation that they are no longer used.
 func (g *group) dropShares(m *Machine, now types.Time, process uint64) {
 	for _, b := range g.active {
@@ -310,9 +310,9 @@
 	for _, b := range g.active {
 		m.advance(b, now)
 		grant, listed := granted[b]
-		m.replaceShare(b, now, grant.Share, until, msg.KeeperProcess)
+		m.replaceShare(b, now, grant.Share, until, msg.AllocatorProcess)
 		if listed {
-			b.applyTokens(now, grant, tokensUntil, msg.KeeperProcess)
+			b.applyTokens(now, grant, tokensUntil, msg.AllocatorProcess)
 		}
 		isShort := listed && grant.Tokens < b.asked
 		b.asked, b.held = 0, 0
@@ -326,7 +326,7 @@
 	}
 }
 
-// applyTokens adds new single tokens and extends the time of those that the bucket has. The keeper
+// applyTokens adds new single tokens and extends the time of those that the bucket has. The allocator
 // counts all of them as valid for as long as the new ones. Tokens that it does not extend are returned,
 // and those of another process are dropped, since it does not count them.
 func (b *bucket) applyTokens(now types.Time, grant Grant, until types.Time, process uint64) {
@@ -349,7 +349,7 @@
 	}
 }
 
-// replaceShare replaces the granted share of a bucket. A higher share that another keeper has
+// replaceShare replaces the granted share of a bucket. A higher share that another allocator has
 // granted stays until it expires: both are backed by loans.
 func (m *Machine) replaceShare(b *bucket, now types.Time, share float64, until types.Time, process uint64) {
 	if now.Before(b.shareUntil) {
@@ -387,7 +387,7 @@
 	m.updateShare(now)
 	for i := range m.groups {
 		g := &m.groups[i]
-		m.checkKeeper(now, g)
+		m.checkAllocator(now, g)
 		for _, b := range g.active {
 			if len(b.pending) > 0 {
 				m.servePending(b, now, false)
@@ -415,22 +415,22 @@
 	return b.tokens > nearlyFullFraction*b.depth(b.shareAt(m, now))
 }
 
-// checkKeeper replaces a keeper that does not reply, and probes the preferred ones that did not.
-func (m *Machine) checkKeeper(now types.Time, g *group) {
+// checkAllocator replaces an allocator that does not reply, and probes the preferred ones that did not.
+func (m *Machine) checkAllocator(now types.Time, g *group) {
 	if !m.needsReports(g) {
 		return
 	}
-	if g.unansweredSince != 0 && now.Sub(g.unansweredSince) >= keeperSilenceTimeout {
-		g.silentUntil[g.keeperHost] = now.Add(silentKeeperProbeInterval)
+	if g.unansweredSince != 0 && now.Sub(g.unansweredSince) >= allocatorSilenceTimeout {
+		g.silentUntil[g.allocatorHost] = now.Add(silentAllocatorProbeInterval)
 		g.unansweredSince = 0
-		m.selectKeeper(g, true)
+		m.selectAllocator(g, true)
 	}
 	for _, h := range g.candidates {
-		if h == g.keeperHost {
+		if h == g.allocatorHost {
 			break
 		}
 		if until, ok := g.silentUntil[h]; ok && !now.Before(until) {
-			g.silentUntil[h] = now.Add(silentKeeperProbeInterval)
+			g.silentUntil[h] = now.Add(silentAllocatorProbeInterval)
 			m.send(now, g, h, &Report{Group: g.number, Hosts: m.membership.count}, true)
 		}
 	}
@@ -455,7 +455,7 @@
 				consider(check)
 			}
 			if g.unansweredSince != 0 {
-				consider(g.unansweredSince.Add(keeperSilenceTimeout))
+				consider(g.unansweredSince.Add(allocatorSilenceTimeout))
 			}
 		}
 		for _, b := range g.active {
--- a/core/limits/limits.go
+++ b/core/limits/limits.go
@@ -2,9 +2,9 @@
 // machine without input or output.
 //
 // Each of at most maxHolders hosts holds an equal static share of every limit. A holder lends its
-// shares for a short time to the keeper of a group of workspaces. The keeper divides what was lent
+// shares for a short time to the allocator of a group of workspaces. The allocator divides what was lent
 // between the hosts that report demand, as grants that expire, and keeps the rest in token buckets
-// of its own, from which it serves sudden demand with single tokens. A host that has no keeper
+// of its own, from which it serves sudden demand with single tokens. A host that has no allocator
 // uses its static share once its loan has expired.
 //
 // At every time, the shares in use at all hosts add up to at most the shares of the holders. The
@@ -19,11 +19,11 @@
 )
 
 const (
-	// maxHolders bounds the number of hosts that lend, and so the messages of a keeper.
+	// maxHolders bounds the number of hosts that lend, and so the messages of an allocator.
 	maxHolders = 64
-	// groupCount is the number of groups of workspaces. Each has its own keeper.
+	// groupCount is the number of groups of workspaces. Each has its own allocator.
 	groupCount = 4
-	// reportInterval is the time between the reports of a host to a keeper, and
+	// reportInterval is the time between the reports of a host to an allocator, and
 	// urgentReportInterval that between reports while operations are pending.
 	reportInterval       = 300 * time.Millisecond
 	urgentReportInterval = 50 * time.Millisecond
@@ -34,16 +34,16 @@
 	// reportAlignment is the time by which a report is sent early together with another one.
 	reportAlignment = 30 * time.Millisecond
 	// loanTime is the time for which a host's static shares are lent, from the reply before the
-	// report. A killed keeper makes the shares unusable for this time.
+	// report. A killed allocator makes the shares unusable for this time.
 	loanTime = 1200 * time.Millisecond
 	// grantTime is the time for which a grant is valid. A loan counts from the reply before the
 	// report and is renewed by the next one, so that up to two report intervals and two round
 	// trips of it have passed when a grant is decided. What remains covers the grant.
 	grantTime = 560 * time.Millisecond
-	// tokenTime is the time for which single tokens are valid, unless the keeper extends it. It
+	// tokenTime is the time for which single tokens are valid, unless the allocator extends it. It
 	// lasts over one report without a reply, and like a grant it must end before the loans.
 	tokenTime = grantTime
-	// earlierTokenTime is that of the tokens of a keeper that does not send it.
+	// earlierTokenTime is that of the tokens of an allocator that does not send it.
 	earlierTokenTime = 150 * time.Millisecond
 	// tokenRetention is the time after the last operation for which a host keeps single tokens of
 	// a workspace. It is shorter while more than maxIdleTokens workspaces of a group have tokens
@@ -54,7 +54,7 @@
 	// levelDeviations is the number of standard deviations by which a host's single tokens exceed
 	// the operations that it expects in a report interval.
 	levelDeviations = 2
-	// tokenReserve is the part of the depth below which the keeper's bucket gives tokens only to
+	// tokenReserve is the part of the depth below which the allocator's bucket gives tokens only to
 	// operations that wait. In the simulation of 24 owners, 7.5 % of the operations were pending with
 	// 0.25 and 4.4 % with 0.15, while equally few were refused.
 	tokenReserve = 0.15
@@ -75,15 +75,15 @@
 	// hostCountValidity is the time for which the number of hosts that another host knows is
 	// taken into account.
 	hostCountValidity = 5 * time.Second
-	// keeperSilenceTimeout is the time without a reply after which another keeper is used.
-	keeperSilenceTimeout = 450 * time.Millisecond
+	// allocatorSilenceTimeout is the time without a reply after which another allocator is used.
+	allocatorSilenceTimeout = 450 * time.Millisecond
 	// suspensionThreshold is the time without a tick after which this process must have been
-	// suspended, since a tick is due at keeperSilenceTimeout after an unanswered report.
-	suspensionThreshold = keeperSilenceTimeout + 250*time.Millisecond
-	// silentKeeperProbeInterval is the time between reports to a keeper that was silent.
-	silentKeeperProbeInterval = time.Second
+	// suspended, since a tick is due at allocatorSilenceTimeout after an unanswered report.
+	suspensionThreshold = allocatorSilenceTimeout + 250*time.Millisecond
+	// silentAllocatorProbeInterval is the time between reports to an allocator that was silent.
+	silentAllocatorProbeInterval = time.Second
 	// clockDriftPercent is added to the length of a loan at the lender, whose clock may run
-	// faster than the keeper's.
+	// faster than the allocator's.
 	clockDriftPercent = 1
 	// exhaustedTime is the time after a grant below the demand in which operations above the
 	// grant are refused at once.
@@ -102,10 +102,10 @@
 	burstFraction = 0.6
 	minDepth      = 16
 	// grantDepthFraction is the part of the depth of a granted share that the host's bucket
-	// has. The rest is that of the keeper's bucket, which serves sudden demand on any host.
+	// has. The rest is that of the allocator's bucket, which serves sudden demand on any host.
 	grantDepthFraction = 0.5
 	// keptTime is the time of the estimated demand for which a host keeps tokens in addition to
-	// minKeptTokens. It returns the others to the keeper with each report.
+	// minKeptTokens. It returns the others to the allocator with each report.
 	keptTime      = 150 * time.Millisecond
 	minKeptTokens = 2
 	// nearlyFullFraction is the part of its depth at which a bucket causes an early report.
@@ -124,7 +124,7 @@
 	// maxGrantSurplus bounds the part of a host's demand by which a grant exceeds it.
 	maxGrantSurplus = 0.25
 	// confirmedReduction is the part of the earlier share below which a share causes an early
-	// report, so that the keeper can grant the difference to others.
+	// report, so that the allocator can grant the difference to others.
 	confirmedReduction = 0.75
 	// minRetryAfter and maxRetryAfter bound the retry-after time.
 	minRetryAfter = 30 * time.Millisecond
@@ -152,20 +152,20 @@
 // Host is a host of the deployment.
 type Host struct {
 	ID types.Host
-	// Eligible is set if the host can own endpoints, Usable if it can be a keeper, and Leaving
+	// Eligible is set if the host can own endpoints, Usable if it can be an allocator, and Leaving
 	// if it has announced that it leaves.
 	Eligible, Usable, Leaving bool
 }
 
-// Report is a host's message to the keeper of a group.
+// Report is a host's message to the allocator of a group.
 type Report struct {
 	// Seq identifies the report. It is random for the first report of a process.
 	Seq   uint64
 	Group int
-	// KeeperProcess and KeeperClock are those of the last reply; zero if there is none.
-	KeeperProcess uint64
-	KeeperClock   types.Time
-	// LendFor is the time from KeeperClock for which the keeper has the sender's static Share
+	// AllocatorProcess and AllocatorClock are those of the last reply; zero if there is none.
+	AllocatorProcess uint64
+	AllocatorClock   types.Time
+	// LendFor is the time from AllocatorClock for which the allocator has the sender's static Share
 	// of each limit; zero for no loan.
 	LendFor time.Duration
 	Share   float64
@@ -181,20 +181,20 @@
 	// operations wait for, and Ahead the number that the sender requests for later ones.
 	Rate        float64
 	Need, Ahead int
-	// Held is the number of single tokens of this keeper that the sender has and wants to keep.
+	// Held is the number of single tokens of this allocator that the sender has and wants to keep.
 	Held int
 	// Returned is the number of tokens that the sender gives up, since it has no use for them.
 	Returned int
 }
 
-// Grants is a keeper's reply to a Report. It replaces all earlier grants of the group. The grants
+// Grants is an allocator's reply to a Report. It replaces all earlier grants of the group. The grants
 // are valid for ValidFor from the sending of the report.
 type Grants struct {
-	Seq           uint64
-	Group         int
-	KeeperProcess uint64
-	KeeperClock   types.Time
-	ValidFor      time.Duration
+	Seq              uint64
+	Group            int
+	AllocatorProcess uint64
+	AllocatorClock   types.Time
+	ValidFor         time.Duration
 	// TokensFor is the time from the sending of the report for which single tokens are valid.
 	TokensFor time.Duration
 	// Hosts is the highest number of eligible hosts that a host has recently reported.
@@ -243,8 +243,8 @@
 	// Tokens is the number of operations left, Share the granted fraction of the limit.
 	Tokens, Share float64
 	// GrantAge is the time since the report that the grant answers was sent; zero for no grant.
-	GrantAge time.Duration
-	Keeper   types.Host
+	GrantAge  time.Duration
+	Allocator types.Host
 }
 
 // Resolution is the decision on a pending operation.
@@ -253,8 +253,8 @@
 	Decision  Decision
 }
 
-// KeeperChange is a change of the keeper that this host uses for a group.
-type KeeperChange struct {
+// AllocatorChange is a change of the allocator that this host uses for a group.
+type AllocatorChange struct {
 	Group    int
 	From, To types.Host
 	Silent   bool
@@ -296,10 +296,10 @@
 	// share is the static share of this host.
 	share float64
 
-	messages       []Message
-	resolutions    []Resolution
-	keeperChanges  []KeeperChange
-	limitedChanges []LimitedChange
+	messages         []Message
+	resolutions      []Resolution
+	allocatorChanges []AllocatorChange
+	limitedChanges   []LimitedChange
 }
 
 // New returns a Machine without limits and hosts.
@@ -347,8 +347,8 @@
 			continue
 		}
 		g := &m.groups[GroupOf(l.Workspace)]
-		if len(g.buckets) == 0 && g.keeperHost != "" {
-			m.keeperChanges = append(m.keeperChanges, KeeperChange{Group: g.number, To: g.keeperHost})
+		if len(g.buckets) == 0 && g.allocatorHost != "" {
+			m.allocatorChanges = append(m.allocatorChanges, AllocatorChange{Group: g.number, To: g.allocatorHost})
 		}
 		b := &bucket{limit: l, group: g, advancedAt: now}
 		m.buckets[l.Workspace] = b
@@ -364,7 +364,7 @@
 			}
 			b.pending = nil
 		}
-		g.keeper.configure(now, g.buckets)
+		g.allocator.configure(now, g.buckets)
 	}
 	m.limited = removeUnlimited(m.limited, kept)
 }
@@ -393,10 +393,10 @@
 	return out
 }
 
-// TakeKeeperChanges returns the changes of keepers since the last call.
-func (m *Machine) TakeKeeperChanges() []KeeperChange {
-	out := m.keeperChanges
-	m.keeperChanges = nil
+// TakeAllocatorChanges returns the changes of allocators since the last call.
+func (m *Machine) TakeAllocatorChanges() []AllocatorChange {
+	out := m.allocatorChanges
+	m.allocatorChanges = nil
 	return out
 }
 
--- a/core/limits/limits_test.go
+++ b/core/limits/limits_test.go
@@ -48,7 +48,7 @@
 }
 
 // Nearly all operations below the limit must be admitted at once. An operation that waits for a
-// single token waits for the next report, a round trip and the keeper's processor.
+// single token waits for the next report, a round trip and the allocator's processor.
 func TestCalmFleetAdmitsWithoutWait(t *testing.T) {
 	for _, c := range []struct {
 		hosts, owners, workspaces int
@@ -108,7 +108,7 @@
 }
 
 // The bound must hold in every span with faults of all kinds: partitions, killed and frozen hosts,
-// lost, late and doubled messages, different opinions on the keeper, added and removed hosts, and
+// lost, late and doubled messages, different opinions on the allocator, added and removed hosts, and
 // limits that change.
 func TestBoundHoldsWithFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 24; seed++ {
@@ -140,8 +140,8 @@
 // injectFaultOf causes or ends a random fault or change, one of the first n kinds.
 func (f *fleet) injectFaultOf(n int) {
 	h := f.hosts[f.rng.IntN(len(f.hosts))]
-	if f.rng.IntN(2) == 0 && len(h.keeperFor) > 0 {
-		h = f.byID[h.keeperFor[f.rng.IntN(4)]] // faults of keepers matter most
+	if f.rng.IntN(2) == 0 && len(h.allocatorFor) > 0 {
+		h = f.byID[h.allocatorFor[f.rng.IntN(4)]] // faults of allocators matter most
 	}
 	if h == nil || h.removed {
 		return
@@ -166,7 +166,7 @@
 	case 5:
 		f.lost, f.late, f.doubled = 0, 0, 0
 	case 6:
-		for _, other := range f.hosts { // half of the hosts choose another keeper
+		for _, other := range f.hosts { // half of the hosts choose another allocator
 			other.blind[h.id] = f.rng.IntN(2) == 0
 		}
 		f.updateHosts(time.Second)
@@ -277,7 +277,7 @@
 }
 
 // At no time may the shares in use exceed the limit, or the tokens the depth, while hosts are frozen
-// and partitioned, messages are lost, late and doubled, and hosts disagree on the keeper.
+// and partitioned, messages are lost, late and doubled, and hosts disagree on the allocator.
 func TestSharesAddUpToTheLimit(t *testing.T) {
 	for seed := uint64(1); seed <= 12; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -300,7 +300,7 @@
 	}
 }
 
-// Holders that restart together have forgotten their loans, which a keeper that goes on may still use.
+// Holders that restart together have forgotten their loans, which an allocator that goes on may still use.
 // What the hosts use beyond the limit until the loans have expired must stay below what the bound
 // allows in a span.
 func TestRestartOfHoldersExceedsTheLimitBriefly(t *testing.T) {
@@ -311,8 +311,8 @@
 		e := f.watchExcess()
 		restarted := 0
 		for _, h := range f.hosts {
-			isKeeper := h.id == f.hosts[0].keeperFor[limits.GroupOf("w0")]
-			if h.machine.IsHolder() && (!isKeeper || seed%2 == 0) {
+			isAllocator := h.id == f.hosts[0].allocatorFor[limits.GroupOf("w0")]
+			if h.machine.IsHolder() && (!isAllocator || seed%2 == 0) {
 				f.start(h)
 				restarted++
 			}
--- a/core/limits/machine_test.go
+++ b/core/limits/machine_test.go
@@ -12,18 +12,18 @@
 
 const testWorkspace = types.Workspace("w")
 
-// pair is a host and the keeper of testWorkspace, without a network.
+// pair is a host and the allocator of testWorkspace, without a network.
 type pair struct {
-	host, keeper *limits.Machine
-	now          types.Time
+	host, allocator *limits.Machine
+	now             types.Time
 }
 
 // newPair returns two hosts with a limit of 1,000 a second that have run for two seconds.
 func newPair() *pair {
-	hosts := []limits.Host{{ID: "host", Eligible: true}, {ID: "keeper", Eligible: true, Usable: true}}
+	hosts := []limits.Host{{ID: "host", Eligible: true}, {ID: "allocator", Eligible: true, Usable: true}}
 	p := &pair{now: types.Time(time.Hour)}
-	p.host, p.keeper = limits.New(limits.Settings{Host: "host", Seed: 1}), limits.New(limits.Settings{Host: "keeper", Seed: 2})
-	for _, m := range []*limits.Machine{p.host, p.keeper} {
+	p.host, p.allocator = limits.New(limits.Settings{Host: "host", Seed: 1}), limits.New(limits.Settings{Host: "allocator", Seed: 2})
+	for _, m := range []*limits.Machine{p.host, p.allocator} {
 		m.SetHosts(p.now, hosts)
 		m.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
 	}
@@ -39,22 +39,22 @@
 	p.now = p.now.Add(d)
 	p.host.Admit(p.now, testWorkspace, 1)
 	p.host.Tick(p.now)
-	p.keeper.Tick(p.now)
+	p.allocator.Tick(p.now)
 }
 
 // exchange delivers all messages.
 func (p *pair) exchange() {
 	for range 4 {
 		p.deliver(p.host.TakeMessages(), "host")
-		p.deliver(p.keeper.TakeMessages(), "keeper")
+		p.deliver(p.allocator.TakeMessages(), "allocator")
 	}
 }
 
 func (p *pair) deliver(messages []limits.Message, from types.Host) {
 	for _, msg := range messages {
 		to := p.host
-		if msg.To == "keeper" {
-			to = p.keeper
+		if msg.To == "allocator" {
+			to = p.allocator
 		}
 		receive(&hostSim{machine: to}, p.now, from, msg)
 	}
@@ -76,13 +76,13 @@
 			}
 		}
 		p.deliver(messages, "host")
-		p.deliver(p.keeper.TakeMessages(), "keeper")
+		p.deliver(p.allocator.TakeMessages(), "allocator")
 	}
 }
 
 func (p *pair) reply(r *limits.Report) *limits.Grants {
-	p.keeper.HandleReport(p.now, "host", r)
-	messages := p.keeper.TakeMessages()
+	p.allocator.HandleReport(p.now, "host", r)
+	messages := p.allocator.TakeMessages()
 	return messages[len(messages)-1].Grants
 }
 
@@ -100,12 +100,12 @@
 		grants := p.reply(p.takeReport(anyReport))
 		is.True(grants.Grants[0].Share > 0.5)
 		p.now = p.now.Add(c.delay)
-		p.host.HandleGrants(p.now, "keeper", grants)
+		p.host.HandleGrants(p.now, "allocator", grants)
 		is.Equal(p.shareOfHost() > 0.5, c.used)
 	}
 }
 
-// A keeper must grant no share and no token that is backed by a loan which expires earlier.
+// An allocator must grant no share and no token that is backed by a loan which expires earlier.
 func TestGrantIsBackedByItsLoans(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
@@ -124,8 +124,8 @@
 // time of the report.
 func (p *pair) replyWithTokens(process uint64, tokens int, tokensFor time.Duration) types.Time {
 	r := p.takeReport(anyReport)
-	p.host.HandleGrants(p.now, "keeper", &limits.Grants{
-		Seq: r.Seq, Group: r.Group, KeeperProcess: process, KeeperClock: 1, ValidFor: time.Second, TokensFor: tokensFor,
+	p.host.HandleGrants(p.now, "allocator", &limits.Grants{
+		Seq: r.Seq, Group: r.Group, AllocatorProcess: process, AllocatorClock: 1, ValidFor: time.Second, TokensFor: tokensFor,
 		Grants: []limits.Grant{{Workspace: testWorkspace, Tokens: tokens, Keep: true}},
 	})
 	return p.now
@@ -142,14 +142,14 @@
 	for range 3000 {
 		p.now = p.now.Add(time.Millisecond)
 		p.host.Tick(p.now)
-		p.keeper.Tick(p.now)
+		p.allocator.Tick(p.now)
 		p.exchange()
 	}
 	return p
 }
 
-// Tokens of two keepers must not be held together: each keeper counts only its own, until its own end.
-func TestTokensOfAnotherKeeperReplaceEarlierOnes(t *testing.T) {
+// Tokens of two allocators must not be held together: each allocator counts only its own, until its own end.
+func TestTokensOfAnotherAllocatorReplaceEarlierOnes(t *testing.T) {
 	is := is.New(t)
 	p := newIdlePair()
 	p.replyWithTokens(7, 3000, time.Second)
@@ -158,7 +158,7 @@
 	is.True(p.tokensOfHost(p.now) <= 2000)
 }
 
-// A keeper of an earlier build counts its tokens for 150 ms only.
+// An allocator of an earlier build counts its tokens for 150 ms only.
 func TestTokensOfAnEarlierBuildExpireEarly(t *testing.T) {
 	for _, c := range []struct {
 		tokensFor time.Duration
@@ -221,7 +221,7 @@
 	is := is.New(t)
 	p := newPair()
 	admitted := func(rate float64, d time.Duration) int {
-		for _, m := range []*limits.Machine{p.host, p.keeper} {
+		for _, m := range []*limits.Machine{p.host, p.allocator} {
 			m.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: rate}})
 		}
 		n := 0
@@ -231,7 +231,7 @@
 				n++
 			}
 			p.host.Tick(p.now)
-			p.keeper.Tick(p.now)
+			p.allocator.Tick(p.now)
 			for _, r := range p.host.TakeResolutions() {
 				if r.Decision.Verdict == limits.Admitted {
 					n++
@@ -247,15 +247,15 @@
 	is.True(n > 4500)
 }
 
-// A restarted keeper must not use a loan that was given to its earlier process, which may have granted
+// A restarted allocator must not use a loan that was given to its earlier process, which may have granted
 // the share to others.
 func TestLoanToEarlierProcessIsIgnored(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
 	r := p.takeReport(func(r *limits.Report) bool { return r.LendFor > 0 })
-	p.keeper = limits.New(limits.Settings{Host: "keeper", Seed: 3})
-	p.keeper.SetHosts(p.now, []limits.Host{{ID: "host", Eligible: true}, {ID: "keeper", Eligible: true, Usable: true}})
-	p.keeper.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
+	p.allocator = limits.New(limits.Settings{Host: "allocator", Seed: 3})
+	p.allocator.SetHosts(p.now, []limits.Host{{ID: "host", Eligible: true}, {ID: "allocator", Eligible: true, Usable: true}})
+	p.allocator.Configure(p.now, []limits.Limit{{Workspace: testWorkspace, Rate: 1000, Burst: 1000}})
 	p.reply(&limits.Report{Seq: r.Seq - 1, Group: r.Group})
 	is.Equal(p.reply(r).Grants[0].Share, 0.0)
 }
--- a/core/limits/membership.go
+++ b/core/limits/membership.go
@@ -7,7 +7,7 @@
 	"baobabfield.example/core/types"
 )
 
-// holderHashSeed orders the hosts for the selection of holders. Keepers are ordered by the seeds
+// holderHashSeed orders the hosts for the selection of holders. Allocators are ordered by the seeds
 // that follow it.
 const holderHashSeed = 1
 
@@ -76,7 +76,7 @@
 	m.updateShare(now)
 	for i := range m.groups {
 		m.groups[i].setCandidates(candidates)
-		m.selectKeeper(&m.groups[i], false)
+		m.selectAllocator(&m.groups[i], false)
 	}
 }
 
--- a/core/limits/model_test.go
+++ b/core/limits/model_test.go
@@ -72,20 +72,20 @@
 type loanGuards struct {
 	// lenderWaits: the lender uses its share only after the loan has expired.
 	lenderWaits bool
-	// loanExpires: the keeper uses no expired loan.
+	// loanExpires: the allocator uses no expired loan.
 	loanExpires bool
 	// grantWithinLoan: a grant ends no later than the loan that backs it.
 	grantWithinLoan bool
-	// keeperClock: the loan counts from the keeper's clock that the report repeats, not from the
+	// allocatorClock: the loan counts from the allocator's clock that the report repeats, not from the
 	// arrival of the report.
-	keeperClock bool
-	// keeperProcess: a keeper ignores the clock of its earlier process.
-	keeperProcess bool
+	allocatorClock bool
+	// allocatorProcess: an allocator ignores the clock of its earlier process.
+	allocatorProcess bool
 	// oneLoan: the lender lends to another process only after the loan has expired.
 	oneLoan bool
 }
 
-// loanState is the state of a lender and a keeper that restarts once. The clock of the second
+// loanState is the state of a lender and an allocator that restarts once. The clock of the second
 // process is two ticks ahead.
 type loanState struct {
 	guards  loanGuards
@@ -99,9 +99,9 @@
 	knownProcess, knownClock int8
 	// knownAt is when that reply arrived.
 	knownAt int8
-	// replyProcess and replyClock are those of the keeper's last reply.
+	// replyProcess and replyClock are those of the allocator's last reply.
 	replyProcess, replyClock int8
-	// loanUntil is the end of the loan at the keeper, loanClock the clock in the report.
+	// loanUntil is the end of the loan at the allocator, loanClock the clock in the report.
 	loanUntil, loanClock int8
 	// grantUntil holds the ends of the grants of the two processes.
 	grantUntil [2]int8
@@ -126,7 +126,7 @@
 	return n
 }
 
-// offset returns the difference of the keeper's clock to the time.
+// offset returns the difference of the allocator's clock to the time.
 func (s loanState) offset() int8 { return 2 * s.process }
 
 func (s loanState) next() []loanState {
@@ -178,13 +178,13 @@
 	return s
 }
 
-// withReceived returns the state after the keeper has received a report.
+// withReceived returns the state after the allocator has received a report.
 func (s loanState) withReceived(r loanReport) loanState {
 	clock := s.now + s.offset()
-	valid := r.process == s.process+1 || (r.process != 0 && !s.guards.keeperProcess)
+	valid := r.process == s.process+1 || (r.process != 0 && !s.guards.allocatorProcess)
 	if r.lends && valid && r.clock <= clock && r.clock >= s.loanClock {
 		start := r.clock
-		if !s.guards.keeperClock {
+		if !s.guards.allocatorClock {
 			start = clock
 		}
 		s.loanClock = r.clock
@@ -194,7 +194,7 @@
 	return s
 }
 
-// grantLength returns the length of the grant that the keeper can make.
+// grantLength returns the length of the grant that the allocator can make.
 func (s loanState) grantLength() int8 {
 	left := s.loanUntil - s.now
 	switch {
@@ -208,17 +208,17 @@
 	return min(left, modelGrant)
 }
 
-// A share must never be used by its lender and a keeper, or by two processes of the keeper. The
+// A share must never be used by its lender and an allocator, or by two processes of the allocator. The
 // removal of each guard must be noticed; otherwise the model proves nothing about it.
 func TestModelOfLoans(t *testing.T) {
 	full := loanState{guards: loanGuards{true, true, true, true, true, true}}
 	without := map[string]loanState{}
 	for name, remove := range map[string]func(*loanGuards){
 		"the lender waits for the end of its loan": func(g *loanGuards) { g.lenderWaits = false },
-		"loans expire at the keeper":               func(g *loanGuards) { g.loanExpires = false },
+		"loans expire at the allocator":            func(g *loanGuards) { g.loanExpires = false },
 		"grants are shorter than loans":            func(g *loanGuards) { g.grantWithinLoan = false },
-		"loans count from the keeper's clock":      func(g *loanGuards) { g.keeperClock = false },
-		"clocks of earlier processes are ignored":  func(g *loanGuards) { g.keeperProcess = false },
+		"loans count from the allocator's clock":   func(g *loanGuards) { g.allocatorClock = false },
+		"clocks of earlier processes are ignored":  func(g *loanGuards) { g.allocatorProcess = false },
 		"one loan at a time":                       func(g *loanGuards) { g.oneLoan = false },
 	} {
 		s := full
@@ -252,7 +252,7 @@
 	inOrder bool
 }
 
-// grantState is the state of a keeper with a loan until modelLoan, and two hosts with demand.
+// grantState is the state of an allocator with a loan until modelLoan, and two hosts with demand.
 type grantState struct {
 	guards grantGuards
 	now    int8
@@ -264,7 +264,7 @@
 	sent     int8
 	// applied is the number of the reply that the host uses, which ends at until.
 	applied, until int8
-	// confirmed is the number of the last reply that the keeper knows to be used.
+	// confirmed is the number of the last reply that the allocator knows to be used.
 	confirmed int8
 }
 
@@ -272,7 +272,7 @@
 type grantRequest struct {
 	sentAt, confirms int8
 	replied, granted bool
-	// length is that of the grant, end its end as the keeper counts it.
+	// length is that of the grant, end its end as the allocator counts it.
 	length, end int8
 }
 
@@ -289,7 +289,7 @@
 	return n
 }
 
-// outstanding reports whether a host may use a grant, as the keeper knows.
+// outstanding reports whether a host may use a grant, as the allocator knows.
 func (h *grantHost) outstanding(now int8, g grantGuards) bool {
 	last := h.confirmed
 	if !g.confirmedOnly {
--- a/core/limits/tokens_model_test.go
+++ b/core/limits/tokens_model_test.go
@@ -2,10 +2,10 @@
 
 import "testing"
 
-// The model of this file has one workspace with a share that is either at its keeper or granted to
+// The model of this file has one workspace with a share that is either at its allocator or granted to
 // one host. The buckets together hold at most tokenModelDepth tokens. Every operation takes one.
 // Replies with single tokens and reports with the number of those that the host has arrive at any later
-// time or never. Single tokens expire at any time, at the keeper no earlier than at the host.
+// time or never. Single tokens expire at any time, at the allocator no earlier than at the host.
 
 const (
 	tokenModelDepth = 2
@@ -19,7 +19,7 @@
 	emptyAtStart bool
 	// clipped: a host drops its tokens when its share ends.
 	clipped bool
-	// returnedOnce: the keeper credits returned tokens once, although the report may arrive twice.
+	// returnedOnce: the allocator credits returned tokens once, although the report may arrive twice.
 	returnedOnce bool
 	// outstandingCount: single tokens count towards the depth until they have expired.
 	outstandingCount bool
@@ -28,7 +28,7 @@
 	// laterCount: the tokens of replies that the host had not received when it sent a report count
 	// in addition to those that the report tells.
 	laterCount bool
-	// countExtended: the keeper counts single tokens as long as it has extended them.
+	// countExtended: the allocator counts single tokens as long as it has extended them.
 	countExtended bool
 	// withinLoan: single tokens end before the loans that back them.
 	withinLoan bool
@@ -39,10 +39,10 @@
 // tokenState is the state of the buckets.
 type tokenState struct {
 	guards tokenGuards
-	// keeper and host are the tokens of the buckets, stock the single tokens of the host.
-	keeper, host, stock int8
-	granted             bool
-	// outstanding is the number of single tokens that the keeper counts.
+	// allocator and host are the tokens of the buckets, stock the single tokens of the host.
+	allocator, host, stock int8
+	granted                bool
+	// outstanding is the number of single tokens that the allocator counts.
 	outstanding int8
 	// underway is the number of single tokens in replies.
 	underway int8
@@ -59,14 +59,14 @@
 }
 
 func (s tokenState) users() int {
-	saved := s.keeper + s.host + s.stock + s.underway
+	saved := s.allocator + s.host + s.stock + s.underway
 	if saved > tokenModelDepth || saved > s.unused {
 		return 2
 	}
 	return 1
 }
 
-func (s tokenState) keeperDepth() int8 {
+func (s tokenState) allocatorDepth() int8 {
 	depth := int8(tokenModelDepth)
 	if s.granted {
 		depth -= tokenModelGranted
@@ -92,7 +92,7 @@
 		}
 		n := s
 		change(&n)
-		n.keeper = min(n.keeper, n.keeperDepth())
+		n.allocator = min(n.allocator, n.allocatorDepth())
 		if n.guards.clipped {
 			n.host = min(n.host, n.hostDepth())
 		}
@@ -103,7 +103,7 @@
 		if s.granted {
 			n.host = min(n.host+1, n.hostDepth())
 		} else {
-			n.keeper++
+			n.allocator++
 		}
 	})
 	step(s.host > 0, func(n *tokenState) { n.host--; n.unused-- })
@@ -113,7 +113,7 @@
 	step(s.granted, func(n *tokenState) { n.granted = false })
 	s.singleTokenSteps(step)
 	step(s.host > 0 && s.returned == 0, func(n *tokenState) { n.host--; n.returned, n.credited = 1, false })
-	step(s.returned > 0 && (!s.credited || !s.guards.returnedOnce), func(n *tokenState) { n.keeper += n.returned; n.credited = true })
+	step(s.returned > 0 && (!s.credited || !s.guards.returnedOnce), func(n *tokenState) { n.allocator += n.returned; n.credited = true })
 	step(s.returned > 0, func(n *tokenState) { n.returned = 0 }) // no copy of the report arrives any more
 	step(true, func(n *tokenState) {                             // the host restarts
 		n.host, n.stock = 0, 0
@@ -126,8 +126,8 @@
 
 // singleTokenSteps passes the steps of single tokens to step.
 func (s tokenState) singleTokenSteps(step func(possible bool, change func(n *tokenState))) {
-	step(s.keeper > 0, func(n *tokenState) {
-		n.keeper--
+	step(s.allocator > 0, func(n *tokenState) {
+		n.allocator--
 		n.underway++
 		n.outstanding++
 		if s.reported {
@@ -149,13 +149,13 @@
 	})
 	step(s.stock > 0 && s.returned == 0, func(n *tokenState) { n.stock--; n.returned, n.credited = 1, false })
 	step(true, func(n *tokenState) { // the loans end, and are given to another process
-		n.keeper, n.outstanding, n.granted = 0, 0, false
+		n.allocator, n.outstanding, n.granted = 0, 0, false
 		n.reported, n.held, n.later = false, 0, 0
 		if s.guards.withinLoan {
 			n.stock, n.underway = 0, 0
 		}
 	})
-	// Tokens of a second keeper arrive, with a later end. Its own depth is not modelled.
+	// Tokens of a second allocator arrive, with a later end. Its own depth is not modelled.
 	step(s.stock > 0, func(n *tokenState) {
 		if s.guards.othersDropped {
 			n.stock = 0
--- a/core/proxy/explain.go
+++ b/core/proxy/explain.go
@@ -110,8 +110,8 @@
 // a copy of the state of the route's reads.
 func (m *Machine) explainCandidates(out *Explanation, req ExplainRequest, primary types.Endpoint) {
 	endpoints := m.catalog.EndpointsOf(out.Route.Service)
-	state := crossing{}
-	if c := m.crossings[req.Database]; c != nil {
+	state := remoteReads{}
+	if c := m.remoteReadsByRoute[req.Database]; c != nil {
 		state = *c
 	}
 	r := &request{route: out.Route, due: m.now.Add(out.Route.TargetLatency)}
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -121,7 +121,7 @@
 func (m *Machine) refuseLimited(o *ownedEndpoint, ex *execution, d *limits.Decision) {
 	m.incrementCounter("baobab_limit_refused_total")
 	m.log(Info, "operation above the limit", field("id", ex.request.Query.ID), field("workspace", ex.request.Workspace), field("limit", d.Limit),
-		field("tokens", d.Tokens), field("grant", d.Share), field("grant_age", d.GrantAge), field("keeper", d.Keeper), field("retry_after", d.RetryAfter))
+		field("tokens", d.Tokens), field("grant", d.Share), field("grant_age", d.GrantAge), field("allocator", d.Allocator), field("retry_after", d.RetryAfter))
 	m.finishExecution(o, ex, ExecResult{Reason: types.ReasonLimited, RetryAfter: d.RetryAfter})
 }
 
@@ -185,8 +185,8 @@
 }
 
 func (m *Machine) logLimitChanges() {
-	for _, c := range m.limits.machine.TakeKeeperChanges() {
-		m.log(Info, "limit keeper changed", field("group", c.Group), field("from", c.From), field("to", c.To), field("silent", c.Silent))
+	for _, c := range m.limits.machine.TakeAllocatorChanges() {
+		m.log(Info, "limit allocator changed", field("group", c.Group), field("from", c.From), field("to", c.To), field("silent", c.Silent))
 	}
 	for _, c := range m.limits.machine.TakeLimitedChanges() {
 		event := "workspace within its limit"
--- a/core/proxy/limits_test.go
+++ b/core/proxy/limits_test.go
@@ -100,14 +100,14 @@
 			}
 		}
 	}
-	for _, event := range []string{"operation above the limit", "workspace above its limit", "limit keeper changed"} {
+	for _, event := range []string{"operation above the limit", "workspace above its limit", "limit allocator changed"} {
 		if events[event] == 0 {
 			t.Errorf("no log line %q", event)
 		}
 	}
 }
 
-// The limit must hold, and refused operations must not run, while keepers and owners are killed,
+// The limit must hold, and refused operations must not run, while allocators and owners are killed,
 // suspended and partitioned.
 func TestLimitHoldsWithFaults(t *testing.T) {
 	const rate, burst = 40, 10
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -69,8 +69,8 @@
 	deferred []*request
 	// stats holds what this host, as a frontend, has observed of each endpoint.
 	stats map[types.Endpoint]*endpointStats
-	// crossings holds the state of the reads in other data centres by route.
-	crossings map[types.Database]*crossing
+	// remoteReadsByRoute holds the state of the reads in other data centres by route.
+	remoteReadsByRoute map[types.Database]*remoteReads
 	// ownerCache caches the owner of each endpoint, ownersWithout that without hosts that requests
 	// avoid, and cachedReadOrder this host's place among those that read the store; nil after a
 	// change of the hosts.
@@ -145,23 +145,23 @@
 func New(settings Settings) *Machine {
 	first := random.Mix(settings.Seed) >> 1 // far from the end of the range
 	return &Machine{
-		settings:     settings,
-		rng:          random.New(settings.Seed),
-		firstNumber:  first,
-		catalog:      catalog.New(),
-		mirror:       feed.New(),
-		sessions:     map[SessionID]*session{},
-		requests:     map[RequestID]*request{},
-		stats:        map[types.Endpoint]*endpointStats{},
-		crossings:    map[types.Database]*crossing{},
-		ownerCache:   map[types.Endpoint]types.Host{},
-		owned:        map[types.Endpoint]*ownedEndpoint{},
-		controlConns: map[types.Endpoint]*controlConn{},
-		conns:        map[pool.ConnID]connTarget{},
-		executions:   map[pool.RequestID]*execution{},
-		ownedTxs:     map[txKey]*ownedTx{},
-		received:     map[requestKey]*receivedRequest{},
-		services:     map[types.Service]*serviceState{},
+		settings:           settings,
+		rng:                random.New(settings.Seed),
+		firstNumber:        first,
+		catalog:            catalog.New(),
+		mirror:             feed.New(),
+		sessions:           map[SessionID]*session{},
+		requests:           map[RequestID]*request{},
+		stats:              map[types.Endpoint]*endpointStats{},
+		remoteReadsByRoute: map[types.Database]*remoteReads{},
+		ownerCache:         map[types.Endpoint]types.Host{},
+		owned:              map[types.Endpoint]*ownedEndpoint{},
+		controlConns:       map[types.Endpoint]*controlConn{},
+		conns:              map[pool.ConnID]connTarget{},
+		executions:         map[pool.RequestID]*execution{},
+		ownedTxs:           map[txKey]*ownedTx{},
+		received:           map[requestKey]*receivedRequest{},
+		services:           map[types.Service]*serviceState{},
 
 		leavingSince:           map[types.Endpoint]types.Time{},
 		restarts:               map[types.Endpoint]restartRecord{},
@@ -286,7 +286,7 @@
 	}
 	m.tickSessions()
 	m.tickRequests()
-	m.tickCrossings()
+	m.tickRemoteReads()
 	for _, o := range ordered(m.owned) {
 		o.pool.Tick(m.now)
 	}
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -168,7 +168,7 @@
 	IsPrimary bool
 }
 
-// LimitReport reports a host's demand for workspaces with a limit to their keeper.
+// LimitReport reports a host's demand for workspaces with a limit to their allocator.
 type LimitReport limits.Report
 
 // LimitGrant is the reply to a LimitReport.
--- a/core/proxy/crossing.go
+++ b/core/proxy/remote_reads.go
@@ -11,28 +11,28 @@
 	"baobabfield.example/core/types"
 )
 
-// crossingIdleTime is the time without a read in another data centre after which the reads of a
+// remoteReadIdleTime is the time without a read in another data centre after which the reads of a
 // route count as staying. It bounds the log to two lines in this time for each route.
-const crossingIdleTime = 10 * time.Second
+const remoteReadIdleTime = 10 * time.Second
 
-// crossing is the state of a route's reads that this frontend sends to other data centres.
-type crossing struct {
+// remoteReads is the state of a route's reads that this frontend sends to other data centres.
+type remoteReads struct {
 	share    locality.Share
 	baseline locality.Baseline
-	// active is set from the first read that leaves until none has left for crossingIdleTime.
+	// active is set from the first read that leaves until none has left for remoteReadIdleTime.
 	// lastAt is the time of the last one, and reads their number since active was set.
 	active bool
 	lastAt types.Time
 	reads  int
 }
 
-func (m *Machine) crossingFor(db types.Database) *crossing {
-	c := m.crossings[db]
+func (m *Machine) remoteReadsFor(db types.Database) *remoteReads {
+	c := m.remoteReadsByRoute[db]
 	if c == nil {
 		const bits = 53 // the precision of a float64
 		phase := float64(random.Hash(m.settings.Seed, string(db))>>(64-bits)) / (1 << bits)
-		c = &crossing{share: locality.NewShare(phase)}
-		m.crossings[db] = c
+		c = &remoteReads{share: locality.NewShare(phase)}
+		m.remoteReadsByRoute[db] = c
 	}
 	return c
 }
@@ -48,7 +48,7 @@
 	if len(endpoints) == 0 {
 		return nil
 	}
-	c := m.crossingFor(r.route.Database)
+	c := m.remoteReadsFor(r.route.Database)
 	read := m.describeRead(r, endpoints, c)
 	// Of endpoints that cost the same, frontends prefer different ones.
 	first := int(m.settings.Seed % uint64(len(endpoints)))
@@ -70,13 +70,13 @@
 	}
 	r.remoteReason = reason
 	if reason != locality.ReasonHome {
-		m.recordCrossing(c, r, reason)
+		m.recordRemoteRead(c, r, reason)
 	}
 	return &endpoints[i]
 }
 
 // describeRead returns what the costs of the endpoints depend on.
-func (m *Machine) describeRead(r *request, endpoints []catalog.Endpoint, c *crossing) locality.Read {
+func (m *Machine) describeRead(r *request, endpoints []catalog.Endpoint, c *remoteReads) locality.Read {
 	read := locality.Read{Rank: r.route.Rank, Objective: r.due.Sub(m.now)}
 	if read.Objective <= 0 {
 		read.Objective = r.route.TargetLatency
@@ -91,8 +91,8 @@
 	return read
 }
 
-// recordCrossing records that a read leaves the data centre.
-func (m *Machine) recordCrossing(c *crossing, r *request, reason locality.Reason) {
+// recordRemoteRead records that a read leaves the data centre.
+func (m *Machine) recordRemoteRead(c *remoteReads, r *request, reason locality.Reason) {
 	c.lastAt = m.now
 	c.reads++
 	if !c.active {
@@ -117,16 +117,16 @@
 	}
 }
 
-// tickCrossings ends the crossings of routes whose reads stay again, and forgets those of routes
+// tickRemoteReads notes the routes whose reads stay again, and forgets the state of routes
 // that do not exist any more.
-func (m *Machine) tickCrossings() {
-	for db, c := range ordered(m.crossings) {
-		if c.active && m.now.Sub(c.lastAt) >= crossingIdleTime {
+func (m *Machine) tickRemoteReads() {
+	for db, c := range ordered(m.remoteReadsByRoute) {
+		if c.active && m.now.Sub(c.lastAt) >= remoteReadIdleTime {
 			c.active = false
 			m.log(Info, "reads stay in the data centre", field("database", db), field("left", c.reads))
 		}
 		if _, ok := m.catalog.Route(db); !ok && !c.active {
-			delete(m.crossings, db)
+			delete(m.remoteReadsByRoute, db)
 		}
 	}
 }
--- a/node/gateway/explain.go
+++ b/node/gateway/explain.go
@@ -57,7 +57,7 @@
 	}
 	if e.HasLimit {
 		out.Limit = api.NewOptWorkspaceLimit(api.WorkspaceLimit{
-			Rate: e.Limit.Limit, Tokens: e.Limit.Tokens, Grant: e.Limit.Share, GrantAge: e.Limit.GrantAge, Keeper: string(e.Limit.Keeper),
+			Rate: e.Limit.Limit, Tokens: e.Limit.Tokens, Grant: e.Limit.Share, GrantAge: e.Limit.GrantAge, Allocator: string(e.Limit.Allocator),
 		})
 	}
 	return out
--- a/wire/peerwire/limits.go
+++ b/wire/peerwire/limits.go
@@ -21,7 +21,7 @@
 
 func encodeLimitReport(r *proxy.LimitReport) *meshpb.LimitReport {
 	out := &meshpb.LimitReport{
-		Number: r.Seq, Group: uint32(r.Group), KeeperProcess: r.KeeperProcess, KeeperClockNs: int64(r.KeeperClock),
+		Number: r.Seq, Group: uint32(r.Group), AllocatorProcess: r.AllocatorProcess, AllocatorClockNs: int64(r.AllocatorClock),
 		LendUs: uint64(r.LendFor.Microseconds()), Share: r.Share, Hosts: uint32(r.Hosts),
 	}
 	for _, d := range r.Demands {
@@ -35,7 +35,7 @@
 
 func encodeLimitGrant(g *proxy.LimitGrant) *meshpb.LimitGrant {
 	out := &meshpb.LimitGrant{
-		Number: g.Seq, Group: uint32(g.Group), KeeperProcess: g.KeeperProcess, KeeperClockNs: int64(g.KeeperClock),
+		Number: g.Seq, Group: uint32(g.Group), AllocatorProcess: g.AllocatorProcess, AllocatorClockNs: int64(g.AllocatorClock),
 		ValidUs: uint64(g.ValidFor.Microseconds()), Hosts: uint32(g.Hosts), TokensUs: uint64(g.TokensFor.Microseconds()),
 	}
 	for _, w := range g.Grants {
@@ -50,7 +50,7 @@
 		return nil, fmt.Errorf("limit report %d has invalid share %v", r.GetNumber(), r.GetShare())
 	}
 	out := proxy.LimitReport{
-		Seq: r.GetNumber(), Group: int(r.GetGroup()), KeeperProcess: r.GetKeeperProcess(), KeeperClock: types.Time(r.GetKeeperClockNs()),
+		Seq: r.GetNumber(), Group: int(r.GetGroup()), AllocatorProcess: r.GetAllocatorProcess(), AllocatorClock: types.Time(r.GetAllocatorClockNs()),
 		LendFor: limitTime(r.GetLendUs()), Share: r.GetShare(), Hosts: int(r.GetHosts()),
 	}
 	for _, d := range r.GetDemands() {
@@ -69,7 +69,7 @@
 
 func decodeLimitGrant(g *meshpb.LimitGrant) (proxy.Message, error) {
 	out := proxy.LimitGrant{
-		Seq: g.GetNumber(), Group: int(g.GetGroup()), KeeperProcess: g.GetKeeperProcess(), KeeperClock: types.Time(g.GetKeeperClockNs()),
+		Seq: g.GetNumber(), Group: int(g.GetGroup()), AllocatorProcess: g.GetAllocatorProcess(), AllocatorClock: types.Time(g.GetAllocatorClockNs()),
 		ValidFor: limitTime(g.GetValidUs()), Hosts: int(g.GetHosts()), TokensFor: limitTime(g.GetTokensUs()),
 	}
 	for _, w := range g.GetGrants() {
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -57,11 +57,11 @@
 		proxy.ReachabilityRequest{Seq: 3, Service: "s", Endpoint: "e"},
 		proxy.ReachabilityResponse{Seq: 3, Service: "s", Endpoint: "e", IsPrimary: true},
 		proxy.LimitReport{
-			Seq: 7, Group: 3, KeeperProcess: 1 << 63, KeeperClock: types.Time(-5), LendFor: time.Second, Share: 1.0 / 30, Hosts: 30,
+			Seq: 7, Group: 3, AllocatorProcess: 1 << 63, AllocatorClock: types.Time(-5), LendFor: time.Second, Share: 1.0 / 30, Hosts: 30,
 			Demands: []limits.Demand{{Workspace: "w", Rate: 0.5, Need: 2, Returned: 3, Ahead: 4, Held: 5}},
 		},
 		proxy.LimitGrant{
-			Seq: 7, Group: 3, KeeperProcess: 1, KeeperClock: types.Time(time.Hour), ValidFor: time.Second, TokensFor: time.Millisecond, Hosts: 30,
+			Seq: 7, Group: 3, AllocatorProcess: 1, AllocatorClock: types.Time(time.Hour), ValidFor: time.Second, TokensFor: time.Millisecond, Hosts: 30,
 			Grants: []limits.Grant{{Workspace: "w", Share: 1.0 / 3, Tokens: 4, Keep: true}},
 		},
 	} {
