core/proxy: an explanation considers endpoints in the order of the selection

Cause: of endpoints that cost the same, a frontend prefers one by its seed; the explanation took the first by name. Change: both use one function for the order. Result: tests of core/proxy on explanations, reads and workspaces pass.

--- a/core/proxy/explain.go
+++ b/core/proxy/explain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -117,7 +118,8 @@
 	r := &request{route: out.Route, due: m.now.Add(out.Route.TargetLatency)}
 	read := m.describeRead(r, endpoints, &state)
 	var choice locality.Choice
-	for i := range endpoints {
+	for n := range endpoints {
+		i := m.indexOfCandidate(n, len(endpoints))
 		e := &endpoints[i]
 		s := m.statsFor(e.ID)
 		candidate := locality.Candidate{
@@ -138,6 +140,7 @@
 		}
 		out.Candidates = append(out.Candidates, explained)
 	}
+	slices.SortFunc(out.Candidates, func(a, b ExplainedEndpoint) int { return cmp.Compare(a.ID, b.ID) })
 	out.Share = state.share.Value()
 	if out.NeedsPrimary {
 		return
--- a/core/proxy/remote_reads.go
+++ b/core/proxy/remote_reads.go
@@ -50,11 +50,9 @@
 	}
 	c := m.remoteReadsFor(r.route.Database)
 	read := m.describeRead(r, endpoints, c)
-	// Of endpoints that cost the same, frontends prefer different ones.
-	first := int(m.settings.Seed % uint64(len(endpoints)))
 	var choice locality.Choice
 	for n := range endpoints {
-		i := (first + n) % len(endpoints)
+		i := m.indexOfCandidate(n, len(endpoints))
 		e := &endpoints[i]
 		if e.Leaving || slices.Contains(r.excludedEndpoints, e.ID) {
 			continue
@@ -75,6 +73,12 @@
 	return &endpoints[i]
 }
 
+// indexOfCandidate returns the index of the endpoint that is considered as the n-th of count. Of
+// endpoints that cost the same, frontends prefer different ones.
+func (m *Machine) indexOfCandidate(n, count int) int {
+	return (int(m.settings.Seed%uint64(count)) + n) % count
+}
+
 // describeRead returns what the costs of the endpoints depend on.
 func (m *Machine) describeRead(r *request, endpoints []catalog.Endpoint, c *remoteReads) locality.Read {
 	read := locality.Read{Rank: r.route.Rank, Objective: r.due.Sub(m.now)}
