core/proxy: sessions are not sorted at each tick without workspaces; comments follow the code

Cause: tickSessions sorted all sessions of a host for withdrawn keys, also in deployments without workspaces, where no key is withdrawn. Comments named a constant that is gone, and how a value was tuned. Change: the check returns at once without workspaces; behaviour stays as it is.

--- a/core/proxy/affinity.go
+++ b/core/proxy/affinity.go
@@ -11,15 +11,13 @@
 
 const (
 	// affinityCost is the cost, expressed as waiting time, of a replica that a workspace does not
-	// prefer. It is below remoteCost, so that a workspace that keeps connections busy reads in its
-	// own data centre.
+	// prefer. It is below locality.DefaultPrice, so that a workspace that keeps connections busy
+	// reads in its own data centre.
 	affinityCost = 40 * time.Millisecond
 	// smallAffinityCost is that of a workspace whose fair part of the service's connections is
-	// less than smallConnections. It exceeds remoteCost: at several replicas its connections would
-	// be closed before they are used again, and opening one takes as long as a statement. In
-	// TestWorkspacesShareConnections, a value of 1 for smallConnections gives 4 % fewer openings
-	// and 2 % more reads to other data centres, and 0.4 gives 46 % more openings and 3 % fewer of
-	// these reads.
+	// less than smallConnections. It exceeds locality.DefaultPrice: at several replicas its
+	// connections would be closed before they are used again, and opening one takes as long as a
+	// statement.
 	smallAffinityCost = 80 * time.Millisecond
 	smallConnections  = 0.7
 )
--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -153,6 +153,9 @@
 // their caller was withdrawn, after the statements that have been read: a caller can always have one
 // in flight.
 func (m *Machine) abortWithdrawnTransactions() {
+	if !m.catalog.HasWorkspaces() {
+		return // no key is withdrawn, and the sessions need not be sorted at each tick
+	}
 	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
 		if s.withdrawnAt != 0 && s.tx != nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
