--- a/review/harness-2/deposed.go
+++ b/review/harness-2/deposed.go
@@ -12,9 +12,9 @@
 	const rounds, cutTime, roundTime = 8, 5 * time.Second, 12800 * time.Millisecond
 	// startTime is the time that the new instance runs before the old one announces its end.
 	const startTime, announceDelay = 1200 * time.Millisecond, 100 * time.Millisecond
-	w := newWorld(rec, "remessas")
+	w := newWorld(rec, pampa, "remessas")
 	defer w.close()
-	zones := []string{"sul-br-a", "sul-br-b", "sul-br-c"}
+	zones := w.site.zones
 	primary := w.db.add("i-0", zones[0], true)
 	w.db.add("i-1", zones[1], false)
 	w.db.add("i-2", zones[2], false)
--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -11,11 +11,8 @@
 )
 
 const (
-	slotCount      = 6
-	handshakeTime  = 12 * time.Millisecond
-	statementTime  = 4 * time.Millisecond
-	promotionDelay = 300 * time.Millisecond
-	replicaLag     = 50 * time.Millisecond
+	handshakeTime = 12 * time.Millisecond
+	statementTime = 4 * time.Millisecond
 	// followDelay is the time after a promotion in which the other instances follow the new
 	// primary.
 	followDelay = 30 * time.Millisecond
@@ -84,7 +81,7 @@
 // add starts an instance as a replica with the log of the primary, or as the primary.
 func (d *database) add(id, zone string, primary bool) *instance {
 	l := w0(net.Listen("tcp", "127.0.0.1:0"))
-	i := &instance{db: d, id: id, zone: zone, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, primary: primary, term: 1, born: time.Now().UnixMilli(), slots: make(chan struct{}, slotCount), lag: replicaLag}
+	i := &instance{db: d, id: id, zone: zone, address: l.Addr().String(), listener: l, conns: map[net.Conn]bool{}, primary: primary, term: 1, born: time.Now().UnixMilli(), slots: make(chan struct{}, d.w.site.slots), lag: d.w.site.lag}
 	d.mu.Lock()
 	if p := d.currentPrimary(); p != nil {
 		i.term = p.term
@@ -117,7 +114,7 @@
 		state = "draining"
 	}
 	i.db.w.store.Put("servers", i.id, map[string]any{
-		"service": i.db.service, "address": i.address, "zone": i.zone, "version": "v1", "capacity": slotCount,
+		"service": i.db.service, "address": i.address, "zone": i.zone, "version": "v1", "capacity": i.db.w.site.slots,
 		"state": state, "warmupLeftMs": 0, "dbRole": role, "seq": 1, "born": i.born,
 	})
 }
@@ -145,14 +142,14 @@
 	i.db.w.store.Delete("servers", i.id)
 }
 
-// promote makes an instance the primary of the next term after promotionDelay.
+// promote makes an instance the primary of the next term after the site's time for a promotion.
 func (d *database) promote(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, i := range d.instances {
 		if i.id == id && !i.stopped {
 			if !i.primary {
-				time.AfterFunc(promotionDelay, func() { d.promoteNow(i) })
+				time.AfterFunc(d.w.site.promotion, func() { d.promoteNow(i) })
 			}
 			return true
 		}
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -50,8 +50,40 @@
 	_, _ = r.out.WriteString("\n")
 }
 
+// site holds the figures of a deployment.
+type site struct {
+	region    string
+	zones     []string
+	slots     int
+	maxConns  int
+	promotion time.Duration
+	lag       time.Duration
+	timeoutMs int
+	limits    string
+	bounds    string
+	rates     string
+}
+
+var (
+	rampasSul = site{
+		region: "lagoa-sul", zones: []string{"sao-jose", "rio-grande", "pelotas"}, slots: 3, maxConns: 47,
+		promotion: 600 * time.Millisecond, lag: 20 * time.Millisecond, timeoutMs: 800,
+		limits: "{cpuShare: 0.272, cores: 1, memoryMb: 206, maxFds: 3010, linkMbps: 700.0, diskMb: 0}",
+		bounds: "{seedLagS: 3, addrReuseS: 2, stableMs: 4000, ackMs: 5000, catchUpS: 4, drainMs: 7000, graceS: 6, lossSlackMs: 200, configApplyMs: 3000, downgradeSlackMs: 250, maxSkewMs: 12000, recoveryS: 12, fencing: false, thawMs: 300}",
+		rates:  "writesPerS: 400, readsPerS: 2000",
+	}
+	pampa = site{
+		region: "sul-br", zones: []string{"sul-br-a", "sul-br-b", "sul-br-c"}, slots: 6, maxConns: 49,
+		promotion: 300 * time.Millisecond, lag: 50 * time.Millisecond, timeoutMs: 1000,
+		limits: "{cpuShare: 0.8, cores: 1, memoryMb: 536, maxFds: 8192, linkMbps: 200.0, diskMb: 0}",
+		bounds: "{seedLagS: 3, addrReuseS: 2, stableMs: 5000, ackMs: 8000, catchUpS: 6, drainMs: 10000, graceS: 6, lossSlackMs: 200, configApplyMs: 5000, downgradeSlackMs: 250, maxSkewMs: 15000, recoveryS: 15, fencing: false, thawMs: 300}",
+		rates:  "writesPerS: 1200, readsPerS: 6000",
+	}
+)
+
 // world is a small deployment.
 type world struct {
+	site   site
 	rec    *recorder
 	dir    string
 	binary string
@@ -73,8 +105,8 @@
 	cmd                 *exec.Cmd
 }
 
-func newWorld(rec *recorder, service string) *world {
-	w := &world{rec: rec, dir: w0(os.MkdirTemp("", "review-")), binary: w0(filepath.Abs(os.Getenv("BAOBABD"))), hosts: map[string]*host{}}
+func newWorld(rec *recorder, s site, service string) *world {
+	w := &world{site: s, rec: rec, dir: w0(os.MkdirTemp("", "review-")), binary: w0(filepath.Abs(os.Getenv("BAOBABD"))), hosts: map[string]*host{}}
 	w.db = newDatabase(w, service)
 	w.isCut.Store("")
 	mux := http.NewServeMux()
@@ -101,14 +133,14 @@
 func (w *world) putConfig(version int) {
 	route := func(name, kind string, priority int) map[string]any {
 		return map[string]any{
-			"name": name, "host": name, "pathPrefix": "/", "type": kind, "timeoutMs": 1300, "targetLatencyMs": 200,
+			"name": name, "host": name, "pathPrefix": "/", "type": kind, "timeoutMs": w.site.timeoutMs, "targetLatencyMs": 200,
 			"priority": priority, "service": w.db.service, "attempts": 2, "maxStalenessMs": 1500,
 		}
 	}
 	w.store.Put("config", "main", map[string]any{
 		"version": version, "routes": []any{route("dbprimary", "primary", 0), route("dbbounded", "bounded_staleness", 2), route("dbown", "read_your_writes", 1)},
 		"limits":   map[string]any{"txIdleMs": 5000},
-		"services": []any{map[string]any{"name": w.db.service, "maxConns": 49, "syncReplicas": 0}},
+		"services": []any{map[string]any{"name": w.db.service, "maxConns": w.site.maxConns, "syncReplicas": 0}},
 	})
 }
 
@@ -143,25 +175,29 @@
 	at := func(p int) string { return fmt.Sprintf("127.0.0.1:%d", p) }
 	h := &host{w: w, name: name, zone: zone, frontend: at(port), readiness: at(port + 1), storeRelay: newRelay(w.store.Address(), false), mesh: newRelay(at(port+2), true)}
 	h.settings = filepath.Join(w.dir, name+".yaml")
+	zones := ""
+	for _, z := range w.site.zones {
+		zones += fmt.Sprintf("%s: %q, ", z, w.site.region)
+	}
 	text := fmt.Sprintf(`nodeName: %q
 role: "proxy"
 machineClass: "edge"
 serves: ["edge"]
 ip: "127.0.0.1"
 zone: %q
-region: "sul-br"
-zones: {sul-br-a: "sul-br", sul-br-b: "sul-br", sul-br-c: "sul-br"}
+region: %q
+zones: {%s}
 listen: {frontend: %q, readiness: %q}
 internalPorts: [%d, %d]
 bootstrap: true
-limits: {cpuShare: 0.8, cores: 1, memoryMb: 536, maxFds: 8192, linkMbps: 200.0, diskMb: 0}
+limits: %s
 discovery: "platform"
 entry: "vip"
 heartbeatMs: 1200
-bounds: {seedLagS: 3, addrReuseS: 2, stableMs: 5000, ackMs: 8000, catchUpS: 6, drainMs: 10000, graceS: 6, lossSlackMs: 200, configApplyMs: 5000, downgradeSlackMs: 250, maxSkewMs: 15000, recoveryS: 15, fencing: false, thawMs: 300}
-platform: {address: %q, form: "objects", writesPerS: 1200, readsPerS: 6000, historyS: 20, valueBytes: 1048576}
+bounds: %s
+platform: {address: %q, form: "objects", %s, historyS: 20, valueBytes: 1048576}
 cloud: {address: %q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
-`, name, zone, h.frontend, h.readiness, port+2, port+3, h.storeRelay.address(), w.store.Address())
+`, name, zone, w.site.region, zones, h.frontend, h.readiness, port+2, port+3, w.site.limits, w.site.bounds, h.storeRelay.address(), w.site.rates, w.store.Address())
 	w0(0, os.WriteFile(h.settings, []byte(text), 0o600))
 	w.hosts[name] = h
 	return h
