--- a/review/harness-2/instance.go
+++ b/review/harness-2/instance.go
@@ -13,6 +13,7 @@
 const (
 	handshakeTime = 12 * time.Millisecond
 	statementTime = 4 * time.Millisecond
+	statusTime    = time.Millisecond
 	// followDelay is the time after a promotion in which the other instances follow the new
 	// primary.
 	followDelay = 30 * time.Millisecond
@@ -261,10 +262,16 @@
 		_, _ = sock.Write([]byte("ERROR WRONGNODE " + i.id + "\r\n"))
 		return
 	}
+	i.slots <- struct{}{}
 	time.Sleep(handshakeTime)
+	<-i.slots
 	i.db.mu.Lock()
-	if i.stopped {
+	if i.stopped || len(i.conns) >= i.db.w.site.maxConns {
+		stopped := i.stopped
 		i.db.mu.Unlock()
+		if !stopped {
+			_, _ = sock.Write([]byte("ERROR MAXCONN " + i.id + "\r\n"))
+		}
 		return
 	}
 	i.conns[sock] = true
@@ -314,6 +321,10 @@
 		i.slots <- struct{}{}
 		time.Sleep(statementTime)
 		defer func() { <-i.slots }()
+	case "STATUS":
+		i.slots <- struct{}{}
+		time.Sleep(statusTime)
+		defer func() { <-i.slots }()
 	}
 	i.db.mu.Lock()
 	defer i.db.mu.Unlock()
@@ -331,8 +342,13 @@
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return ready(i.control(args))
 	case "RESET", "SET", "PREPARE", "DEALLOC":
-		if args[0] == "PREPARE" {
+		switch args[0] {
+		case "PREPARE":
 			c.prepared[args[1]] = args[2]
+		case "DEALLOC":
+			delete(c.prepared, args[1])
+		case "RESET":
+			clear(c.prepared)
 		}
 		return ready("COMPLETE -")
 	case "ROLLBACK":
--- a/review/harness-2/relay.go
+++ b/review/harness-2/relay.go
@@ -70,6 +70,7 @@
 
 func (r *relay) serve(client net.Conn) {
 	defer func() { _ = client.Close() }()
+	r.awaitUncut("") // a cut of all sources answers nothing
 	server, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
