core/pool: positions from before a promotion are not the primary's

Cause: the owner of the new primary answered position requests with the position in the newest reply on any connection to the instance. A reply to a command sent before the promotion states what the instance had applied as a replica, which may be less than it holds as the primary. The authority was checked for the present only, not for the time of that reply.

Change: a position counts from the time at which the owner knows the endpoint as the primary of the present term, and only on connections that lead to the instance that the owner has identified. A status that names the role and the position together counts at once.

--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -479,8 +479,10 @@
 		return
 	}
 	p.lastResponseAt = now
-	p.updatePosition(c.sentAt, reply.Position)
 	if p.IsTrusted(c.openedAt) {
+		if p.primarySince != 0 && !c.sentAt.Before(p.primarySince) {
+			p.updatePosition(c.sentAt, reply.Position)
+		}
 		// The instance has not restarted since the command was sent. Connections that
 		// were open at that time therefore lead to the same instance.
 		p.trustedUntil = max(p.trustedUntil, c.sentAt)
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -117,10 +117,12 @@
 	acceptedUntil types.Time
 	// lastResponseAt is the time of the endpoint's last response of any kind.
 	lastResponseAt types.Time
-	// position is the end of the endpoint's log in its newest reply. positionAt is the
-	// time at which the command of that reply was sent.
-	position   types.LogPoint
-	positionAt types.Time
+	// position is the end of the primary's log in its newest reply. positionAt is the time at
+	// which the command of that reply was sent, and primarySince the time from which commands
+	// are sent to the primary of the present term; zero if the endpoint is not known as one.
+	position     types.LogPoint
+	positionAt   types.Time
+	primarySince types.Time
 	// trustedUntil is the latest opening time of trusted connections. These certainly
 	// lead to the instance that the owner has identified.
 	trustedUntil types.Time
@@ -357,14 +359,24 @@
 	return false
 }
 
-// Position returns the newest known end of the endpoint's log and a time that is not
-// later than its measurement; false if nothing is known.
+// Position returns the newest known end of the log that the endpoint has as the primary of the
+// present term, and a time that is not later than its measurement; false if nothing is known.
 func (p *Pool) Position() (types.LogPoint, types.Time, bool) {
 	return p.position, p.positionAt, p.positionAt != 0
 }
 
-// RecordPosition records a position that the endpoint reported on a control connection.
-// sentAt is the send time of the query.
+// SetPrimary records that the endpoint is known to be the primary of another term than before, or
+// a replica. A reply to a command that was sent before states what the endpoint had applied in
+// its earlier role, which may be less than it holds as the primary.
+func (p *Pool) SetPrimary(now types.Time, isPrimary bool) {
+	p.position, p.positionAt, p.primarySince = types.LogPoint{}, 0, 0
+	if isPrimary {
+		p.primarySince = now
+	}
+}
+
+// RecordPosition records a position that the endpoint reported together with its role as the
+// primary. sentAt is the send time of the query.
 func (p *Pool) RecordPosition(sentAt types.Time, point types.LogPoint) {
 	p.lastResponseAt = max(p.lastResponseAt, sentAt)
 	p.updatePosition(sentAt, point)
--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -486,7 +486,7 @@
 		limit = began.Add(-1500 * time.Millisecond)
 	}
 	held := map[string]bool{}
-	for _, entry := range e.log {
+	for _, entry := range e.applied() {
 		held[entry.id] = true
 	}
 	for _, write := range c.acked {
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -231,6 +231,9 @@
 		if o.service != e.Service || o.authority == nil {
 			continue
 		}
+		if o.id == id {
+			m.noteRole(o, st)
+		}
 		if o.id == id && st.Primary && o.pool.IsTrusted(openedAt) {
 			// The instance has not restarted since the query was sent, as in pool.HandleReply.
 			o.pool.RecordPosition(cmd.sentAt, st.Received)
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -33,6 +33,12 @@
 	running    int
 	waiting    []func()
 	lag        time.Duration
+	// applyLag is the time after which the endpoint, as a replica, applies what it has received.
+	// Its replies state what it has applied, of which appliedLen is the length. receipts holds
+	// the lengths of what it has received and not yet applied.
+	applyLag   time.Duration
+	appliedLen int
+	receipts   []receipt
 	// replyLossPercent is the percentage of replies that are lost.
 	replyLossPercent int
 	// statusDelay is the time that a control command waits for a slot.
@@ -76,16 +82,42 @@
 	}})
 }
 
-func (e *endpointSim) position() types.LogPoint {
-	if len(e.log) == 0 {
+// endOf returns the position of the last entry of a log.
+func endOf(log []logEntry) types.LogPoint {
+	if len(log) == 0 {
 		return types.LogPoint{}
 	}
-	return types.LogPoint{Term: e.log[len(e.log)-1].term, Position: types.Position(len(e.log))}
+	return types.LogPoint{Term: log[len(log)-1].term, Position: types.Position(len(log))}
+}
+
+// receipt is the length of a replica's log at a time.
+type receipt struct {
+	at     types.Time
+	length int
+}
+
+// setApplyLag changes the lag of a replica. What it has applied stays so.
+func (e *endpointSim) setApplyLag(lag time.Duration) {
+	e.appliedLen = len(e.applied())
+	e.applyLag = lag
+}
+
+// applied returns the part of the log that reads see.
+func (e *endpointSim) applied() []logEntry {
+	if e.primary || e.applyLag == 0 {
+		return e.log
+	}
+	for len(e.receipts) > 0 && e.sim.now.Sub(e.receipts[0].at) >= e.applyLag {
+		e.appliedLen = max(e.appliedLen, e.receipts[0].length)
+		e.receipts = e.receipts[1:]
+	}
+	return e.log[:min(e.appliedLen, len(e.log))]
 }
 
 func (e *endpointSim) holds(p types.LogPoint) bool {
 	n := int(p.Position)
-	return n == 0 || (n <= len(e.log) && e.log[n-1].term == p.Term)
+	log := e.applied()
+	return n == 0 || (n <= len(log) && log[n-1].term == p.Term)
 }
 
 func (sim *simulation) sortedEndpoints() []*endpointSim {
@@ -260,7 +292,7 @@
 
 // runPlain runs a command that needs no slot.
 func (e *endpointSim) runPlain(c *connSim, cmd pool.Command) statement.Reply {
-	r := statement.Reply{Position: e.position()}
+	r := statement.Reply{Position: endOf(e.applied())}
 	switch {
 	case cmd.Reset:
 		c.variables, c.templates = nil, map[string]statement.Template{}
@@ -315,7 +347,7 @@
 	} else if stmt.Kind == statement.KindRead && e.rowBytes > 0 {
 		r.Rows = []string{strings.Repeat("x", e.rowBytes)}
 	}
-	r.Position = e.position()
+	r.Position = endOf(e.applied())
 	r.State = c.state()
 	return r
 }
@@ -345,6 +377,9 @@
 	}
 	e.term = term
 	e.log = append([]logEntry(nil), log...)
+	if e.applyLag > 0 {
+		e.receipts = append(e.receipts, receipt{at: e.sim.now, length: len(log)})
+	}
 }
 
 func (sim *simulation) sendControlCommand(h *hostSim, cmd proxy.EndpointControlCommand) {
@@ -382,11 +417,11 @@
 		e.paused, e.fencedTerm = false, 0
 	case lead.OpStepDown:
 		if e.primary && term > e.term {
-			e.primary, e.fencedTerm = false, term
+			e.primary, e.fencedTerm, e.appliedLen, e.receipts = false, term, len(e.log), nil
 			e.register()
 		}
 	}
-	return statement.ReplicationStatus{Primary: e.primary, Term: e.term, Received: e.position(), FencedTerm: e.fencedTerm}
+	return statement.ReplicationStatus{Primary: e.primary, Term: e.term, Received: endOf(e.log), FencedTerm: e.fencedTerm}
 }
 
 // promote makes an endpoint the primary of the next term. The old primary becomes a replica
@@ -463,6 +498,7 @@
 			}
 			other.term = e.term
 			other.log = append([]logEntry(nil), e.log...)
+			other.appliedLen, other.receipts = len(other.log), nil
 		}
 	}
 	if retry {
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -43,6 +43,9 @@
 	pool    *pool.Pool
 	// authority is set if the endpoint is used as the primary.
 	authority *lead.Authority
+	// primaryTerm is the term in which the endpoint last reported to be the primary; zero if it
+	// has reported to be a replica since.
+	primaryTerm types.Term
 	// fencedAt is when the authority was last fenced, and fencedSince when it was first fenced
 	// since it was last valid; zero for never.
 	fencedAt, fencedSince types.Time
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -139,7 +139,7 @@
 			return
 		}
 		point, at, known := o.pool.Position()
-		if !known || m.now.Sub(at) > maxPositionAge {
+		if !known || m.now.Sub(at) > maxPositionAge || o.primaryTerm != o.authority.Term() {
 			m.queryOwnedPosition(o)
 			return
 		}
@@ -153,6 +153,19 @@
 	}
 }
 
+// noteRole records the role that an owned endpoint has reported. Positions from its replies count
+// only as those of the primary of one term.
+func (m *Machine) noteRole(o *ownedEndpoint, st lead.Status) {
+	var term types.Term
+	if st.Primary {
+		term = st.Term
+	}
+	if o.primaryTerm != term {
+		o.primaryTerm = term
+		o.pool.SetPrimary(m.now, st.Primary)
+	}
+}
+
 // queryOwnedPosition queries an owned primary for its position.
 func (m *Machine) queryOwnedPosition(o *ownedEndpoint) {
 	if isRecent(m.now, o.positionQueriedAt, positionRetryInterval) {
