core/lead, core/proxy: no reads at a primary that was replaced as planned

Cause: an unplanned change pauses the replicas and waits for the leases on the old primary; a planned one does neither, since the old primary steps down by itself. That stops its writes, not its reads: the replicas go on confirming it to an owner that does not hear of the change.

Change: the lease also needs a recent reply that only a primary gives, and connections opened after it are not used. A planned change asks for the promotion 800 ms after the step-down, or once the old primary reports that no connection is open but the campaign's own. The campaign's host closes its idle connections before the step-down; the others are asked to, by a new message that earlier builds ignore and are not sent. Beside it: replies sent before the step-down do not count as its answer, an old primary that restarts as one steps down again, a planned change records a primary of a later term, and position requests are kept by endpoint.

Why it works: each reply of a primary was sent before its step-down, so every lease ends within 800 ms of it; an owner without a connection needs another such reply. model/lead.pml has such an owner with PLANNED, and finds the removal of each guard.

--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -8,6 +8,12 @@
 // pauses the replicas, and then waits for LeaseDuration to pass. The lease also expires
 // while the owner's process is suspended.
 //
+// A planned change does not pause the replicas, which have to catch up. Instead the primary
+// steps down, and the lease also needs a reply, to a command sent at most LeaseDuration ago,
+// that only a primary gives. The campaign waits for LeaseDuration from the step-down, unless
+// the old primary reports that no connection but the campaign's is open: an owner with a
+// later connection may use it only after another such reply.
+//
 // A majority is enough only on connections that are older than the owner's last read of a
 // leadership record without a campaign. On a newer one the instance may have restarted
 // during a campaign, and no longer hold the campaign's term. Then every replica has to
@@ -30,8 +36,13 @@
 )
 
 // AuthorityRules is the version of the rules by which an Authority lets its owner use a primary.
-// Version 1 needs more than a majority on new connections.
-const AuthorityRules = 1
+// Version 1 needs more than a majority on new connections, version 2 also recent replies of the
+// primary. Hosts of version 2 accept a request to release a primary that has stepped down.
+const (
+	AuthorityRules    = 2
+	MajorityRules     = 1
+	PrimaryLeaseRules = 2
+)
 
 const (
 	// LeaseDuration is the greatest age at which a replica's confirmation still
@@ -57,6 +68,9 @@
 	Primary types.Endpoint
 	// term is the primary's own term; 0 while it is unknown.
 	term types.Term
+	// primaryConfirmedAt is when the newest command was sent whose reply showed that the
+	// endpoint was the primary.
+	primaryConfirmedAt types.Time
 	// replicas are the service's other listed endpoints.
 	replicas []types.Endpoint
 	// confirmations holds, by replica, the newest confirmation of the primary.
@@ -116,7 +130,7 @@
 
 // Valid reports whether the primary may be used.
 func (a *Authority) Valid(now types.Time) bool {
-	if a.fenced || a.term == 0 {
+	if a.fenced || a.term == 0 || now.Sub(a.primaryConfirmedAt) >= LeaseDuration {
 		return false
 	}
 	if a.requiredReplica != "" && !a.isConfirmationFresh(now, a.requiredReplica) {
@@ -136,12 +150,12 @@
 
 // ConfirmedSince returns the latest time by which a connection to the primary must have been
 // opened for the lease to cover it: one opened later may lead to an instance that has
-// restarted since. It is the earliest send time of the newest queries with which all replicas
-// have confirmed the primary, or those of a majority, but then at most that of the last read
-// without a campaign.
-func (a *Authority) ConfirmedSince(now types.Time) types.Time {
+// restarted or stepped down since. It is the earliest send time of the newest queries with which
+// all replicas have confirmed the primary, or those of a majority, but then at most that of the
+// last read without a campaign. The primary itself must have confirmed its role as late.
+func (a *Authority) ConfirmedSince() types.Time {
 	if len(a.replicas) == 0 {
-		return now
+		return a.primaryConfirmedAt
 	}
 	var all, covered []types.Time
 	for _, r := range a.replicas {
@@ -158,7 +172,7 @@
 	if a.requiredReplica != "" {
 		since = min(since, a.confirmations[a.requiredReplica].sentAt)
 	}
-	return since
+	return min(since, a.primaryConfirmedAt)
 }
 
 // isCovered reports whether a replica has confirmed the primary on a connection that is older
@@ -232,7 +246,7 @@
 // after a connection to the primary has broken, since the primary may have restarted or
 // been replaced.
 func (a *Authority) DiscardConfirmations() {
-	a.term = 0
+	a.term, a.primaryConfirmedAt = 0, 0
 	clear(a.confirmations)
 	clear(a.queriedAt)
 }
@@ -255,9 +269,12 @@
 		return nil
 	}
 	var queries []types.Endpoint
+	if !a.isPrimaryRenewed(now) {
+		queries = a.appendQuery(now, a.Primary, queries)
+	}
 	if a.term == 0 {
 		// Replicas confirm the primary only against its known term.
-		return a.appendQuery(now, a.Primary, queries)
+		return queries
 	}
 	if a.requiredReplica != "" {
 		if c, ok := a.confirmations[a.requiredReplica]; !ok || now.Sub(c.sentAt) >= renewInterval {
@@ -296,6 +313,20 @@
 	return ok && now.Sub(c.sentAt) < renewInterval && !c.sentAt.Before(a.minConfirmedAt)
 }
 
+// isPrimaryRenewed reports whether the primary has confirmed its role recently, and for the
+// connections to it that have to be covered.
+func (a *Authority) isPrimaryRenewed(now types.Time) bool {
+	return a.term != 0 && now.Sub(a.primaryConfirmedAt) < renewInterval && !a.primaryConfirmedAt.Before(a.minConfirmedAt)
+}
+
+// RecordPrimaryReply records that the endpoint has replied, as only a primary does, to a command
+// sent at the given time on a connection that the authority covers.
+func (a *Authority) RecordPrimaryReply(sentAt types.Time) {
+	if a.term != 0 {
+		a.primaryConfirmedAt = max(a.primaryConfirmedAt, sentAt)
+	}
+}
+
 // isActive reports whether the authority is in use and not fenced.
 func (a *Authority) isActive(now types.Time) bool {
 	return !a.fenced && a.used && now.Sub(a.lastUsedAt) < renewIdleLimit
@@ -319,7 +350,7 @@
 func (a *Authority) HandleStatus(endpoint types.Endpoint, sentAt, openedAt types.Time, status Status) {
 	delete(a.queriedAt, endpoint)
 	if endpoint == a.Primary {
-		a.handlePrimaryStatus(status)
+		a.handlePrimaryStatus(sentAt, status)
 		return
 	}
 	if a.term == 0 {
@@ -334,12 +365,13 @@
 	}
 }
 
-func (a *Authority) handlePrimaryStatus(st Status) {
+func (a *Authority) handlePrimaryStatus(sentAt types.Time, st Status) {
 	if !st.Primary {
 		a.fenced = true
 		return
 	}
 	a.term = st.Term
+	a.primaryConfirmedAt = max(a.primaryConfirmedAt, sentAt)
 }
 
 // HandleQueryFailure records that a query was lost or refused.
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -96,8 +96,13 @@
 	// promoted; empty for none.
 	inherited types.Endpoint
 	// lastPhase is the phase in which the campaign ended.
-	lastPhase      Phase
+	lastPhase Phase
+	// oldSteppedDown is set once the old primary's reply, received at steppedDownAt, showed that
+	// it had stepped down. oldUnused is set once it has reported no connection but this host's
+	// control connection since.
 	oldSteppedDown bool
+	steppedDownAt  types.Time
+	oldUnused      bool
 	// existingPrimary is another endpoint that is the primary already.
 	existingPrimary types.Endpoint
 	// oldIsPrimary is set once the old primary has responded that it still is the
@@ -277,7 +282,7 @@
 		return Actions{}
 	}
 	c.enterPhase(now, PhaseSteppingDown)
-	return Actions{Commands: []Command{{Endpoint: c.OldPrimary, Op: OpQueryStatus}}}
+	return Actions{CloseIdle: true, Commands: []Command{{Endpoint: c.OldPrimary, Op: OpQueryStatus}}}
 }
 
 func (c *Campaign) enterPhase(now types.Time, p Phase) { c.phase, c.phaseStartedAt = p, now }
@@ -312,6 +317,9 @@
 	if cmd.Endpoint == c.OldPrimary && status.Primary && c.mayKeepOldPrimary() {
 		return c.handleOldPrimaryReachable(now)
 	}
+	if c.oldSteppedDown && cmd.Endpoint == c.OldPrimary && c.candidate != c.OldPrimary {
+		return c.handleSteppedDownStatus(now, status)
+	}
 	switch c.phase {
 	case PhaseQueryingReplicas:
 		return c.handleReplicaStatus(now, cmd, status)
@@ -320,9 +328,7 @@
 	case PhaseFencing:
 		return c.handleFencingStatus(now, cmd, status)
 	case PhaseCatchingUp:
-		if cmd.Endpoint != c.OldPrimary {
-			c.statuses[cmd.Endpoint] = status
-		}
+		c.statuses[cmd.Endpoint] = status
 		return c.promoteIfCaughtUp(now)
 	case PhasePromoting:
 		return c.endIfPromoted(now, cmd, status)
@@ -369,10 +375,7 @@
 func (c *Campaign) handleReplicaStatus(now types.Time, cmd Command, st Status) Actions {
 	otherIsPrimary := cmd.Endpoint != c.OldPrimary && st.Primary && st.Term >= c.highestTerm
 	if otherIsPrimary && (c.OldPrimary == "" || c.Reason == ReasonReplicasPaused || cmd.Endpoint == c.inherited) {
-		// Another endpoint is the primary already, and only the record is outdated.
-		c.existingPrimary = cmd.Endpoint
-		c.enterPhase(now, PhaseClaiming)
-		return Actions{ClaimToken: true}
+		return c.recordExistingPrimary(now, cmd.Endpoint)
 	}
 	switch {
 	case cmd.Endpoint != c.OldPrimary:
@@ -380,9 +383,23 @@
 	case !c.oldResponded:
 		c.oldResponded, c.oldReceived = true, st.Received
 	}
+	if c.Reason == ReasonLeaving && c.oldResponded {
+		for _, r := range c.replicas {
+			if known := c.statuses[r]; known.Primary && known.Term >= c.highestTerm {
+				return c.recordExistingPrimary(now, r)
+			}
+		}
+	}
 	return c.claimIfReplicasResponded(now)
 }
 
+// recordExistingPrimary claims the token to record an endpoint that is the primary already.
+func (c *Campaign) recordExistingPrimary(now types.Time, endpoint types.Endpoint) Actions {
+	c.existingPrimary = endpoint
+	c.enterPhase(now, PhaseClaiming)
+	return Actions{ClaimToken: true}
+}
+
 // mayKeepOldPrimary reports whether the old primary stays the primary if it responds.
 // Hosts that were cut off would otherwise replace a healthy primary when their links
 // recover. A primary that was absent has restarted, and would remain without authority
@@ -413,7 +430,7 @@
 	if st.Primary {
 		return Actions{Commands: []Command{{Endpoint: c.OldPrimary, Op: OpStepDown, Term: c.highestTerm + 1}}}
 	}
-	c.oldSteppedDown = true
+	c.oldSteppedDown, c.steppedDownAt, c.oldUnused = true, now, isUnused(st)
 	c.catchUpTarget = st.Received
 	clear(c.statuses)
 	clear(c.excluded)
@@ -422,6 +439,51 @@
 	return Actions{Commands: c.queryReplicas()}
 }
 
+// isUnused reports whether an endpoint has no connection but the one that carried its status.
+func isUnused(st Status) bool { return st.Connections == 1 }
+
+// handleSteppedDownStatus processes a status of the old primary after it has stepped down. One
+// that is a primary again has restarted and has to step down once more, unless its successor may
+// have been promoted.
+func (c *Campaign) handleSteppedDownStatus(now types.Time, st Status) Actions {
+	switch {
+	case !st.Primary:
+		c.oldUnused = c.oldUnused || isUnused(st)
+	case c.unsettledRequests == 0:
+		c.oldSteppedDown = false
+		c.enterPhase(now, PhaseSteppingDown)
+		return c.handleStepDownStatus(now, Command{Endpoint: c.OldPrimary}, st)
+	}
+	return Actions{}
+}
+
+// MayPromote reports whether no owner uses the old primary any more, so that the platform may be
+// asked to promote the candidate. A fenced old primary has been waited for before.
+func (c *Campaign) MayPromote(now types.Time) bool {
+	return c.phase == PhasePromoting && !c.awaitsOldPrimary(now)
+}
+
+// awaitsOldPrimary reports whether an owner may still use the old primary, which has stepped down.
+func (c *Campaign) awaitsOldPrimary(now types.Time) bool {
+	return c.oldSteppedDown && !c.oldUnused && c.candidate != c.OldPrimary && now.Sub(c.steppedDownAt) < LeaseDuration
+}
+
+// IsOldPrimaryInUse reports whether the campaign waits for the connections to the old primary to
+// be closed.
+func (c *Campaign) IsOldPrimaryInUse(now types.Time) bool {
+	return c.phase != PhaseEnded && c.awaitsOldPrimary(now)
+}
+
+// NeedsReplySince returns the time since which a command to an endpoint must have been sent for
+// its reply to count: an earlier one may tell of a role that the endpoint had before.
+func (c *Campaign) NeedsReplySince(endpoint types.Endpoint) types.Time {
+	isSteppingDown := c.phase == PhaseSteppingDown && endpoint == c.OldPrimary
+	if isSteppingDown || (c.phase == PhasePromoting && endpoint == c.candidate) {
+		return c.phaseStartedAt
+	}
+	return 0
+}
+
 // queryReplicas returns the status queries for all replicas.
 func (c *Campaign) queryReplicas() []Command {
 	var commands []Command
@@ -510,7 +572,15 @@
 	case waited > returnTimeout && !c.requiresAllReplicas:
 		return c.promoteMostAdvanced(now)
 	}
-	return c.pollIfDue(now, c.queryReplicas())
+	return c.pollIfDue(now, append(c.queryReplicas(), c.queryOldIfInUse(now)...))
+}
+
+// queryOldIfInUse returns the status query for the old primary if an owner may still use it.
+func (c *Campaign) queryOldIfInUse(now types.Time) []Command {
+	if !c.awaitsOldPrimary(now) {
+		return nil
+	}
+	return c.queryOldPrimary()
 }
 
 // pollIfDue returns the commands if pollInterval has passed since the last ones.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -51,12 +51,12 @@
 
 	a.HandleStatus("c", startTime, startTime, lead.Status{Term: 3})
 	is.True(a.Valid(startTime))
-	is.Equal(a.ConfirmedSince(startTime), startTime)
+	is.Equal(a.ConfirmedSince(), startTime)
 
 	a = newAuthority()
 	a.RecordClaimFree(startTime)
 	is.True(a.Valid(startTime))
-	is.Equal(a.ConfirmedSince(startTime), startTime)
+	is.Equal(a.ConfirmedSince(), startTime)
 	_, uncovered = a.UncoveredSince(startTime)
 	is.True(!uncovered)
 
@@ -65,9 +65,11 @@
 	a.RequireConfirmedAfter(later)
 	a.HandleStatus("b", later, startTime, lead.Status{Term: 3})
 	is.True(a.Valid(later))
-	is.Equal(a.ConfirmedSince(later), startTime)
+	is.Equal(a.ConfirmedSince(), startTime)
 	a.RecordClaimFree(later)
-	is.Equal(a.ConfirmedSince(later), later)
+	is.Equal(a.ConfirmedSince(), startTime) // the primary may have stepped down
+	a.HandleStatus("a", later, startTime, lead.Status{Primary: true, Term: 3})
+	is.Equal(a.ConfirmedSince(), later)
 }
 
 func TestPausedReplicaEndsAuthority(t *testing.T) {
@@ -220,17 +222,24 @@
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
 	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
-	is.Equal(a.ConfirmedSince(startTime), startTime)
+	is.Equal(a.ConfirmedSince(), startTime)
 	is.Equal(len(a.DueQueries(startTime)), 0)
 	later := startTime.Add(10 * time.Millisecond)
 	a.RequireConfirmedAfter(later)
 	a.RecordClaimFree(later)
 	is.True(a.Valid(later))
-	is.Equal(len(a.DueQueries(later)), 1)
-	is.Equal(a.ConfirmedSince(later), startTime)
+	queried := a.DueQueries(later)
+	is.Equal(len(queried), 2)
+	is.Equal(queried[0], types.Endpoint("a"))
+	is.Equal(a.ConfirmedSince(), startTime)
 	a.HandleStatus("c", later, startTime, lead.Status{Term: 3})
-	is.Equal(a.ConfirmedSince(later), later)
-	is.Equal(lead.NewAuthority("a", nil).ConfirmedSince(later), later)
+	is.Equal(a.ConfirmedSince(), startTime)
+	a.HandleStatus("a", later, startTime, lead.Status{Primary: true, Term: 3})
+	is.Equal(a.ConfirmedSince(), later)
+	alone := lead.NewAuthority("a", nil)
+	is.True(alone.ConfirmedSince() < startTime)
+	alone.HandleStatus("a", later, startTime, lead.Status{Primary: true, Term: 3})
+	is.Equal(alone.ConfirmedSince(), later)
 }
 
 // A host that cannot reach a replica cannot replace the primary, and its claim would keep
@@ -438,7 +447,7 @@
 	is.True(a.Valid(startTime))
 	// A later confirmation of b does not cover connections that c has not confirmed.
 	a.HandleStatus("b", startTime.Add(time.Millisecond), startTime.Add(-1), lead.Status{Term: 3})
-	is.Equal(a.ConfirmedSince(startTime.Add(time.Millisecond)), startTime)
+	is.Equal(a.ConfirmedSince(), startTime)
 }
 
 // The replica that held a later term may be silent for long. Its confirmation is not needed once
@@ -717,3 +726,113 @@
 		})
 	}
 }
+
+// Replicas of a planned change are not paused, so that their confirmations say nothing of it: only
+// the primary's own replies show that it has not stepped down.
+func TestAuthorityEndsWithoutReplyOfPrimary(t *testing.T) {
+	is := is.New(t)
+	a := lead.NewAuthority("a", replicas)
+	a.RecordClaimFree(startTime)
+	a.RecordUse(startTime)
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	end := startTime.Add(lead.LeaseDuration)
+	for at := startTime; at.Before(end); at = at.Add(50 * time.Millisecond) {
+		a.HandleStatus("b", at, startTime, lead.Status{Term: 3})
+		is.True(a.Valid(at))
+	}
+	a.HandleStatus("b", end, startTime, lead.Status{Term: 3})
+	is.True(!a.Valid(end))
+	// A late reply counts from the time of its query.
+	a.HandleStatus("a", startTime.Add(time.Millisecond), startTime, lead.Status{Primary: true, Term: 3})
+	is.True(!a.Valid(end.Add(time.Millisecond)))
+	a.RecordPrimaryReply(end)
+	is.True(a.Valid(end.Add(time.Millisecond)))
+}
+
+// stepDown advances a planned change against "a" until it has stepped down with a number of
+// connections open, and both replicas hold its log. It returns the campaign and the candidate.
+func stepDown(t *testing.T, connections int) (*lead.Campaign, types.Endpoint) {
+	t.Helper()
+	c := plannedChange(t)
+	last := types.LogPoint{Term: 3, Position: 25}
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: last, Connections: connections})
+	var candidate types.Endpoint
+	for _, r := range replicas {
+		candidate = max(candidate, c.HandleStatus(startTime, lead.Command{Endpoint: r}, lead.Status{Term: 3, Received: last}).Promote)
+	}
+	return c, candidate
+}
+
+// An owner that does not hear of a planned change must have stopped reading at the old primary
+// before another endpoint is promoted.
+func TestPlannedChangeAwaitsOwnersOfOldPrimary(t *testing.T) {
+	is := is.New(t)
+	expired := startTime.Add(lead.LeaseDuration)
+	for _, connections := range []int{0, 2} { // 0 is unknown
+		c, candidate := stepDown(t, connections)
+		is.True(candidate != "")
+		is.True(!c.MayPromote(expired.Add(-1)))
+		is.True(c.IsOldPrimaryInUse(expired.Add(-1)))
+		is.True(c.MayPromote(expired))
+	}
+	c, _ := stepDown(t, 1)
+	is.True(c.MayPromote(startTime))
+
+	// The other connections are closed meanwhile.
+	c, _ = stepDown(t, 3)
+	soon := startTime.Add(100 * time.Millisecond)
+	is.Equal(opsByEndpoint(c.Tick(soon)), map[types.Endpoint]lead.Op{"a": lead.OpQueryStatus})
+	c.HandleStatus(soon, lead.Command{Endpoint: "a"}, lead.Status{Term: 3, Connections: 2})
+	is.True(!c.MayPromote(soon))
+	c.HandleStatus(soon, lead.Command{Endpoint: "a"}, lead.Status{Term: 3, Connections: 1})
+	is.True(c.MayPromote(soon))
+}
+
+// The old primary crashes after it has stepped down, and restarts as a primary since none has
+// been promoted. Its commits from then on would be lost.
+func TestOldPrimaryThatRestartsStepsDownAgain(t *testing.T) {
+	is := is.New(t)
+	c, _ := stepDown(t, 2)
+	restarted := lead.Status{Primary: true, Term: 3, Received: types.LogPoint{Term: 3, Position: 25}, Connections: 1}
+	a := c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, restarted)
+	is.Equal(opsByEndpoint(a), map[types.Endpoint]lead.Op{"a": lead.OpStepDown})
+	is.True(!c.MayPromote(startTime.Add(lead.LeaseDuration)))
+	last := types.LogPoint{Term: 3, Position: 27}
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: last, Connections: 1})
+	is.Equal(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: types.LogPoint{Term: 3, Position: 25}}).Promote, types.Endpoint(""))
+	is.Equal(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: last}).Promote, types.Endpoint("b"))
+}
+
+// A reply to a command that was sent before the old primary was asked to step down may tell of the
+// time before it became the primary.
+func TestEarlierReplyDoesNotShowThatOldPrimaryHasSteppedDown(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+	is.Equal(c.NeedsReplySince("a"), types.Time(0))
+	advanceToClaim(c)
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
+	c.HandleClaimResult(startTime, 1)
+	drained := startTime.Add(5 * time.Millisecond)
+	c.HandleWritesDrained(drained)
+	is.Equal(c.NeedsReplySince("a"), drained)
+	is.Equal(c.NeedsReplySince("b"), types.Time(0))
+}
+
+// The record may be older than a change that has taken effect, for instance after a restore of the
+// store. A planned change that went on would promote a second primary beside the present one.
+func TestPlannedChangeRecordsPrimaryOfLaterTerm(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+	c.Start()
+	is.True(!c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Primary: true, Term: 4}).ClaimToken)
+	is.True(c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Term: 3}).ClaimToken)
+	is.Equal(c.HandleClaimResult(startTime, 1).NewPrimary, types.Endpoint("b"))
+
+	// A replica that was cut off still takes itself for the primary of an earlier term.
+	c = lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 0)
+	c.Start()
+	c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Primary: true, Term: 2})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3})
+	is.True(c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3}).ClaimToken)
+	is.True(c.HandleClaimResult(startTime, 1).HoldNewWork)
+}
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -104,6 +104,11 @@
 // tickPromoting repeats the request until the candidate is the primary. It gives up after
 // promotionTimeout if the platform cannot promote any endpoint later.
 func (c *Campaign) tickPromoting(now types.Time) Actions {
+	if commands := c.queryOldIfInUse(now); commands != nil {
+		c.enterPhase(now, PhasePromoting)
+		c.promotionRequestedAt = now
+		return c.pollIfDue(now, commands)
+	}
 	late := now.Sub(c.phaseStartedAt) > promotionTimeout
 	if late && !c.IsPromotionUnsettled() {
 		return c.endCampaign("")
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -483,6 +483,9 @@
 		if p.primarySince != 0 && !c.sentAt.Before(p.primarySince) {
 			p.updatePosition(c.sentAt, reply.Position)
 		}
+		if reply.Code == statement.CodeOK && c.inFlight.needsPrimary() {
+			p.primaryRepliedAt = max(p.primaryRepliedAt, c.sentAt)
+		}
 		// The instance has not restarted since the command was sent. Connections that
 		// were open at that time therefore lead to the same instance.
 		p.trustedUntil = max(p.trustedUntil, c.sentAt)
@@ -498,6 +501,11 @@
 	p.dispatch(now)
 }
 
+// needsPrimary reports whether only a primary runs the command.
+func (cmd *Command) needsPrimary() bool {
+	return !cmd.Reset && (cmd.Stmt.Kind == statement.KindBegin || cmd.Stmt.Writes())
+}
+
 // recordCommandEffect records how a successful command changed its connection.
 func (p *Pool) recordCommandEffect(c *conn) {
 	cmd := &c.inFlight
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -123,6 +123,9 @@
 	position     types.LogPoint
 	positionAt   types.Time
 	primarySince types.Time
+	// primaryRepliedAt is when the newest command was sent that succeeded on a trusted connection
+	// and that only a primary runs.
+	primaryRepliedAt types.Time
 	// trustedUntil is the latest opening time of trusted connections. These certainly
 	// lead to the instance that the owner has identified.
 	trustedUntil types.Time
@@ -375,6 +378,19 @@
 	}
 }
 
+// PrimaryRepliedAt returns when the newest command was sent whose reply on a trusted connection
+// shows that the endpoint was a primary; zero for none.
+func (p *Pool) PrimaryRepliedAt() types.Time { return p.primaryRepliedAt }
+
+// CloseIdle closes the connections that run no statement and hold no transaction.
+func (p *Pool) CloseIdle(now types.Time) {
+	for _, c := range append([]*conn(nil), p.connList...) {
+		if c.state == stateIdle {
+			p.closeUnused(now, c, CauseNone)
+		}
+	}
+}
+
 // RecordPosition records a position that the endpoint reported together with its role as the
 // primary. sentAt is the send time of the query.
 func (p *Pool) RecordPosition(sentAt types.Time, point types.LogPoint) {
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -258,7 +258,7 @@
 		m.answerReachability(e, st.Primary)
 	}
 	if cmd.purpose&purposeCampaign != 0 {
-		m.handleCampaignStatus(e.Service, cmd.command, st)
+		m.handleCampaignStatus(e.Service, cmd, st)
 	}
 	if cmd.purpose&purposeObservation != 0 {
 		m.serviceFor(e.Service).failover.observed[id] = observedPosition{received: st.Received, at: cmd.sentAt}
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -421,7 +421,7 @@
 			e.register()
 		}
 	}
-	return statement.ReplicationStatus{Primary: e.primary, Term: e.term, Received: endOf(e.log), FencedTerm: e.fencedTerm}
+	return statement.ReplicationStatus{Primary: e.primary, Term: e.term, Received: endOf(e.log), FencedTerm: e.fencedTerm, Connections: len(e.conns)}
 }
 
 // promote makes an endpoint the primary of the next term. The old primary becomes a replica
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -35,9 +35,12 @@
 	// campaigns that have ended without a token: nothing was done with the tokens that these
 	// writes name.
 	claimIDs []uint64
-	// promoteCandidate is set while the record that names the candidate is being stored. The
-	// platform is called once the store has confirmed the record.
-	promoteCandidate types.Endpoint
+	// promoteCandidate is set while the record that names the candidate is being stored, and
+	// candidateStored from then on until the platform is called, which is once the campaign
+	// permits it.
+	promoteCandidate, candidateStored types.Endpoint
+	// releaseRequested is set once the other hosts have been asked to release the old primary.
+	releaseRequested bool
 	// recordChangedAt is when this host last received a change of the record, and
 	// promotionRecordedAt when it received one with another primary.
 	recordChangedAt, promotionRecordedAt types.Time
@@ -119,6 +122,7 @@
 			m.avoidLeavingCandidates(c)
 			m.applyActions(s, c.Tick(m.now))
 			m.checkWritesDrained(s)
+			m.requestPromotion(s)
 			continue
 		}
 		if len(m.catalog.EndpointsOf(name)) > 0 && !m.stop.begun {
@@ -162,6 +166,7 @@
 	if o := m.owned[oldPrimary]; o != nil && o.authority != nil {
 		term = o.authority.Term()
 	}
+	fs.releaseRequested = false
 	fs.campaign = lead.NewCampaign(m.now, s.name, reason, oldPrimary, replicas, term)
 	if primary, _ := m.catalog.PrimaryOf(s.name); record.Candidate != "" && record.Candidate != primary {
 		fs.campaign.FinishPromotion(record.Candidate)
@@ -170,7 +175,7 @@
 	if spec, ok := m.catalog.Service(s.name); ok && spec.SyncReplicas > 0 {
 		fs.campaign.RequireAllReplicas()
 	}
-	if m.allHostsFollowAuthorityRules() {
+	if m.allHostsNeedMajorities() {
 		fs.campaign.LeaveOutSilentReplicas()
 	}
 	m.log(Warn, "campaign started", field("service", s.name), field("reason", string(reason)), field("old", oldPrimary), field("token", catalog.NextToken(record.FencingToken, m.restore.era)))
@@ -188,10 +193,10 @@
 	}
 }
 
-// allHostsFollowAuthorityRules reports whether no known host is of a build that uses a primary
-// by earlier rules.
-func (m *Machine) allHostsFollowAuthorityRules() bool {
-	return !slices.ContainsFunc(m.catalog.Hosts(), func(h catalog.Host) bool { return h.AuthorityRules < lead.AuthorityRules })
+// allHostsNeedMajorities reports whether no known host is of a build that uses a primary by rules
+// earlier than lead.MajorityRules.
+func (m *Machine) allHostsNeedMajorities() bool {
+	return !slices.ContainsFunc(m.catalog.Hosts(), func(h catalog.Host) bool { return h.AuthorityRules < lead.MajorityRules })
 }
 
 // mayClaim reports whether this host may claim the leadership that a record describes.
@@ -230,11 +235,16 @@
 			o.newWorkHeld = true
 		}
 	}
+	if a.CloseIdle {
+		if o := m.owned[c.OldPrimary]; o != nil {
+			o.pool.CloseIdle(m.now)
+		}
+	}
 	for _, cmd := range a.Commands {
 		m.enqueueCommand(cmd, purposeCampaign)
 	}
 	if a.Promote != "" {
-		fs.promoteCandidate = a.Promote
+		fs.promoteCandidate, fs.candidateStored = a.Promote, ""
 		m.claimLeadership(s, a.Promote)
 	}
 	if a.Ended {
@@ -303,13 +313,24 @@
 		return
 	}
 	if fs.promoteCandidate != "" && ev.Current.Candidate == fs.promoteCandidate {
-		m.log(Warn, "promotion requested", field("service", s.name), field("endpoint", fs.promoteCandidate), field("token", c.FencingToken))
-		c.RecordPromotionRequest()
-		m.emit(Promote{Service: s.name, Endpoint: fs.promoteCandidate, FencingToken: c.FencingToken})
-		fs.promoteCandidate = ""
+		fs.promoteCandidate, fs.candidateStored = "", fs.promoteCandidate
+		m.requestPromotion(s)
 	}
 }
 
+// requestPromotion calls the platform for the recorded candidate once the campaign permits it.
+func (m *Machine) requestPromotion(s *serviceState) {
+	fs := &s.failover
+	c := fs.campaign
+	if c == nil || fs.candidateStored == "" || !c.MayPromote(m.now) {
+		return
+	}
+	m.log(Warn, "promotion requested", field("service", s.name), field("endpoint", fs.candidateStored), field("token", c.FencingToken))
+	c.RecordPromotionRequest()
+	m.emit(Promote{Service: s.name, Endpoint: fs.candidateStored, FencingToken: c.FencingToken})
+	fs.candidateStored = ""
+}
+
 // handlePromoteResult handles the platform's reply to a promotion request.
 func (m *Machine) handlePromoteResult(ev PromoteResult) {
 	s := m.serviceFor(ev.Service)
@@ -332,12 +353,17 @@
 	}
 }
 
-func (m *Machine) handleCampaignStatus(name types.Service, cmd lead.Command, st lead.Status) {
+func (m *Machine) handleCampaignStatus(name types.Service, sent *controlCommand, st lead.Status) {
 	s := m.serviceFor(name)
 	c := s.failover.campaign
 	if c == nil {
 		return
 	}
+	cmd := sent.command
+	if sent.sentAt.Before(c.NeedsReplySince(cmd.Endpoint)) {
+		m.enqueueCommand(cmd, purposeCampaign)
+		return
+	}
 	if c.Phase() == lead.PhaseQueryingReplicas && c.Reason == lead.ReasonUnresponsive && s.failover.isReceiving(m.now, cmd.Endpoint, st) {
 		m.log(Warn, "primary serves other hosts", field("service", name), field("endpoint", c.OldPrimary), field("replica", cmd.Endpoint), field("received", st.Received.String()))
 		m.applyActions(s, c.Abandon())
@@ -345,6 +371,10 @@
 		return
 	}
 	m.applyActions(s, c.HandleStatus(m.now, cmd, st))
+	if cmd.Endpoint == c.OldPrimary && c.IsOldPrimaryInUse(m.now) {
+		m.requestRelease(s, st)
+	}
+	m.requestPromotion(s)
 }
 
 func (m *Machine) handleCampaignFailure(name types.Service, cmd *controlCommand, absent bool) {
@@ -363,7 +393,7 @@
 	}
 	m.log(Warn, "campaign ended", field("service", s.name), field("reason", string(c.Reason)), field("old", c.OldPrimary), field("new", newPrimary),
 		field("phase", c.LastPhase().String()), field("token", c.FencingToken))
-	fs.campaign, fs.promoteCandidate = nil, ""
+	fs.campaign, fs.promoteCandidate, fs.candidateStored = nil, "", ""
 	fs.nextCheckAt, fs.primaryMissingSince = m.now.Add(campaignInterval), 0
 	if o := m.owned[c.OldPrimary]; o != nil {
 		o.newWorkHeld, o.absentCount = false, 0
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -65,6 +65,9 @@
 	// trustQueriedAt is when it was last queried for them.
 	trustQueryDue  bool
 	trustQueriedAt types.Time
+	// positionRequests are the requests of other hosts that wait for the endpoint's position as
+	// the primary.
+	positionRequests []pendingPositionRequest
 	// positionQueriedAt is when the endpoint was last queried for its position.
 	positionQueriedAt types.Time
 	// unreachableUntil is set if other hosts can reach the endpoint and this host cannot.
@@ -356,6 +359,7 @@
 		m.finishExecution(o, ex, ExecResult{Reason: types.ReasonUnreachable})
 	}
 	o.waitingExecutions = nil
+	m.sendPosition(o, PositionResponse{Service: o.service, Endpoint: o.id})
 	o.pool.CloseAll(m.now, reason)
 	m.applyPoolEffects(o)
 	delete(m.owned, id)
@@ -387,6 +391,10 @@
 	case EndpointReplied:
 		if o := m.owned[m.conns[ev.Conn].endpoint]; o != nil {
 			o.pool.HandleReply(m.now, ev.Conn, ev.Reply)
+			if o.authority != nil {
+				o.authority.RecordPrimaryReply(o.pool.PrimaryRepliedAt())
+			}
+			m.releaseOldPrimary(o)
 		}
 	case EndpointStatus:
 		m.handleControlReply(ev)
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -105,6 +105,8 @@
 		for _, c := range msg.Kinds {
 			m.applyChanges(c)
 		}
+	case ReleasePrimary:
+		m.handleReleasePrimary(from, msg)
 	case LimitReport, LimitGrant:
 		m.handleLimitMessage(from, msg)
 	case ReachabilityRequest:
--- a/core/proxy/planned_reads_test.go
+++ b/core/proxy/planned_reads_test.go
@@ -45,3 +45,71 @@
 		})
 	}
 }
+
+// cutHostOff breaks the links of a host to the other hosts and to the store, or restores them. Its
+// callers and the endpoints still reach it.
+func (sim *simulation) cutHostOff(id types.Host, on bool) {
+	for _, h := range sim.sortedHosts() {
+		sim.cuts[[2]string{string(id), string(h.id)}] = on
+	}
+	sim.storeCut[id] = on
+}
+
+// ownerOf returns the host that uses an endpoint as the primary.
+func (sim *simulation) ownerOf(e types.Endpoint) types.Host {
+	most, owner := 0, types.Host("")
+	for _, h := range sim.sortedHosts() {
+		n := 0
+		for _, c := range h.sortedConns() {
+			if c.endpoint.id == e {
+				n++
+			}
+		}
+		if n > most {
+			most, owner = n, h.id
+		}
+	}
+	return owner
+}
+
+// stopWriters ends the sessions of a host that do more than read: a refused write would end the
+// host's authority.
+func (sim *simulation) stopWriters(id types.Host) {
+	for _, s := range sim.callers.sessions {
+		if s.host.id == id && s.kind != "read" && s.kind != "readtx" {
+			s.isStopped = true
+		}
+	}
+}
+
+// The owner of the primary is cut off from the store and the other hosts, but not from the
+// endpoints, while another host replaces the primary as planned. It must not go on reading at the
+// old primary once the new one is in use: it would miss acknowledged writes.
+func TestOwnerThatIsCutOffDoesNotReadAtReplacedPrimary(t *testing.T) {
+	for seed := uint64(320); seed < 340; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 2)
+			sim.callers.pauseFactor = 4
+			sim.promoteTime = 100 * time.Millisecond
+			openAll(sim)
+			sim.runFor(time.Second)
+			owner := sim.ownerOf("e-a")
+			for range 4 {
+				sim.callers.openSession(owner, "primary-db", "read").host = sim.hosts[owner]
+				sim.callers.openSession(owner, "primary-db", "readtx").host = sim.hosts[owner]
+			}
+			sim.runFor(time.Second)
+			sim.stopWriters(owner)
+			sim.cutHostOff(owner, true)
+			sim.runFor(time.Duration(sim.rng.IntN(200)) * time.Millisecond)
+			sim.endpoints["e-a"].lag = 500 * time.Millisecond
+			sim.announceLeaving("e-a")
+			sim.runFor(5 * time.Second)
+			sim.cutHostOff(owner, false)
+			sim.runFor(2 * time.Second)
+			sim.reportViolations()
+			sim.expectNoLostWrite()
+			sim.expectRecentWrite(500 * time.Millisecond)
+		})
+	}
+}
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/freshness"
@@ -48,10 +49,7 @@
 	positionRequestPending bool
 	positionRequestedAt    types.Time
 	positionRequestSeq     uint64
-	// receivedPositionRequests are the requests of other hosts that wait for the position of a
-	// primary that this host owns.
-	receivedPositionRequests []pendingPositionRequest
-	failover                 failoverState
+	failover               failoverState
 }
 
 func (m *Machine) serviceFor(name types.Service) *serviceState {
@@ -117,8 +115,9 @@
 		m.sendToHost(from, PositionResponse{Seq: req.Seq, Service: req.Service, Endpoint: req.Endpoint})
 		return
 	}
-	s := m.serviceFor(req.Service)
-	s.receivedPositionRequests = append(s.receivedPositionRequests, pendingPositionRequest{host: from, seq: req.Seq})
+	// A host waits for the answer to its latest request only.
+	o.positionRequests = slices.DeleteFunc(o.positionRequests, func(p pendingPositionRequest) bool { return p.host == from })
+	o.positionRequests = append(o.positionRequests, pendingPositionRequest{host: from, seq: req.Seq})
 	o.lastUsedAt = m.now
 	a := m.authorityFor(o)
 	a.RecordUse(m.now)
@@ -129,8 +128,7 @@
 // answerPositionRequests answers the waiting requests once this host has authority and knows a
 // recent position. If the authority is fenced, it replies that the position is unknown.
 func (m *Machine) answerPositionRequests(o *ownedEndpoint) {
-	s := m.serviceFor(o.service)
-	if len(s.receivedPositionRequests) == 0 || o.authority == nil {
+	if len(o.positionRequests) == 0 || o.authority == nil {
 		return
 	}
 	response := PositionResponse{Service: o.service, Endpoint: o.id}
@@ -145,8 +143,13 @@
 		}
 		response.Known, response.Point, response.Age = true, point, m.now.Sub(at)
 	}
-	pending := s.receivedPositionRequests
-	s.receivedPositionRequests = nil
+	m.sendPosition(o, response)
+}
+
+// sendPosition sends a position to the hosts that wait for it.
+func (m *Machine) sendPosition(o *ownedEndpoint, response PositionResponse) {
+	pending := o.positionRequests
+	o.positionRequests = nil
 	for _, req := range pending {
 		response.Seq = req.seq
 		m.sendToHost(req.host, response)
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -65,7 +65,7 @@
 // covers.
 func (m *Machine) trustConfirmedConns(o *ownedEndpoint) {
 	if o.authority != nil && o.authority.Valid(m.now) {
-		o.pool.TrustConnections(m.now, o.authority.ConfirmedSince(m.now))
+		o.pool.TrustConnections(m.now, o.authority.ConfirmedSince())
 	}
 }
 
--- a/core/statement/reply.go
+++ b/core/statement/reply.go
@@ -98,4 +98,7 @@
 	// FencedTerm is the highest term for which the endpoint was paused or stepped
 	// down.
 	FencedTerm types.Term
+	// Connections is the number of connections that the endpoint has from all callers, the one
+	// that carries the report included; zero if it is unknown.
+	Connections int
 }
--- a/model/lead.pml
+++ b/model/lead.pml
@@ -14,7 +14,9 @@
  * replicas anew at any time, and read the leadership record.
  *
  * With PLANNED the model is that of a planned change instead, in which the old primary steps down
- * by itself and a replica that holds its whole log is promoted. Replica 1 may be left out, too.
+ * by itself and a replica that holds its whole log is promoted. Replica 1 may be left out, too. The
+ * replicas are not paused, and confirm the old primary to its owner all the while. The owner does not
+ * hear of the change: it queries the old primary, opens and closes its connection, and reads.
  *
  * Each of these switches removes a safeguard, so that a check must fail:
  *   NOWAIT        the campaign does not wait for the lease to expire
@@ -29,6 +31,11 @@
  *   LEFTOUTWAIT   the expiry of the lease counts although a replica was left out
  *   NOCATCHUP     a planned change promotes a replica that lacks a part of the log (with PLANNED)
  *   NOSTEPDOWN    a planned change does not wait for the old primary to step down (with PLANNED)
+ *   NOROLE        the authority needs no reply of the primary itself (with PLANNED)
+ *   ROLEONARRIVAL such a reply counts from its arrival, not from its query (with PLANNED)
+ *   NEWCONN       the owner uses a connection opened after such a query (with PLANNED)
+ *   NOROLEWAIT    a planned change does not wait for such replies to expire (with PLANNED)
+ *   EARLYUNUSED   the old primary's connections are counted before it steps down (with PLANNED)
  */
 #define W 2             /* LeaseDuration */
 #define REPLICAS 2
@@ -319,6 +326,123 @@
 byte target;                /* the old primary's log after it has stepped down */
 byte candidate;
 
+/* The owner's connection to the old primary. */
+bool ownerConnected = true;
+bool ownerConnCovered = true;   /* opened before the last query with a primary's reply was sent */
+byte roleAge;                   /* age of that query */
+
+/* The owner's query in flight. State: 0 none, 1 sent, 2 a primary has replied, 3 a replica has. */
+byte queryState;
+byte queryAge;
+bool queryCoversConn;           /* the connection was open when the query was sent */
+
+bool oldUnused;                 /* the old primary has reported no owner's connection */
+byte stepDownAge;
+
+/* Authority.DueQueries */
+inline SendQuery() {
+	queryState = 1;
+	queryAge = 0;
+	queryCoversConn = ownerConnected
+}
+
+/* The endpoint. */
+inline AnswerQuery() {
+	if
+	:: oldIsPrimary -> queryState = 2
+	:: else -> queryState = 3
+	fi
+}
+
+/* Authority.handlePrimaryStatus */
+inline HandleRole() {
+	if
+	:: queryState == 2 ->
+#ifdef ROLEONARRIVAL
+		roleAge = 0;
+#else
+		if
+		:: queryAge < roleAge -> roleAge = queryAge
+		:: else
+		fi;
+#endif
+		if
+		:: queryCoversConn -> ownerConnCovered = true
+		:: else
+		fi
+	:: else ->
+		roleAge = EXPIRED;
+		ownerConnCovered = false
+	fi;
+	queryState = 0;
+	queryAge = 0;
+	queryCoversConn = false
+}
+
+inline OpenOwnerConn() {
+	ownerConnected = true;
+	ownerConnCovered = false;
+	queryCoversConn = false
+}
+
+/* Machine.mayUsePrimary and Pool.findConnection: no read is sent once the new primary is in use. */
+inline Read() {
+	ok = true;
+#ifndef NOROLE
+	ok = (ok && roleAge < W);
+#endif
+#ifndef NEWCONN
+	ok = (ok && ownerConnCovered);
+#endif
+	assert(!(ok && changeState == 4))
+}
+
+/* Campaign.handleSteppedDownStatus */
+inline CountConnections() {
+	if
+	:: !ownerConnected -> oldUnused = true
+	:: else
+	fi
+}
+
+inline StepDown() {
+	oldIsPrimary = false;
+	target = logged;
+	stepDownAge = 0;
+	changeState = 2
+}
+
+/* Campaign.MayPromote */
+inline Promote() {
+#ifdef NOROLEWAIT
+	ok = true;
+#else
+	ok = (oldUnused || stepDownAge >= W);
+#endif
+	if
+	:: ok ->
+		/* what the candidate lacks is rolled back: no acknowledged write may be among it */
+		assert(received[candidate] >= acknowledged && received[candidate] >= logged);
+		changeState = 4
+	:: else
+	fi
+}
+
+inline TickPlanned() {
+	if
+	:: roleAge < EXPIRED -> roleAge++
+	:: else
+	fi;
+	if
+	:: queryState != 0 && queryAge < EXPIRED -> queryAge++
+	:: else
+	fi;
+	if
+	:: changeState >= 2 && stepDownAge < W -> stepDownAge++
+	:: else
+	fi
+}
+
 /* Campaign.promoteIfCaughtUp */
 inline Choose(r) {
 #ifdef NOCATCHUP
@@ -335,6 +459,8 @@
 /* Campaign.tickCatchingUp: the old primary is promoted again. */
 inline ReturnToOld() {
 	oldIsPrimary = true;
+	oldUnused = false;
+	stepDownAge = 0;
 	changeState = 0
 }
 
@@ -347,15 +473,26 @@
 	STEP(changeState < 4 && received[1] < logged, received[1]++)
 	/* the planned change */
 	STEP(changeState == 0, changeState = 1)
-	STEP(changeState == 1, oldIsPrimary = false; target = logged; changeState = 2)
+	STEP(changeState == 1, StepDown())
+#ifdef EARLYUNUSED
+	STEP(changeState == 1, CountConnections())
+#endif
+	STEP(changeState == 2 || changeState == 3, CountConnections())
 #ifdef NOSTEPDOWN
 	STEP(changeState == 1, target = logged; changeState = 2)
 #endif
 	STEP(changeState == 2, Choose(0))
 	STEP(changeState == 2, Choose(1))
 	STEP(changeState == 2, ReturnToOld())
-	/* what the candidate lacks is rolled back: no acknowledged write may be among it */
-	STEP(changeState == 3, changeState = 4; assert(received[candidate] >= acknowledged && received[candidate] >= logged))
+	STEP(changeState == 3, Promote())
+	/* the owner */
+	STEP(queryState == 0, SendQuery())
+	STEP(queryState == 1, AnswerQuery())
+	STEP(queryState >= 2, HandleRole())
+	STEP(ownerConnected, ownerConnected = false; ownerConnCovered = false; queryCoversConn = false)
+	STEP(true, OpenOwnerConn())
+	STEP(ownerConnected, Read())
+	STEP(true, TickPlanned())
 	od
 }
 #endif
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -64,6 +64,9 @@
 	case *meshpb.ProxyMessage_Reach:
 		r := b.Reach
 		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}, nil
+	case *meshpb.ProxyMessage_ReleasePrimary:
+		r := b.ReleasePrimary
+		return proxy.ReleasePrimary{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), Term: types.Term(r.GetTerm())}, nil
 	case *meshpb.ProxyMessage_LimitReport:
 		return decodeLimitReport(b.LimitReport)
 	case *meshpb.ProxyMessage_LimitGrant:
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -73,6 +73,10 @@
 		p.Body = &meshpb.ProxyMessage_Reach{Reach: &meshpb.ReachAnswer{
 			Number: m.Seq, Service: string(m.Service), Endpoint: string(m.Endpoint), Primary: m.IsPrimary,
 		}}
+	case proxy.ReleasePrimary:
+		p.Body = &meshpb.ProxyMessage_ReleasePrimary{ReleasePrimary: &meshpb.SteppedDown{
+			Service: string(m.Service), Endpoint: string(m.Endpoint), Term: uint64(m.Term),
+		}}
 	case proxy.LimitReport:
 		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
 	case proxy.LimitGrant:
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -56,6 +56,7 @@
 		}}}},
 		proxy.ReachabilityRequest{Seq: 3, Service: "s", Endpoint: "e"},
 		proxy.ReachabilityResponse{Seq: 3, Service: "s", Endpoint: "e", IsPrimary: true},
+		proxy.ReleasePrimary{Service: "s", Endpoint: "e", Term: 3},
 		proxy.LimitReport{
 			Seq: 7, Group: 3, AllocatorProcess: 1 << 63, AllocatorClock: types.Time(-5), LendFor: time.Second, Share: 1.0 / 30, Hosts: 30,
 			Demands: []limits.Demand{{Workspace: "w", Rate: 0.5, Need: 2, Returned: 3, Ahead: 4, Held: 5}},
