cmd/baobabd: a signal during the start does not end the process

It is installed before the settings are read; signals that arrive until then wait.

What remains is the start of the runtime itself, before the program's first statement.

--- a/cmd/baobabd/platform.go
+++ b/cmd/baobabd/platform.go
@@ -49,6 +49,9 @@
 
 // Run serves callers until SIGTERM or SIGINT.
 func (f *platformFlags) Run() error {
+	// A signal that arrives before would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	if err := f.check(); err != nil {
 		return err
 	}
@@ -77,7 +80,7 @@
 		{Key: "data_centre", Value: settings.DataCentre},
 	}})
 	stop := make(chan time.Duration, 1)
-	go f.watchSignalsAndSettings(ctx, settings, g, logs, stop)
+	go f.watchSignalsAndSettings(ctx, settings, g, logs, signals, stop)
 	g.Run(ctx, listeners, stop)
 	logs.Enqueue(proxy.Log{Level: proxy.Warn, Event: "host stopped"})
 	endLogs()
@@ -102,9 +105,7 @@
 
 // watchSignalsAndSettings starts the planned stop at SIGTERM or SIGINT. It reloads
 // the settings at SIGHUP and when the modification time of their file changes.
-func (f *platformFlags) watchSignalsAndSettings(ctx context.Context, settings platform.Settings, g *gateway.Gateway, logs *gateway.LogWriter, stop chan<- time.Duration) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+func (f *platformFlags) watchSignalsAndSettings(ctx context.Context, settings platform.Settings, g *gateway.Gateway, logs *gateway.LogWriter, signals <-chan os.Signal, stop chan<- time.Duration) {
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
 	lastModified := modificationTime(f.Config)
