core/catalog: a host whose clock was set back before its restart is used again

The others kept the record of its earlier process, which says that it leaves, and never used it.

Records of the store are ordered by their revisions now, within one era of the store; across eras, and for a host that introduces itself, by the start time as before.

TestHostWhoseClockWasSetBackIsUsedAgain: without the change another host keeps the ownership of the host's endpoint.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -122,6 +122,9 @@
 	// WorkspaceRules is that of the host's build, see the constant; 0 for builds that do not
 	// know workspaces.
 	WorkspaceRules int
+	// Revision is the revision of the record in the store; 0 for a host that has introduced
+	// itself. It is not part of the record.
+	Revision types.Revision
 }
 
 // WorkspaceRules is the version of the rules by which this build keeps workspaces apart. In a
@@ -454,7 +457,13 @@
 
 // SetHost stores a host, unless a later incarnation of it is known.
 func (c *Catalog) SetHost(h Host) {
-	if old, ok := c.hosts[h.ID]; ok && old.StartedUnixMs > h.StartedUnixMs {
+	old, ok := c.hosts[h.ID]
+	// A restored store may return the record of an earlier process with a higher revision.
+	areOrdered := old.Revision != 0 && h.Revision != 0 && old.Revision.Era() == h.Revision.Era()
+	switch {
+	case ok && areOrdered && old.Revision > h.Revision:
+		return
+	case ok && !areOrdered && old.StartedUnixMs > h.StartedUnixMs:
 		return
 	}
 	c.hosts[h.ID] = h
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -69,6 +69,17 @@
 	c.SetHost(catalog.Host{ID: "h", StartedUnixMs: 6, Leaving: true})
 	h, _ := c.Host("h")
 	is.True(!h.Leaving)
+	// The revision orders records of the store, whatever the clock was at the start.
+	c.SetHost(catalog.Host{ID: "h", StartedUnixMs: 7, Leaving: true, Revision: 20})
+	c.SetHost(catalog.Host{ID: "h", StartedUnixMs: 5, Revision: 21})
+	c.SetHost(catalog.Host{ID: "h", StartedUnixMs: 7, Leaving: true, Revision: 20})
+	h, _ = c.Host("h")
+	is.Equal(h.StartedUnixMs, int64(5))
+	is.True(!h.Leaving)
+	// A restored store has the record of an earlier process.
+	c.SetHost(catalog.Host{ID: "h", StartedUnixMs: 4, Leaving: true, Revision: types.EraStart(1) + 3})
+	h, _ = c.Host("h")
+	is.Equal(h.StartedUnixMs, int64(5))
 }
 
 func TestLeadershipOfRestoredStoreDoesNotReplaceLaterOne(t *testing.T) {
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -130,7 +130,9 @@
 		if change.Host.ID == m.settings.Host {
 			m.checkOwnRecord(o.Revision, change.Host)
 		}
-		m.catalog.SetHost(*change.Host)
+		h := *change.Host
+		h.Revision = o.Revision
+		m.catalog.SetHost(h)
 		m.clearOwnerCache()
 		m.retryDeferred(true)
 	case change.Leadership != nil:
--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
@@ -200,3 +202,26 @@
 		sim.expectRecentWriteOrRead(time.Second)
 	}
 }
+
+// A host's clock is set back before it restarts, so that its start time is lower than that of its
+// earlier process, which announced that it leaves. The other hosts must use it again: its record in
+// the store is the newer one.
+func TestHostWhoseClockWasSetBackIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 50, 1)
+	sim.callers.pauseFactor = 4
+	openAll(sim)
+	sim.runFor(time.Second)
+	owner := sim.ownerOf("e-a")
+	is.Equal(owner, types.Host("h-a0"))
+	sim.deliver(sim.hosts[owner], proxy.Stop{Grace: 2 * time.Second})
+	sim.runFor(3 * time.Second)
+	is.True(sim.hosts[owner].exited)
+	is.True(sim.ownerOf("e-a") != owner)
+	sim.hosts[owner].clockOffset = -1000
+	sim.startHost(owner, "a")
+	sim.runFor(3 * time.Second)
+	is.Equal(sim.ownerOf("e-a"), owner)
+	sim.reportViolations()
+	sim.expectRecentWrite(500 * time.Millisecond)
+}
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -106,6 +106,8 @@
 	machine     *proxy.Machine
 	incarnation int
 	startedAt   types.Time
+	// clockOffset is added to the time of day at which the process starts, in milliseconds.
+	clockOffset int64
 	// endpointsReadAt is when the process has first read the endpoints itself; zero for never.
 	endpointsReadAt types.Time
 	alive           bool
@@ -238,14 +240,17 @@
 	h.alive, h.exited, h.suspended = true, false, false
 	h.conns, h.delayed = map[uint64]*connSim{}, nil
 	h.machine = proxy.New(proxy.Settings{
-		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, RemotePrice: h.remotePrice, Memory: h.memory, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
+		Host: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: h.startedUnixMs(), CPUMillicores: h.cpuMillicores, ConfigBound: h.configBound, LeavingBound: h.leavingBound, RemotePrice: h.remotePrice, Memory: h.memory, Seed: random.Hash(uint64(h.incarnation), string(id)), Decoder: sim.store,
 	})
-	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: int64(h.incarnation), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
+	record := catalog.Host{ID: id, DataCentre: dc, MeshAddress: string(id), StartedUnixMs: h.startedUnixMs(), CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
 	sim.store.put(proxy.KindHosts, string(id), proxy.Change{Host: &record})
 	sim.store.sendAllKinds(h)
 	sim.tick(h)
 }
 
+// startedUnixMs returns the time of day at which the host's process has started, as it sees it.
+func (h *hostSim) startedUnixMs() int64 { return int64(h.incarnation) + h.clockOffset }
+
 // killHost ends a host without notice. The other hosts see their connections break.
 func (sim *simulation) killHost(id types.Host) {
 	h := sim.hosts[id]
@@ -404,7 +409,7 @@
 	case proxy.WatchStore:
 		sim.store.setWatching(h, e.On)
 	case proxy.StoreHostRecord:
-		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: int64(h.incarnation), Leaving: e.Leaving, CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
+		record := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: h.startedUnixMs(), Leaving: e.Leaving, CPUMillicores: h.cpuMillicores, AuthorityRules: lead.AuthorityRules, WorkspaceRules: h.workspaceRules}
 		sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &record})
 	case proxy.Exit:
 		h.exited = true
