core/proxy: replicas that a later campaign has paused are not resumed

A later campaign verifies its pauses before it promotes, not until the promotion takes effect, and not at all if the old primary refuses connections: a resumed replica may then confirm the old primary if that restarts.

The command names no pause. So the replica is queried first, and resumed only if it is paused for the term of the campaign that has ended, or an earlier one, and while no campaign that pauses replicas is known to be in progress. Pauses that a failed campaign leaves, and those that the primary's owner finds, end the same way.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -298,19 +298,35 @@
 	var resumes []Command
 	for _, r := range c.replicas {
 		if c.paused[r] && r != newPrimary {
-			resumes = append(resumes, Command{Endpoint: r, Op: OpResume})
+			resumes = append(resumes, Command{Endpoint: r, Op: OpResume, Term: c.heldTerm(r)})
 		}
 	}
+	a := Actions{Ended: true, NewPrimary: newPrimary, Resumes: resumes}
 	if newPrimary == "" {
-		return Actions{Ended: true, Commands: resumes}
+		return a
 	}
-	a := Actions{Ended: true, NewPrimary: newPrimary, CommandsAfterDemotion: resumes}
 	if c.OldPrimary != "" && c.OldPrimary != newPrimary && !c.oldSteppedDown {
 		a.Commands = []Command{{Endpoint: c.OldPrimary, Op: OpStepDown, Term: c.highestTerm}}
 	}
 	return a
 }
 
+// heldTerm returns the term for which a replica was paused: by this campaign, or by the one whose
+// pauses it ends. That of a silent replica is at most the highest one of the others.
+func (c *Campaign) heldTerm(r types.Endpoint) types.Term {
+	if term, ok := c.pauseTerms[r]; ok {
+		return term
+	}
+	if st, ok := c.statuses[r]; ok {
+		return st.FencedTerm
+	}
+	var highest types.Term
+	for _, st := range c.statuses {
+		highest = max(highest, st.FencedTerm)
+	}
+	return highest
+}
+
 // HandleStatus processes the status that an endpoint returned for a command.
 func (c *Campaign) HandleStatus(now types.Time, cmd Command, status Status) Actions {
 	c.highestTerm = max(c.highestTerm, status.Term)
--- a/core/lead/command.go
+++ b/core/lead/command.go
@@ -103,7 +103,7 @@
 type Command struct {
 	Endpoint types.Endpoint
 	Op       Op
-	// Term is the term of an OpPause or OpStepDown.
+	// Term is the term of an OpPause or OpStepDown, and of the pause that an OpResume ends.
 	Term types.Term
 }
 
@@ -122,10 +122,11 @@
 	// Promote requests that the platform makes the endpoint the primary, once the
 	// store has recorded it as the candidate.
 	Promote types.Endpoint
-	// CommandsAfterDemotion are sent DemotionDelay after the end. A resumed replica
-	// holds no term until it follows the new primary. If it were resumed earlier, it
-	// would confirm the old primary to an owner that has not received the change.
-	CommandsAfterDemotion []Command
+	// Resumes end the pauses of the campaign. With NewPrimary they are due DemotionDelay after
+	// the end: a resumed replica holds no term until it follows the new primary, and would
+	// confirm the old primary to an owner that has not received the change. A replica that
+	// has been paused for a later term since must not be resumed.
+	Resumes []Command
 	// Ended is set once the campaign is over.
 	Ended bool
 	// NewPrimary is the new primary if the campaign has succeeded.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -106,6 +106,15 @@
 	return out
 }
 
+// resumed returns the endpoints whose pauses end.
+func resumed(a lead.Actions) map[types.Endpoint]bool {
+	out := map[types.Endpoint]bool{}
+	for _, cmd := range a.Resumes {
+		out[cmd.Endpoint] = cmd.Op == lead.OpResume
+	}
+	return out
+}
+
 // promoteAfterLease advances a campaign whose lease has expired: it has to query every replica
 // whether it is still paused before it requests a promotion. It returns the candidate.
 func promoteAfterLease(t *testing.T, c *lead.Campaign, at types.Time, received map[types.Endpoint]types.Position) types.Endpoint {
@@ -336,7 +345,7 @@
 	}
 	is.True(requests > 10 && requests < 40)
 	a := c.Abandon()
-	is.True(a.Ended && len(a.Commands) == 0 && c.IsPromotionUnsettled())
+	is.True(a.Ended && len(a.Commands) == 0 && len(a.Resumes) == 0 && c.IsPromotionUnsettled())
 }
 
 // A request that the platform has refused has no effect later, so that the campaign may end
@@ -347,7 +356,7 @@
 	c.HandlePromotionResult(startTime, candidate, lead.PromotionRefused)
 	a := c.Tick(startTime.Add(3100 * time.Millisecond))
 	is.True(a.Ended && a.NewPrimary == "")
-	is.Equal(len(a.Commands), 2)
+	is.Equal(len(a.Resumes), 2)
 	is.Equal(c.LastPhase(), lead.PhasePromoting)
 }
 
@@ -406,17 +415,18 @@
 	c := lead.NewCampaign(startTime, "s", lead.ReasonAbsent, "a", replicas, 3)
 	advanceToClaim(c)
 	c.HandleClaimResult(startTime, 1)
-	c.HandleStatus(startTime, lead.Command{Endpoint: "b", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
-	c.HandleStatus(startTime, lead.Command{Endpoint: "c", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "b", Op: lead.OpPause, Term: 4}, lead.Status{Term: 3, FencedTerm: 4})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "c", Op: lead.OpPause, Term: 4}, lead.Status{Term: 3, FencedTerm: 4})
 	promoted := reportOldPrimaryAbsent(c, startTime).Promote
 	a := c.HandleStatus(startTime, lead.Command{Endpoint: promoted}, lead.Status{Primary: true, Term: 4})
 	is.Equal(a.NewPrimary, promoted)
 	// The old primary steps down at once. The replica stays paused until that is done,
 	// since it holds no term after it is resumed.
 	is.Equal(a.Commands, []lead.Command{{Endpoint: "a", Op: lead.OpStepDown, Term: 4}})
-	is.Equal(len(a.CommandsAfterDemotion), 1)
-	is.Equal(a.CommandsAfterDemotion[0].Op, lead.OpResume)
-	is.True(a.CommandsAfterDemotion[0].Endpoint != promoted)
+	is.Equal(len(a.Resumes), 1)
+	is.Equal(a.Resumes[0].Term, types.Term(4)) // a later pause is not ended
+	is.Equal(a.Resumes[0].Op, lead.OpResume)
+	is.True(a.Resumes[0].Endpoint != promoted)
 }
 
 // Guards against a promotion while a replica could still confirm the old primary: a pause
@@ -478,7 +488,7 @@
 	a := c.HandleStatus(startTime.Add(lead.LeaseDuration/2), lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	is.True(a.Ended)
 	is.Equal(a.NewPrimary, types.Endpoint(""))
-	is.Equal(opsByEndpoint(a), map[types.Endpoint]lead.Op{"b": lead.OpResume, "c": lead.OpResume})
+	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
 }
 
 // Replicas that an interrupted campaign has left paused are resumed with a new token.
@@ -490,7 +500,7 @@
 	c.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3})
 	a := c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	is.True(a.ClaimToken)
-	is.Equal(opsByEndpoint(c.HandleClaimResult(startTime, 2)), map[types.Endpoint]lead.Op{"b": lead.OpResume, "c": lead.OpResume})
+	is.Equal(resumed(c.HandleClaimResult(startTime, 2)), map[types.Endpoint]bool{"b": true, "c": true})
 }
 
 // If another endpoint is the primary already, the campaign only records it.
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -27,6 +27,7 @@
 	purposePosition
 	purposeReachability
 	purposeObservation
+	purposeResume
 )
 
 // controlCommand is a queued or outstanding command for an endpoint.
@@ -260,6 +261,9 @@
 	if cmd.purpose&purposeCampaign != 0 {
 		m.handleCampaignStatus(e.Service, cmd, st)
 	}
+	if cmd.purpose&purposeResume != 0 {
+		m.handleResumeStatus(e.Service, cmd, st)
+	}
 	if cmd.purpose&purposeObservation != 0 {
 		m.serviceFor(e.Service).failover.observed[id] = observedPosition{received: st.Received, at: cmd.sentAt}
 	}
@@ -275,7 +279,7 @@
 	}
 	fs.replicaResumedAt = m.now
 	m.log(Info, "replica resumed", field("endpoint", id), field("service", o.service), field("held", uint64(st.FencedTerm)), field("reason", "no campaign runs"))
-	m.enqueueCommand(lead.Command{Endpoint: id, Op: lead.OpResume}, purposeAuthority)
+	m.resumeReplica(fs, lead.Command{Endpoint: id, Op: lead.OpResume, Term: st.FencedTerm}, m.now)
 }
 
 // handleCommandFailure reports a command that got no reply, or was refused, to the components
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -29,10 +29,14 @@
 	term       types.Term
 	fencedTerm types.Term
 	paused     bool
-	log        []logEntry
-	running    int
-	waiting    []func()
-	lag        time.Duration
+	// pausedAt is when the endpoint was last paused, and shortestPause the shortest time after
+	// which a pause was ended by a command; 0 for none.
+	pausedAt      types.Time
+	shortestPause time.Duration
+	log           []logEntry
+	running       int
+	waiting       []func()
+	lag           time.Duration
 	// applyLag is the time after which the endpoint, as a replica, applies what it has received.
 	// Its replies state what it has applied, of which appliedLen is the length. receipts holds
 	// the lengths of what it has received and not yet applied.
@@ -411,9 +415,12 @@
 	switch op {
 	case lead.OpPause:
 		if term > e.term && !e.primary {
-			e.paused, e.fencedTerm = true, max(e.fencedTerm, term)
+			e.paused, e.fencedTerm, e.pausedAt = true, max(e.fencedTerm, term), e.sim.now
 		}
 	case lead.OpResume:
+		if pause := e.sim.now.Sub(e.pausedAt); e.paused && (e.shortestPause == 0 || pause < e.shortestPause) {
+			e.shortestPause = pause
+		}
 		e.paused, e.fencedTerm = false, 0
 	case lead.OpStepDown:
 		if e.primary && term > e.term {
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -49,10 +49,8 @@
 	// primaryMissingSince is when the service was first seen without a usable primary; zero if
 	// it has one.
 	primaryMissingSince types.Time
-	// resumeCommands resume the paused replicas. They are sent at resumeAt, which is
-	// lead.DemotionDelay after a change of primary.
-	resumeCommands []lead.Command
-	resumeAt       types.Time
+	// resumes holds the replicas that are to be resumed.
+	resumes map[types.Endpoint]pendingResume
 	// replicaResumedAt is when this host last resumed a replica that had been left paused.
 	replicaResumedAt types.Time
 	// suspect is the endpoint whose reachability other hosts have been queried for; empty for
@@ -112,7 +110,7 @@
 func (m *Machine) tickFailovers() {
 	for _, name := range m.catalog.Services() {
 		s := m.serviceFor(name)
-		m.sendResumeCommands(s)
+		m.queryReplicasToResume(s)
 		m.rewriteLeadership(s)
 		if c := s.failover.campaign; c != nil {
 			if primary, _ := m.catalog.PrimaryOf(name); !c.IsNeeded(primary) {
@@ -131,19 +129,6 @@
 	}
 }
 
-// sendResumeCommands resumes the paused replicas at resumeAt, when the old primary has had
-// time to become a replica of the new one.
-func (m *Machine) sendResumeCommands(s *serviceState) {
-	fs := &s.failover
-	if len(fs.resumeCommands) == 0 || m.now.Before(fs.resumeAt) {
-		return
-	}
-	for _, cmd := range fs.resumeCommands {
-		m.enqueueCommand(cmd, purposeCampaign)
-	}
-	fs.resumeCommands = nil
-}
-
 // startCampaign starts to replace a primary, unless another host holds a recent claim or this
 // host is isolated.
 func (m *Machine) startCampaign(s *serviceState, reason lead.Reason, oldPrimary types.Endpoint) {
@@ -248,8 +233,15 @@
 		m.claimLeadership(s, a.Promote)
 	}
 	if a.Ended {
-		fs.resumeCommands, fs.resumeAt = a.CommandsAfterDemotion, m.now.Add(lead.DemotionDelay)
+		at := m.now
+		if a.NewPrimary != "" {
+			at = at.Add(lead.DemotionDelay)
+		}
+		for _, cmd := range a.Resumes {
+			m.resumeReplica(fs, cmd, at)
+		}
 		m.endCampaign(s, a.NewPrimary)
+		m.queryReplicasToResume(s)
 	}
 }
 
--- a/core/proxy/position.go
+++ b/core/proxy/position.go
@@ -56,7 +56,7 @@
 	s := m.services[name]
 	if s == nil {
 		s = &serviceState{name: name, positionRequestSeq: m.firstNumber}
-		s.failover.observed, s.failover.suspicionSeq = map[types.Endpoint]observedPosition{}, m.firstNumber
+		s.failover.observed, s.failover.resumes, s.failover.suspicionSeq = map[types.Endpoint]observedPosition{}, map[types.Endpoint]pendingResume{}, m.firstNumber
 		m.services[name] = s
 	}
 	return s
--- a/core/proxy/promotion_test.go
+++ b/core/proxy/promotion_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"baobabfield.example/core/lead"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
 )
@@ -230,3 +231,47 @@
 		})
 	}
 }
+
+// A campaign has replaced a primary, and the next one crashes before the replicas are resumed. The
+// later campaign has paused them for its own term by then: a resumed replica could confirm the
+// crashed primary when it restarts.
+func TestReplicasPausedByLaterCampaignAreNotResumed(t *testing.T) {
+	for seed := uint64(60); seed < 72; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 2)
+			sim.callers.pauseFactor = 4
+			sim.addEndpoint("e-d", "a", false).lag = 0
+			for _, id := range []types.Endpoint{"e-b", "e-c"} { // so that e-d becomes the primary
+				sim.endpoints[id].lag = 200 * time.Millisecond
+			}
+			openAll(sim)
+			sim.runFor(time.Second)
+			sim.endpoints["e-a"].crash()
+			var next *endpointSim
+			for limit := sim.now.Add(5 * time.Second); next == nil && sim.now.Before(limit); {
+				sim.runFor(time.Millisecond)
+				for _, e := range sim.sortedEndpoints() {
+					if e.alive && e.primary {
+						next = e
+					}
+				}
+			}
+			if next == nil {
+				t.Fatal("the crashed primary is not replaced")
+			}
+			sim.endpoints["e-a"].restart()
+			sim.runFor(time.Duration(100+sim.rng.IntN(500)) * time.Millisecond)
+			next.crash()
+			sim.runFor(3 * time.Second)
+			next.restart()
+			sim.runFor(6 * time.Second)
+			for _, e := range sim.sortedEndpoints() {
+				if e.shortestPause != 0 && e.shortestPause < lead.DemotionDelay {
+					t.Errorf("replica %s was resumed %v after it was paused", e.id, e.shortestPause)
+				}
+			}
+			sim.reportViolations()
+			sim.expectRecentWrite(time.Second)
+		})
+	}
+}
