core/proxy: a statement that no message to the owner can carry runs at the caller's host

Any host may run statements at an endpoint, so such a request runs at the frontend itself; a transaction of a session whose variables leave no room for a message of 1 MiB begins there. A statement of a transaction that is open elsewhere is refused, and the transaction rolled back.

--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -25,6 +25,10 @@
 	maxDeferral = 300 * time.Millisecond
 	// deferredRetryInterval is the time between two attempts of a deferred request.
 	deferredRetryInterval = 40 * time.Millisecond
+	// maxRequestBytes is the largest request that is sent to another host: a larger message cannot
+	// be encoded. maxStatementBytes is the size of the largest message of a caller.
+	maxRequestBytes   = 2<<20 - 64<<10
+	maxStatementBytes = 1 << 20
 )
 
 // request is a caller's statement from its arrival until its reply.
@@ -129,6 +133,12 @@
 			return
 		}
 	}
+	if !m.fitsOwner(r) {
+		r.lastReason = types.ReasonBadRequest
+		m.log(Info, "request too large", field("id", r.query.ID), field("owner", r.host), field("bytes", r.messageBytes()), field("limit", maxRequestBytes))
+		m.abortTransaction(r, types.ReasonBadRequest)
+		return
+	}
 	r.attempts++
 	owner, _ := m.catalog.Host(r.host)
 	r.attemptedAt, r.hostStartedUnixMs = m.now, owner.StartedUnixMs
@@ -155,6 +165,43 @@
 	m.sendToHost(r.host, exec)
 }
 
+// fitsOwner reports whether a message to the owner can carry a request. One that is too large runs
+// at this host instead, which any host may do. A transaction stays where it has begun, so that one
+// whose later statements may be too large begins here.
+func (m *Machine) fitsOwner(r *request) bool {
+	size := r.messageBytes()
+	if r.opensTx {
+		size = max(size, r.sessionBytes()+maxStatementBytes)
+	}
+	if r.host == m.settings.Host || size <= maxRequestBytes {
+		return true
+	}
+	if r.continuesTx {
+		return false
+	}
+	r.host = m.settings.Host
+	return true
+}
+
+// messageBytes returns the approximate size of the message that carries a request to an owner.
+func (r *request) messageBytes() int {
+	stmt := &r.query.Stmt
+	return r.sessionBytes() + len(r.query.ID) + len(stmt.Text) + len(stmt.Name) + len(stmt.Value) + len(stmt.Template.Text)
+}
+
+// sessionBytes returns the part of messageBytes that all requests of the session and its transaction
+// have.
+func (r *request) sessionBytes() int {
+	size := 0
+	if r.inTx() {
+		size += len(r.session.tx.begin.ID)
+	}
+	for _, v := range r.session.variables {
+		size += variableBytes(v.Name, v.Value)
+	}
+	return size
+}
+
 // handleResult handles an owner's result.
 func (m *Machine) handleResult(from types.Host, res ExecResult) {
 	r := m.requests[res.ID]
