core/lead: a replica that was paused and resumed does not confirm the old primary

A campaign resumes the replicas 1.2 s after the change, when the old primary "has had time to become a replica". If it reaches neither the new primary nor the campaign, it has not; a resumed replica that does not reach the new primary either holds no later term, and confirms the old primary to an owner that is cut off from the other hosts and the store. That owner went on acknowledging writes and reading there.

A majority is enough now only from replicas that the owner has watched, on one connection and without a gap of 1.4 s, since its last read of a record without a campaign; a replica stays paused for 2 s at least, also if the campaign need not wait for leases. Beside it: a silent replica does not count as a watched one when an owner decides whether it has to read the record. Before, that owner had no authority until the silent replica returned or another read came along.

--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -14,10 +14,10 @@
 // the old primary reports that no connection but the campaign's is open: an owner with a
 // later connection may use it only after another such reply.
 //
-// A majority is enough only on connections that are older than the owner's last read of a
-// leadership record without a campaign. On a newer one the instance may have restarted
-// during a campaign, and no longer hold the campaign's term. Then every replica has to
-// confirm the primary. So a campaign whose primary does not run at its address needs no
+// A majority is enough only from replicas that the owner has watched, on one connection and
+// without a gap, since its last read of a leadership record without a campaign. Otherwise a
+// replica may have been paused and resumed, or have restarted, during a campaign, and no longer
+// hold the campaign's term. Then every replica has to confirm the primary. So a campaign whose primary does not run at its address needs no
 // response of a replica that is silent: it has paused at least one, and whoever connects
 // to the restarted primary gets neither the confirmations of all nor such a read.
 //
@@ -59,6 +59,11 @@
 	// queryTimeout is the time after which an unanswered query counts as lost and may
 	// be sent again.
 	queryTimeout = 250 * time.Millisecond
+	// maxWatchGap is the longest time between the queries of two confirmations of a replica in
+	// which a campaign cannot have replaced a primary that runs. A campaign keeps the replica
+	// paused for LeaseDuration and DemotionDelay at least; the second confirmation may have
+	// been given some time after its query.
+	maxWatchGap = 1400 * time.Millisecond
 	// renewIdleLimit is how long the authority is renewed after its last use.
 	renewIdleLimit = 1500 * time.Millisecond
 )
@@ -75,6 +80,8 @@
 	replicas []types.Endpoint
 	// confirmations holds, by replica, the newest confirmation of the primary.
 	confirmations map[types.Endpoint]confirmation
+	// watched holds the same, also after the confirmations were discarded.
+	watched map[types.Endpoint]confirmation
 	// queriedAt holds, by endpoint, the time at which the query in flight was sent.
 	queriedAt map[types.Endpoint]types.Time
 	// failedAt holds, by endpoint, the time at which the last query failed.
@@ -103,15 +110,18 @@
 
 // confirmation is a replica's reply that it holds no later term than the primary.
 type confirmation struct {
-	// sentAt is when the query was sent, and openedAt when its connection was opened.
-	sentAt, openedAt types.Time
+	// sentAt is when the query was sent.
+	sentAt types.Time
+	// watchedSince is when the first query was sent on the same connection from which on no two
+	// confirmations were further apart than maxWatchGap.
+	watchedSince types.Time
 }
 
 // NewAuthority returns an authority without any confirmation.
 func NewAuthority(primary types.Endpoint, replicas []types.Endpoint) *Authority {
 	return &Authority{
 		Primary: primary, replicas: replicas,
-		confirmations: map[types.Endpoint]confirmation{}, queriedAt: map[types.Endpoint]types.Time{},
+		confirmations: map[types.Endpoint]confirmation{}, watched: map[types.Endpoint]confirmation{}, queriedAt: map[types.Endpoint]types.Time{},
 		failedAt: map[types.Endpoint]types.Time{},
 	}
 }
@@ -175,11 +185,11 @@
 	return min(since, a.primaryConfirmedAt)
 }
 
-// isCovered reports whether a replica has confirmed the primary on a connection that is older
-// than the last read without a campaign.
+// isCovered reports whether a replica that has confirmed the primary has been watched since the
+// last read without a campaign.
 func (a *Authority) isCovered(r types.Endpoint) bool {
 	c, ok := a.confirmations[r]
-	return ok && !a.claimFreeAt.Before(c.openedAt)
+	return ok && !a.claimFreeAt.Before(c.watchedSince)
 }
 
 // RecordClaimFree records that a read of the leadership record, requested at a time, showed no
@@ -191,30 +201,38 @@
 	}
 }
 
-// UncoveredSince returns when the newest connection was opened that the last read without a
-// campaign does not cover. It returns false if a majority is enough.
+// UncoveredSince returns since when the replica was watched that the last read without a campaign
+// covers least, or when the newest connection to the primary was opened. It returns false if a
+// majority is enough.
 func (a *Authority) UncoveredSince(now types.Time) (types.Time, bool) {
-	if !a.isActive(now) || !a.needsAllReplicas() {
+	if !a.isActive(now) || !a.needsAllReplicas(now) {
 		return 0, false
 	}
 	since := a.minConfirmedAt
 	for _, r := range a.replicas {
-		since = max(since, a.confirmations[r].openedAt)
+		since = max(since, a.confirmations[r].watchedSince)
 	}
 	return since, true
 }
 
-// needsAllReplicas reports whether the confirmations of a majority are not enough.
-func (a *Authority) needsAllReplicas() bool {
+// needsAllReplicas reports whether the confirmations of a majority are not enough. A replica counts
+// unless it has failed to confirm since, or has not been watched for too long.
+func (a *Authority) needsAllReplicas(now types.Time) bool {
 	covered := 0
 	for _, r := range a.replicas {
-		if a.isCovered(r) {
+		if a.isCovered(r) && !a.hasFailed(r) && now.Sub(a.confirmations[r].sentAt) <= maxWatchGap {
 			covered++
 		}
 	}
 	return covered < a.requiredConfirmations() || a.claimFreeAt.Before(a.minConfirmedAt)
 }
 
+// hasFailed reports whether the last query of a replica has failed.
+func (a *Authority) hasFailed(r types.Endpoint) bool {
+	at, failed := a.failedAt[r]
+	return failed && a.confirmations[r].sentAt.Before(at)
+}
+
 // RequireConfirmedAfter makes DueQueries return the queries for confirmations that cover
 // the connections to the primary that are open now.
 func (a *Authority) RequireConfirmedAfter(now types.Time) { a.minConfirmedAt = now }
@@ -287,7 +305,7 @@
 		if isRenewed {
 			missing--
 		}
-		if at, failed := a.failedAt[r]; !isRenewed && a.needsAllReplicas() && (!failed || now.Sub(at) >= renewInterval) {
+		if at, failed := a.failedAt[r]; !isRenewed && a.needsAllReplicas(now) && (!failed || now.Sub(at) >= renewInterval) {
 			queries = a.appendQuery(now, r, queries)
 		}
 		if at, ok := a.queriedAt[r]; ok && now.Sub(at) < queryTimeout {
@@ -360,9 +378,18 @@
 		a.fenced, a.fencedBy = true, endpoint
 		return
 	}
-	if c, ok := a.confirmations[endpoint]; !ok || c.sentAt.Before(sentAt) {
-		a.confirmations[endpoint] = confirmation{sentAt: sentAt, openedAt: openedAt}
+	last, ok := a.watched[endpoint]
+	if ok && !last.sentAt.Before(sentAt) {
+		if _, known := a.confirmations[endpoint]; !known {
+			a.confirmations[endpoint] = confirmation{sentAt: sentAt, watchedSince: last.watchedSince}
+		}
+		return
+	}
+	c := confirmation{sentAt: sentAt, watchedSince: sentAt}
+	if ok && !last.watchedSince.Before(openedAt) && sentAt.Sub(last.sentAt) <= maxWatchGap {
+		c.watchedSince = last.watchedSince
 	}
+	a.confirmations[endpoint], a.watched[endpoint] = c, c
 }
 
 func (a *Authority) handlePrimaryStatus(sentAt types.Time, st Status) {
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -83,6 +83,8 @@
 	// stillPaused holds the replicas that were paused without a break until the lease had
 	// expired; nil before they are queried for it.
 	stillPaused map[types.Endpoint]bool
+	// pausedAt is when the campaign has last learned that a replica is paused.
+	pausedAt types.Time
 	// oldAbsentAfterFence is set once the old primary was absent for a command requested
 	// after the fence was complete. Before the fence, absence proves nothing: the primary
 	// could restart and be confirmed again.
@@ -302,6 +304,9 @@
 		}
 	}
 	a := Actions{Ended: true, NewPrimary: newPrimary, Resumes: resumes}
+	if newPrimary != "" && c.pausedAt != 0 {
+		a.ResumeAt = c.pausedAt.Add(LeaseDuration + DemotionDelay)
+	}
 	if newPrimary == "" {
 		return a
 	}
--- a/core/lead/fence.go
+++ b/core/lead/fence.go
@@ -43,7 +43,7 @@
 			// The lease may have been renewed up to now, if the replica had been left out.
 			c.fencedAt, c.stillPaused = 0, nil
 		}
-		c.paused[cmd.Endpoint], c.pauseTerms[cmd.Endpoint] = true, cmd.Term
+		c.paused[cmd.Endpoint], c.pauseTerms[cmd.Endpoint], c.pausedAt = true, cmd.Term, now
 		return c.promoteIfFenced(now)
 	case cmd.Op == OpPause:
 		// The replica holds a later term than the campaign knew: the next poll pauses it
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -846,3 +846,67 @@
 	is.True(c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3}).ClaimToken)
 	is.True(c.HandleClaimResult(startTime, 1).HoldNewWork)
 }
+
+// newWatchedAuthority returns an authority that replica "b" has confirmed since the last read
+// without a campaign. Replica "c" is silent.
+func newWatchedAuthority() *lead.Authority {
+	a := lead.NewAuthority("a", replicas)
+	a.RecordUse(startTime)
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
+	a.RecordClaimFree(startTime)
+	return a
+}
+
+// A campaign may have paused and resumed a replica while it was not watched: the replica, which holds
+// no later term any more, is no proof that no other primary is in use.
+func TestReplicaThatWasNotWatchedIsNotEnough(t *testing.T) {
+	is := is.New(t)
+	shortest := lead.LeaseDuration + lead.DemotionDelay // of a pause
+	confirm := func(a *lead.Authority, at types.Time) {
+		a.RecordUse(at)
+		a.HandleStatus("a", at, startTime, lead.Status{Primary: true, Term: 3})
+		a.HandleStatus("b", at, startTime, lead.Status{Term: 3})
+	}
+	a := newWatchedAuthority()
+	for at := startTime; at.Before(startTime.Add(10 * time.Second)); at = at.Add(time.Second) {
+		confirm(a, at)
+		is.True(a.Valid(at))
+	}
+
+	// The last query before the pause may be answered at once, the one after it half a second late.
+	a = newWatchedAuthority()
+	later := startTime.Add(shortest - 500*time.Millisecond)
+	confirm(a, later)
+	is.True(!a.Valid(later))
+	since, uncovered := a.UncoveredSince(later)
+	is.True(uncovered && since == later)
+	a.DiscardConfirmations()
+	confirm(a, later.Add(time.Millisecond))
+	is.True(!a.Valid(later.Add(time.Millisecond)))
+	a.RecordClaimFree(later)
+	is.True(a.Valid(later.Add(time.Millisecond)))
+
+	// All replicas are enough without a read.
+	a = newWatchedAuthority()
+	confirm(a, later)
+	a.HandleStatus("c", later, startTime, lead.Status{Term: 3})
+	is.True(a.Valid(later))
+}
+
+// A replica that has fallen silent must not keep the owner from reading the record, which the
+// confirmation of the other one needs.
+func TestSilentReplicaDoesNotDelayReadOfRecord(t *testing.T) {
+	is := is.New(t)
+	a := newWatchedAuthority()
+	later := startTime.Add(300 * time.Millisecond)
+	a.HandleQueryFailure(later, "b")
+	a.HandleStatus("c", later, later, lead.Status{Term: 3})
+	end := startTime.Add(lead.LeaseDuration)
+	a.HandleStatus("a", end, startTime, lead.Status{Primary: true, Term: 3})
+	is.True(!a.Valid(end))
+	since, uncovered := a.UncoveredSince(end)
+	is.True(uncovered && since == later)
+	a.RecordClaimFree(later)
+	is.True(a.Valid(end))
+}
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -373,9 +373,14 @@
 	}
 }
 
+// isCutFrom reports whether the link to another endpoint is broken.
+func (e *endpointSim) isCutFrom(other *endpointSim) bool {
+	return e.sim.isCut(types.Host(e.id), e.dc, string(other.id), other.dc)
+}
+
 // receive replaces the replica's log by a newer one of the primary.
 func (e *endpointSim) receive(from *endpointSim, term types.Term, log []logEntry) {
-	isCut := e.sim.cuts[[2]string{string(e.dc), string(from.dc)}]
+	isCut := e.isCutFrom(from)
 	if !e.alive || e.paused || e.primary || isCut || term < e.term || len(log) <= len(e.log) && term == e.term {
 		return
 	}
@@ -494,7 +499,7 @@
 		if other == e || !other.alive {
 			continue
 		}
-		if e.sim.cuts[[2]string{string(e.dc), string(other.dc)}] {
+		if e.isCutFrom(other) {
 			retry = true
 			continue
 		}
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -235,7 +235,7 @@
 	if a.Ended {
 		at := m.now
 		if a.NewPrimary != "" {
-			at = at.Add(lead.DemotionDelay)
+			at = max(at.Add(lead.DemotionDelay), a.ResumeAt)
 		}
 		for _, cmd := range a.Resumes {
 			m.resumeReplica(fs, cmd, at)
--- a/core/proxy/planned_reads_test.go
+++ b/core/proxy/planned_reads_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,6 +84,20 @@
 	}
 }
 
+// setCallersIdle makes the sessions of a host begin no operation, or begin them again.
+func (sim *simulation) setCallersIdle(id types.Host, on bool) {
+	for _, name := range slices.Sorted(maps.Keys(sim.callers.sessions)) {
+		s := sim.callers.sessions[name]
+		if s.host.id != id {
+			continue
+		}
+		s.isStopped = on
+		if !on && s.currentID == "" {
+			sim.callers.scheduleNext(s)
+		}
+	}
+}
+
 // The owner of the primary is cut off from the store and the other hosts, but not from the
 // endpoints, while another host replaces the primary as planned. It must not go on reading at the
 // old primary once the new one is in use: it would miss acknowledged writes.
@@ -113,3 +129,34 @@
 		})
 	}
 }
+
+// The primary is cut off from its replicas and from all hosts but its owner, which is cut off from the
+// other hosts and the store. One of the replicas is promoted, and the other one does not reach it. When
+// that one is resumed it holds no later term, and must not confirm the old primary to its owner.
+func TestResumedReplicaDoesNotConfirmOldPrimary(t *testing.T) {
+	for seed := uint64(340); seed < 350; seed++ {
+		// With odd seeds the owner has no statements while the replica is paused.
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 1)
+			sim.callers.pauseFactor = 4
+			sim.endpoints["e-c"].dc = "a" // where the cut-off owner may use it
+			sim.endpoints["e-c"].register()
+			openAll(sim)
+			sim.runFor(6 * time.Second)
+			owner := sim.ownerOf("e-a")
+			sim.cutHostOff(owner, true)
+			for _, h := range sim.sortedHosts() {
+				sim.cuts[[2]string{string(h.id), "e-a"}] = h.id != owner
+			}
+			sim.cuts[[2]string{"e-a", "e-b"}], sim.cuts[[2]string{"e-a", "e-c"}], sim.cuts[[2]string{"e-b", "e-c"}] = true, true, true
+			sim.cuts[[2]string{string(owner), "e-b"}] = true
+			if seed%2 == 1 {
+				sim.setCallersIdle(owner, true)
+				sim.runFor(5 * time.Second)
+				sim.setCallersIdle(owner, false)
+			}
+			sim.runFor(10 * time.Second)
+			sim.reportViolations()
+		})
+	}
+}
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -140,7 +140,7 @@
 	}
 	readAt := m.refresh.readAt[KindLeadership]
 	interval := claimFreeReadInterval
-	if readAt.Before(since) {
+	if readAt.Before(since) && !o.authority.Valid(m.now) {
 		interval = urgentRefreshInterval
 	}
 	if m.now.Sub(readAt) >= interval {
--- a/model/lead.pml
+++ b/model/lead.pml
@@ -13,6 +13,9 @@
  * connection. The owner reaches the replica all the while. It may open its connections to the
  * replicas anew at any time, and read the leadership record.
  *
+ * After the change the replica that was not promoted is resumed. It does not follow the new primary,
+ * and holds no later term.
+ *
  * With PLANNED the model is that of a planned change instead, in which the old primary steps down
  * by itself and a replica that holds its whole log is promoted. Replica 1 may be left out, too. The
  * replicas are not paused, and confirm the old primary to its owner all the while. The owner does not
@@ -29,6 +32,8 @@
  *   ANYCONN       a majority is enough on connections that are newer than the last read of a
  *                 record without a campaign
  *   LEFTOUTWAIT   the expiry of the lease counts although a replica was left out
+ *   NOWATCH       a majority is enough from a replica that the owner has not watched without a gap
+ *   EARLYRESUME   the replica is resumed as soon as the new primary is in use
  *   NOCATCHUP     a planned change promotes a replica that lacks a part of the log (with PLANNED)
  *   NOSTEPDOWN    a planned change does not wait for the old primary to step down (with PLANNED)
  *   NOROLE        the authority needs no reply of the primary itself (with PLANNED)
@@ -38,6 +43,8 @@
  *   EARLYUNUSED   the old primary's connections are counted before it steps down (with PLANNED)
  */
 #define W 2             /* LeaseDuration */
+#define G 3             /* maxWatchGap */
+#define D 2             /* DemotionDelay */
 #define REPLICAS 2
 #define EXPIRED W       /* age of a confirmation that does not count */
 
@@ -50,7 +57,8 @@
 
 /* The owner: the ages of the replicas' confirmations, and its connections. */
 byte confirmationAge[REPLICAS];
-bool replicaCovered[REPLICAS] = true;   /* its connection is older than the last clear read */
+bool replicaCovered[REPLICAS] = true;   /* watched since the last clear read, on one connection */
+byte watchAge[REPLICAS];                /* time since the last confirmation, at most G + 1 */
 bool connConfirmed[REPLICAS];           /* confirmed since the newest connection was opened */
 bool connRead;                          /* a clear read since the newest connection was opened */
 bool connected = true;
@@ -76,6 +84,7 @@
 bool leftOut;
 byte fenceAge;
 bool oldRefusedAfterFence;  /* the old primary refused a connection after the fence */
+byte candidate;
 
 /* Scratch variables. */
 byte i;
@@ -112,7 +121,14 @@
 /* Authority.HandleStatus */
 inline Confirm(r) {
 	if
-	:: !paused[r] ->
+	:: !paused[r] && !(campaignState == 3 && r == candidate) ->
+#ifndef NOWATCH
+		if
+		:: watchAge[r] > G -> replicaCovered[r] = false
+		:: else
+		fi;
+#endif
+		watchAge[r] = 0;
 		confirmationAge[r] = 0;
 		connConfirmed[r] = true;
 		updateTrust()
@@ -229,7 +245,7 @@
 }
 
 /* Campaign.promoteIfFenced with Campaign.mustAwaitLeaseExpiry. */
-inline RequestPromotion() {
+inline RequestPromotion(r) {
 #if defined(NOWAIT)
 	ok = true;
 #elif defined(EARLYREFUSAL)
@@ -240,7 +256,7 @@
 	ok = ((fenceAge >= W && !leftOut) || oldRefusedAfterFence);
 #endif
 	if
-	:: ok -> campaignState = 2
+	:: ok && paused[r] -> campaignState = 2; candidate = r
 	:: else
 	fi
 }
@@ -262,10 +278,14 @@
 		if
 		:: confirmationAge[i] < EXPIRED -> confirmationAge[i]++
 		:: else
+		fi;
+		if
+		:: watchAge[i] <= G -> watchAge[i]++
+		:: else
 		fi
 	}
 	if
-	:: fenceComplete && fenceAge < W -> fenceAge++
+	:: fenceComplete && fenceAge < W + D -> fenceAge++
 	:: else
 	fi
 }
@@ -299,12 +319,18 @@
 	STEP(campaignState == 1 && !paused[1], PauseReplica(1))
 	STEP(campaignState == 1 && startedOnRefusal && !fenceComplete && paused[0], LeaveOut())
 	STEP(campaignState == 1 && startedOnRefusal && fenceComplete && !oldIsRunning, oldRefusedAfterFence = true)
-	STEP(campaignState == 1 && fenceComplete, RequestPromotion())
+	STEP(campaignState == 1 && fenceComplete, RequestPromotion(0))
+	STEP(campaignState == 1 && fenceComplete, RequestPromotion(1))
 	STEP(campaignState == 1, GiveUp(); startedOnRefusal = false; campaignState = 0)
 #ifdef LATERESUME
 	STEP(campaignState == 2, GiveUp())
 #endif
 	STEP(campaignState == 2, campaignState = 3)
+#ifdef EARLYRESUME
+	STEP(campaignState == 3, paused[1 - candidate] = false)
+#else
+	STEP(campaignState == 3 && fenceAge >= W + D, paused[1 - candidate] = false)
+#endif
 	STEP(true, Tick())
 	od
 }
@@ -324,7 +350,6 @@
 /* State: 0 not started, 1 stepping down, 2 catching up, 3 promoting, 4 promoted. */
 byte changeState;
 byte target;                /* the old primary's log after it has stepped down */
-byte candidate;
 
 /* The owner's connection to the old primary. */
 bool ownerConnected = true;
