core/lead: a planned change does not wait for another status of a primary that answers late

Replies that were sent before the step-down count as outdated only if they could be wrong: one that names a primary says that it has to step down.

The test has owners that are frozen, or whose answers are late or lost, beside those that are cut off.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -495,14 +495,13 @@
 	return c.phase != PhaseEnded && c.awaitsOldPrimary(now)
 }
 
-// NeedsReplySince returns the time since which a command to an endpoint must have been sent for
-// its reply to count: an earlier one may tell of a role that the endpoint had before.
-func (c *Campaign) NeedsReplySince(endpoint types.Endpoint) types.Time {
-	isSteppingDown := c.phase == PhaseSteppingDown && endpoint == c.OldPrimary
-	if isSteppingDown || (c.phase == PhasePromoting && endpoint == c.candidate) {
-		return c.phaseStartedAt
-	}
-	return 0
+// IsOutdated reports whether an endpoint's status says nothing, since it is the reply to a command
+// that was sent before the current phase: the old primary may have been a replica before, and the
+// candidate a primary.
+func (c *Campaign) IsOutdated(endpoint types.Endpoint, sentAt types.Time, st Status) bool {
+	isSteppingDown := c.phase == PhaseSteppingDown && endpoint == c.OldPrimary && !st.Primary
+	isPromoted := c.phase == PhasePromoting && endpoint == c.candidate && st.Primary
+	return (isSteppingDown || isPromoted) && sentAt.Before(c.phaseStartedAt)
 }
 
 // queryReplicas returns the status queries for all replicas.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -818,14 +818,16 @@
 func TestEarlierReplyDoesNotShowThatOldPrimaryHasSteppedDown(t *testing.T) {
 	is := is.New(t)
 	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
-	is.Equal(c.NeedsReplySince("a"), types.Time(0))
 	advanceToClaim(c)
 	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	c.HandleClaimResult(startTime, 1)
 	drained := startTime.Add(5 * time.Millisecond)
 	c.HandleWritesDrained(drained)
-	is.Equal(c.NeedsReplySince("a"), drained)
-	is.Equal(c.NeedsReplySince("b"), types.Time(0))
+	replica := lead.Status{Term: 3}
+	is.True(c.IsOutdated("a", drained.Add(-1), replica))
+	is.True(!c.IsOutdated("a", drained, replica))
+	is.True(!c.IsOutdated("a", drained.Add(-1), lead.Status{Primary: true, Term: 3})) // it has to step down
+	is.True(!c.IsOutdated("b", drained.Add(-1), replica))
 }
 
 // The record may be older than a change that has taken effect, for instance after a restore of the
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -352,7 +352,7 @@
 		return
 	}
 	cmd := sent.command
-	if sent.sentAt.Before(c.NeedsReplySince(cmd.Endpoint)) {
+	if c.IsOutdated(cmd.Endpoint, sent.sentAt, st) {
 		m.enqueueCommand(cmd, purposeCampaign)
 		return
 	}
--- a/core/proxy/planned_reads_test.go
+++ b/core/proxy/planned_reads_test.go
@@ -98,35 +98,89 @@
 	}
 }
 
-// The owner of the primary is cut off from the store and the other hosts, but not from the
-// endpoints, while another host replaces the primary as planned. It must not go on reading at the
-// old primary once the new one is in use: it would miss acknowledged writes.
+// The owner of the primary does not hear of a planned change that another host leads. It must not go
+// on reading at the old primary once the new one is in use: it would miss acknowledged writes.
 func TestOwnerThatIsCutOffDoesNotReadAtReplacedPrimary(t *testing.T) {
-	for seed := uint64(320); seed < 340; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			sim := newSimulation(t, seed, 2)
-			sim.callers.pauseFactor = 4
-			sim.promoteTime = 100 * time.Millisecond
-			openAll(sim)
-			sim.runFor(time.Second)
-			owner := sim.ownerOf("e-a")
-			for range 4 {
-				sim.callers.openSession(owner, "primary-db", "read").host = sim.hosts[owner]
-				sim.callers.openSession(owner, "primary-db", "readtx").host = sim.hosts[owner]
-			}
-			sim.runFor(time.Second)
-			sim.stopWriters(owner)
-			sim.cutHostOff(owner, true)
-			sim.runFor(time.Duration(sim.rng.IntN(200)) * time.Millisecond)
-			sim.endpoints["e-a"].lag = 500 * time.Millisecond
-			sim.announceLeaving("e-a")
-			sim.runFor(5 * time.Second)
-			sim.cutHostOff(owner, false)
-			sim.runFor(2 * time.Second)
-			sim.reportViolations()
-			sim.expectNoLostWrite()
-			sim.expectRecentWrite(500 * time.Millisecond)
-		})
+	for _, test := range []struct {
+		name string
+		// begin starts what keeps the owner from hearing of the change, and end ends it.
+		begin, end func(sim *simulation, owner types.Host)
+		firstSeed  uint64
+		step       uint64
+	}{
+		{
+			// It is cut off from the store and the other hosts, but not from the endpoints.
+			name:      "cut off",
+			begin:     func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, true) },
+			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
+			firstSeed: 320, step: 1,
+		},
+		{
+			// Beside that, the endpoints answer its queries late.
+			name: "late answers",
+			begin: func(sim *simulation, owner types.Host) {
+				sim.cutHostOff(owner, true)
+				for _, e := range sim.endpoints {
+					e.statusDelay = 300 * time.Millisecond
+				}
+			},
+			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
+			firstSeed: 360, step: 2,
+		},
+		{
+			// Beside that, the old primary loses some of its replies.
+			name: "lost answers",
+			begin: func(sim *simulation, owner types.Host) {
+				sim.cutHostOff(owner, true)
+				sim.endpoints["e-a"].replyLossPercent = 30
+			},
+			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
+			firstSeed: 380, step: 4,
+		},
+		{
+			// Its process is suspended, again and again, while the other hosts go on.
+			name: "frozen",
+			begin: func(sim *simulation, owner types.Host) {
+				sim.cutHostOff(owner, true)
+				for after := time.Duration(0); after < 4*time.Second; after += 600 * time.Millisecond {
+					sim.schedule(after, func() { sim.setSuspended(owner, true) })
+					sim.schedule(after+time.Duration(sim.rng.IntN(550))*time.Millisecond, func() { sim.setSuspended(owner, false) })
+				}
+			},
+			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
+			firstSeed: 400, step: 2,
+		},
+	} {
+		for seed := test.firstSeed; seed < test.firstSeed+20; seed += test.step {
+			t.Run(fmt.Sprint(test.name, " ", seed), func(t *testing.T) {
+				sim := newSimulation(t, seed, 2)
+				sim.callers.pauseFactor = 4
+				sim.promoteTime = 100 * time.Millisecond
+				openAll(sim)
+				sim.runFor(time.Second)
+				owner := sim.ownerOf("e-a")
+				for range 4 {
+					sim.callers.openSession(owner, "primary-db", "read")
+					sim.callers.openSession(owner, "primary-db", "readtx")
+				}
+				sim.runFor(time.Second)
+				sim.stopWriters(owner)
+				test.begin(sim, owner)
+				sim.runFor(time.Duration(sim.rng.IntN(200)) * time.Millisecond)
+				sim.endpoints["e-a"].lag = 500 * time.Millisecond
+				sim.announceLeaving("e-a")
+				sim.runFor(5 * time.Second)
+				test.end(sim, owner)
+				sim.endpoints["e-a"].replyLossPercent = 0
+				for _, e := range sim.endpoints {
+					e.statusDelay = 0
+				}
+				sim.runFor(2 * time.Second)
+				sim.reportViolations()
+				sim.expectNoLostWrite()
+				sim.expectRecentWrite(500 * time.Millisecond)
+			})
+		}
 	}
 }
 
