--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -17,9 +17,10 @@
 // A majority is enough only from replicas that the owner has watched, on one connection and
 // without a gap, since its last read of a leadership record without a campaign. Otherwise a
 // replica may have been paused and resumed, or have restarted, during a campaign, and no longer
-// hold the campaign's term. Then every replica has to confirm the primary. So a campaign whose primary does not run at its address needs no
-// response of a replica that is silent: it has paused at least one, and whoever connects
-// to the restarted primary gets neither the confirmations of all nor such a read.
+// hold the campaign's term. Then every replica has to confirm the primary. So a campaign whose
+// primary does not run at its address needs no response of a replica that is silent: it has
+// paused at least one, and whoever connects to the restarted primary gets neither the
+// confirmations of all nor such a read.
 //
 // An Authority returns the status queries that renew the lease, and takes their
 // responses. A Campaign takes the responses of the endpoints, the store and the platform
@@ -78,10 +79,9 @@
 	primaryConfirmedAt types.Time
 	// replicas are the service's other listed endpoints.
 	replicas []types.Endpoint
-	// confirmations holds, by replica, the newest confirmation of the primary.
-	confirmations map[types.Endpoint]confirmation
-	// watched holds the same, also after the confirmations were discarded.
-	watched map[types.Endpoint]confirmation
+	// confirmations holds, by replica, the newest confirmation of the primary. watched also holds
+	// those that were discarded.
+	confirmations, watched map[types.Endpoint]confirmation
 	// queriedAt holds, by endpoint, the time at which the query in flight was sent.
 	queriedAt map[types.Endpoint]types.Time
 	// failedAt holds, by endpoint, the time at which the last query failed.
--- a/core/lead/command.go
+++ b/core/lead/command.go
@@ -123,10 +123,9 @@
 	// store has recorded it as the candidate.
 	Promote types.Endpoint
 	// Resumes end the pauses of the campaign. With NewPrimary they are due DemotionDelay after
-	// the end, and not before ResumeAt, so that an owner of the old primary that runs notices
-	// each pause, see Authority: a resumed replica holds no term until it follows the new primary, and would
-	// confirm the old primary to an owner that has not received the change. A replica that
-	// has been paused for a later term since must not be resumed.
+	// the end, and not before ResumeAt. A resumed replica holds no term until it follows the new
+	// primary. It would confirm the old primary to an owner that has not noticed the pause, see
+	// Authority. A replica that has been paused for a later term since must not be resumed.
 	Resumes  []Command
 	ResumeAt types.Time
 	// Ended is set once the campaign is over.
