core/proxy: planned changes in succession beside an owner that is cut off

One more variant of TestOwnerThatIsCutOffDoesNotReadAtReplacedPrimary: the new primary is to be replaced as well as soon as it is in use.

--- a/core/proxy/planned_reads_test.go
+++ b/core/proxy/planned_reads_test.go
@@ -137,6 +137,23 @@
 			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
 			firstSeed: 380, step: 4,
 		},
+		{
+			// Beside that, the new primary is to be replaced as soon as it is in use.
+			name: "changes in succession",
+			begin: func(sim *simulation, owner types.Host) {
+				sim.cutHostOff(owner, true)
+				for after := time.Second; after <= 3*time.Second; after += 100 * time.Millisecond {
+					sim.schedule(after, func() {
+						if sim.endpoints["e-b"].primary && !sim.endpoints["e-b"].leaving {
+							sim.endpoints["e-b"].lag = 500 * time.Millisecond
+							sim.announceLeaving("e-b")
+						}
+					})
+				}
+			},
+			end:       func(sim *simulation, owner types.Host) { sim.cutHostOff(owner, false) },
+			firstSeed: 420, step: 2,
+		},
 		{
 			// Its process is suspended, again and again, while the other hosts go on.
 			name: "frozen",
