--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -289,6 +289,20 @@
 	return out
 }
 
+// handleGossip handles a message about the store's objects.
+func (m *Machine) handleGossip(from types.Host, msg Message) {
+	switch msg := msg.(type) {
+	case Digest:
+		m.handleDigest(from, msg)
+	case ChangesRequest:
+		m.handleChangesRequest(from, msg)
+	case ChangesResponse:
+		for _, c := range msg.Kinds {
+			m.applyChanges(c)
+		}
+	}
+}
+
 // handleDigest records the revisions that this host lacks and another host knows. It replies
 // with a digest if the other host lacks revisions.
 func (m *Machine) handleDigest(from types.Host, d Digest) {
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -97,14 +97,8 @@
 		m.handleRequestsNotReceived(from, msg)
 	case Leaving:
 		m.markPeerLeaving(from)
-	case Digest:
-		m.handleDigest(from, msg)
-	case ChangesRequest:
-		m.handleChangesRequest(from, msg)
-	case ChangesResponse:
-		for _, c := range msg.Kinds {
-			m.applyChanges(c)
-		}
+	case Digest, ChangesRequest, ChangesResponse:
+		m.handleGossip(from, msg)
 	case ReleasePrimary:
 		m.handleReleasePrimary(from, msg)
 	case LimitReport, LimitGrant:
--- a/core/proxy/planned_reads_test.go
+++ b/core/proxy/planned_reads_test.go
@@ -57,13 +57,13 @@
 	sim.storeCut[id] = on
 }
 
-// ownerOf returns the host that uses an endpoint as the primary.
-func (sim *simulation) ownerOf(e types.Endpoint) types.Host {
+// ownerOfFirst returns the host that has most connections to e-a, the first primary.
+func (sim *simulation) ownerOfFirst() types.Host {
 	most, owner := 0, types.Host("")
 	for _, h := range sim.sortedHosts() {
 		n := 0
 		for _, c := range h.sortedConns() {
-			if c.endpoint.id == e {
+			if c.endpoint.id == "e-a" {
 				n++
 			}
 		}
@@ -175,7 +175,7 @@
 				sim.promoteTime = 100 * time.Millisecond
 				openAll(sim)
 				sim.runFor(time.Second)
-				owner := sim.ownerOf("e-a")
+				owner := sim.ownerOfFirst()
 				for range 4 {
 					sim.callers.openSession(owner, "primary-db", "read")
 					sim.callers.openSession(owner, "primary-db", "readtx")
@@ -214,7 +214,7 @@
 			sim.endpoints["e-c"].register()
 			openAll(sim)
 			sim.runFor(6 * time.Second)
-			owner := sim.ownerOf("e-a")
+			owner := sim.ownerOfFirst()
 			sim.cutHostOff(owner, true)
 			for _, h := range sim.sortedHosts() {
 				sim.cuts[[2]string{string(h.id), "e-a"}] = h.id != owner
--- a/core/proxy/restart_test.go
+++ b/core/proxy/restart_test.go
@@ -212,16 +212,16 @@
 	sim.callers.pauseFactor = 4
 	openAll(sim)
 	sim.runFor(time.Second)
-	owner := sim.ownerOf("e-a")
+	owner := sim.ownerOfFirst()
 	is.Equal(owner, types.Host("h-a0"))
 	sim.deliver(sim.hosts[owner], proxy.Stop{Grace: 2 * time.Second})
 	sim.runFor(3 * time.Second)
 	is.True(sim.hosts[owner].exited)
-	is.True(sim.ownerOf("e-a") != owner)
+	is.True(sim.ownerOfFirst() != owner)
 	sim.hosts[owner].clockOffset = -1000
 	sim.startHost(owner, "a")
 	sim.runFor(3 * time.Second)
-	is.Equal(sim.ownerOf("e-a"), owner)
+	is.Equal(sim.ownerOfFirst(), owner)
 	sim.reportViolations()
 	sim.expectRecentWrite(500 * time.Millisecond)
 }
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -58,15 +58,8 @@
 	case *meshpb.ProxyMessage_Changes:
 		kinds, err := decodeChanges(b.Changes)
 		return proxy.ChangesResponse{Kinds: kinds}, err
-	case *meshpb.ProxyMessage_AskReach:
-		q := b.AskReach
-		return proxy.ReachabilityRequest{Seq: q.GetNumber(), Service: types.Service(q.GetService()), Endpoint: types.Endpoint(q.GetEndpoint())}, nil
-	case *meshpb.ProxyMessage_Reach:
-		r := b.Reach
-		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}, nil
-	case *meshpb.ProxyMessage_ReleasePrimary:
-		r := b.ReleasePrimary
-		return proxy.ReleasePrimary{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), Term: types.Term(r.GetTerm())}, nil
+	case *meshpb.ProxyMessage_AskReach, *meshpb.ProxyMessage_Reach, *meshpb.ProxyMessage_ReleasePrimary:
+		return decodeEndpointMessage(f.GetProxy()), nil
 	case *meshpb.ProxyMessage_LimitReport:
 		return decodeLimitReport(b.LimitReport)
 	case *meshpb.ProxyMessage_LimitGrant:
@@ -75,6 +68,20 @@
 	return nil, fmt.Errorf("frame holds %T, not a proxy message", f.GetBody())
 }
 
+// decodeEndpointMessage returns a message about the role of an endpoint.
+func decodeEndpointMessage(p *meshpb.ProxyMessage) proxy.Message {
+	switch b := p.GetBody().(type) {
+	case *meshpb.ProxyMessage_AskReach:
+		q := b.AskReach
+		return proxy.ReachabilityRequest{Seq: q.GetNumber(), Service: types.Service(q.GetService()), Endpoint: types.Endpoint(q.GetEndpoint())}
+	case *meshpb.ProxyMessage_Reach:
+		r := b.Reach
+		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}
+	}
+	r := p.GetReleasePrimary()
+	return proxy.ReleasePrimary{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), Term: types.Term(r.GetTerm())}
+}
+
 func decodePoint(p *meshpb.LogPoint) types.LogPoint {
 	return types.LogPoint{Term: types.Term(p.GetTerm()), Position: types.Position(p.GetPosition())}
 }
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -65,6 +65,21 @@
 		p.Body = &meshpb.ProxyMessage_AskChanges{AskChanges: encodeRevisions(m.Since)}
 	case proxy.ChangesResponse:
 		p.Body = &meshpb.ProxyMessage_Changes{Changes: enc.encodeChanges(m.Kinds)}
+	case proxy.ReachabilityRequest, proxy.ReachabilityResponse, proxy.ReleasePrimary:
+		encodeEndpointMessage(p, msg)
+	case proxy.LimitReport:
+		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
+	case proxy.LimitGrant:
+		p.Body = &meshpb.ProxyMessage_LimitGrant{LimitGrant: encodeLimitGrant(&m)}
+	default:
+		panic(fmt.Sprintf("peerwire: message has unknown type %T", msg))
+	}
+	return &meshpb.Frame{Body: &meshpb.Frame_Proxy{Proxy: p}}
+}
+
+// encodeEndpointMessage encodes a message about the role of an endpoint.
+func encodeEndpointMessage(p *meshpb.ProxyMessage, msg proxy.Message) {
+	switch m := msg.(type) {
 	case proxy.ReachabilityRequest:
 		p.Body = &meshpb.ProxyMessage_AskReach{AskReach: &meshpb.EndpointName{
 			Number: m.Seq, Service: string(m.Service), Endpoint: string(m.Endpoint),
@@ -77,14 +92,7 @@
 		p.Body = &meshpb.ProxyMessage_ReleasePrimary{ReleasePrimary: &meshpb.SteppedDown{
 			Service: string(m.Service), Endpoint: string(m.Endpoint), Term: uint64(m.Term),
 		}}
-	case proxy.LimitReport:
-		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
-	case proxy.LimitGrant:
-		p.Body = &meshpb.ProxyMessage_LimitGrant{LimitGrant: encodeLimitGrant(&m)}
-	default:
-		panic(fmt.Sprintf("peerwire: message has unknown type %T", msg))
 	}
-	return &meshpb.Frame{Body: &meshpb.Frame_Proxy{Proxy: p}}
 }
 
 // convertIDs converts between the IDs of requests and their numbers.
