core/pool: statuses of a primary do not hide silent connections

Owners query their primary's status every 300 ms now. Each answer counted as a response of the endpoint, so that a primary whose statements get no answer was no longer suspected after 450 ms: callers waited for the time limit of the statement.

Only the answers to queries for a position count as responses, as before.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -394,10 +394,13 @@
 // RecordPosition records a position that the endpoint reported together with its role as the
 // primary. sentAt is the send time of the query.
 func (p *Pool) RecordPosition(sentAt types.Time, point types.LogPoint) {
-	p.lastResponseAt = max(p.lastResponseAt, sentAt)
 	p.updatePosition(sentAt, point)
 }
 
+// RecordResponse records that the endpoint has answered a command sent at the given time on another
+// connection.
+func (p *Pool) RecordResponse(sentAt types.Time) { p.lastResponseAt = max(p.lastResponseAt, sentAt) }
+
 // UnresponsiveFor returns the longest time for which a reply or a dial has been pending
 // without any response from the endpoint. It returns zero if nothing is pending.
 func (p *Pool) UnresponsiveFor(now types.Time) time.Duration {
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -239,6 +239,11 @@
 			// The instance has not restarted since the query was sent, as in pool.HandleReply.
 			o.pool.RecordPosition(cmd.sentAt, st.Received)
 			o.pool.TrustConnections(m.now, cmd.sentAt)
+			if cmd.purpose&purposePosition != 0 {
+				// The periodic queries of the authority must not hide that the connections of
+				// the pool have fallen silent.
+				o.pool.RecordResponse(cmd.sentAt)
+			}
 		}
 		m.resumePausedReplica(o, id, st)
 		before := o.authority.Fenced()
