core/proxy: a planned change goes on as soon as the last write has ended

The old primary was asked to step down at the next tick, up to 40 ms after its last write had been answered. The wait for the tick is gone in return.

--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -395,6 +395,7 @@
 				o.authority.RecordPrimaryReply(o.pool.PrimaryRepliedAt())
 			}
 			m.releaseOldPrimary(o)
+			m.checkWritesDrained(m.serviceFor(o.service))
 		}
 	case EndpointStatus:
 		m.handleControlReply(ev)
