core: one limit of messages between hosts, one way to record a position; names

Found in a second reading of the change; behaviour stays as it is.

- The limits of requests and replies between hosts were the same number twice.
- fitsOwner said that it reports and moved the request: it is placeLargeRequest, and counts bytes only if the request leaves the host.
Its caller set a reason that is set again.
- Pool.RecordPosition only called updatePosition; there is one function now.
- maxWatchGap follows from the shortest pause by an expression, so that a change of the lease or the delay cannot break the rule unnoticed; its value is the same.
- Catalog.SetHost decides once which record is older.
- Three tests of resumes check again that a campaign sends nothing else, as before the resumes had a field of their own.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -457,13 +457,13 @@
 
 // SetHost stores a host, unless a later incarnation of it is known.
 func (c *Catalog) SetHost(h Host) {
-	old, ok := c.hosts[h.ID]
-	// A restored store may return the record of an earlier process with a higher revision.
-	areOrdered := old.Revision != 0 && h.Revision != 0 && old.Revision.Era() == h.Revision.Era()
-	switch {
-	case ok && areOrdered && old.Revision > h.Revision:
-		return
-	case ok && !areOrdered && old.StartedUnixMs > h.StartedUnixMs:
+	old, known := c.hosts[h.ID]
+	isOlder := h.StartedUnixMs < old.StartedUnixMs
+	if old.Revision != 0 && h.Revision != 0 && old.Revision.Era() == h.Revision.Era() {
+		// A restored store may return the record of an earlier process with a higher revision.
+		isOlder = h.Revision < old.Revision
+	}
+	if known && isOlder {
 		return
 	}
 	c.hosts[h.ID] = h
--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -40,9 +40,9 @@
 // Version 1 needs more than a majority on new connections, version 2 also recent replies of the
 // primary. Hosts of version 2 accept a request to release a primary that has stepped down.
 const (
-	AuthorityRules    = 2
 	MajorityRules     = 1
 	PrimaryLeaseRules = 2
+	AuthorityRules    = PrimaryLeaseRules
 )
 
 const (
@@ -62,9 +62,11 @@
 	queryTimeout = 250 * time.Millisecond
 	// maxWatchGap is the longest time between the queries of two confirmations of a replica in
 	// which a campaign cannot have replaced a primary that runs. A campaign keeps the replica
-	// paused for LeaseDuration and DemotionDelay at least; the second confirmation may have
-	// been given some time after its query.
-	maxWatchGap = 1400 * time.Millisecond
+	// paused for LeaseDuration and DemotionDelay at least.
+	maxWatchGap = LeaseDuration + DemotionDelay - maxAnswerDelay
+	// maxAnswerDelay bounds the time from a query to the moment that its answer tells of. The
+	// caller gives up a query sooner.
+	maxAnswerDelay = 600 * time.Millisecond
 	// renewIdleLimit is how long the authority is renewed after its last use.
 	renewIdleLimit = 1500 * time.Millisecond
 )
--- a/core/lead/command.go
+++ b/core/lead/command.go
@@ -116,8 +116,8 @@
 	// campaign ends. Unlike HoldWrites of package failover, it also holds reads that
 	// require the primary. Statements of open transactions continue.
 	HoldNewWork bool
-	// CloseIdle requests that the idle connections to the old primary be closed. It reports the
-	// number of those that are open after it has stepped down.
+	// CloseIdle requests that the idle connections to the old primary be closed. The old primary
+	// reports how many are still open when it steps down.
 	CloseIdle bool
 	// Promote requests that the platform makes the endpoint the primary, once the
 	// store has recorded it as the candidate.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -356,7 +356,8 @@
 	c.HandlePromotionResult(startTime, candidate, lead.PromotionRefused)
 	a := c.Tick(startTime.Add(3100 * time.Millisecond))
 	is.True(a.Ended && a.NewPrimary == "")
-	is.Equal(len(a.Resumes), 2)
+	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
+	is.Equal(len(a.Commands), 0)
 	is.Equal(c.LastPhase(), lead.PhasePromoting)
 }
 
@@ -489,6 +490,7 @@
 	is.True(a.Ended)
 	is.Equal(a.NewPrimary, types.Endpoint(""))
 	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
+	is.Equal(len(a.Commands), 0)
 }
 
 // Replicas that an interrupted campaign has left paused are resumed with a new token.
@@ -500,7 +502,9 @@
 	c.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3})
 	a := c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3})
 	is.True(a.ClaimToken)
-	is.Equal(resumed(c.HandleClaimResult(startTime, 2)), map[types.Endpoint]bool{"b": true, "c": true})
+	a = c.HandleClaimResult(startTime, 2)
+	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
+	is.Equal(len(a.Commands), 0)
 }
 
 // If another endpoint is the primary already, the campaign only records it.
--- a/core/pool/conn.go
+++ b/core/pool/conn.go
@@ -481,7 +481,7 @@
 	p.lastResponseAt = now
 	if p.IsTrusted(c.openedAt) {
 		if p.primarySince != 0 && !c.sentAt.Before(p.primarySince) {
-			p.updatePosition(c.sentAt, reply.Position)
+			p.RecordPosition(c.sentAt, reply.Position)
 		}
 		if reply.Code == statement.CodeOK && c.inFlight.needsPrimary() {
 			p.primaryRepliedAt = max(p.primaryRepliedAt, c.sentAt)
@@ -631,15 +631,3 @@
 		p.connList = slices.Delete(p.connList, i, i+1)
 	}
 }
-
-// updatePosition stores a position if it is the newest. sentAt is the send time of the
-// command whose reply reported it.
-func (p *Pool) updatePosition(sentAt types.Time, point types.LogPoint) {
-	if point == (types.LogPoint{}) || sentAt.Before(p.positionAt) {
-		return
-	}
-	if point.Less(p.position) && sentAt == p.positionAt {
-		return
-	}
-	p.position, p.positionAt = point, sentAt
-}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -391,10 +391,16 @@
 	}
 }
 
-// RecordPosition records a position that the endpoint reported together with its role as the
-// primary. sentAt is the send time of the query.
+// RecordPosition records a position that the endpoint reported as the primary, if it is the newest.
+// sentAt is the send time of the command whose reply reported it.
 func (p *Pool) RecordPosition(sentAt types.Time, point types.LogPoint) {
-	p.updatePosition(sentAt, point)
+	if point == (types.LogPoint{}) || sentAt.Before(p.positionAt) {
+		return
+	}
+	if point.Less(p.position) && sentAt == p.positionAt {
+		return
+	}
+	p.position, p.positionAt = point, sentAt
 }
 
 // RecordResponse records that the endpoint has answered a command sent at the given time on another
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -25,9 +25,7 @@
 	maxDeferral = 300 * time.Millisecond
 	// deferredRetryInterval is the time between two attempts of a deferred request.
 	deferredRetryInterval = 40 * time.Millisecond
-	// maxRequestBytes is the largest request that is sent to another host: a larger message cannot
-	// be encoded. maxStatementBytes is the size of the largest message of a caller.
-	maxRequestBytes   = 2<<20 - 64<<10
+	// maxStatementBytes is the size of the largest message of a caller.
 	maxStatementBytes = 1 << 20
 )
 
@@ -133,9 +131,8 @@
 			return
 		}
 	}
-	if !m.fitsOwner(r) {
-		r.lastReason = types.ReasonBadRequest
-		m.log(Info, "request too large", field("id", r.query.ID), field("owner", r.host), field("bytes", r.messageBytes()), field("limit", maxRequestBytes))
+	if !m.placeLargeRequest(r) {
+		m.log(Info, "request too large", field("id", r.query.ID), field("owner", r.host), field("bytes", r.messageBytes()), field("limit", maxMessageBytes))
 		m.abortTransaction(r, types.ReasonBadRequest)
 		return
 	}
@@ -165,15 +162,18 @@
 	m.sendToHost(r.host, exec)
 }
 
-// fitsOwner reports whether a message to the owner can carry a request. One that is too large runs
-// at this host instead, which any host may do. A transaction stays where it has begun, so that one
-// whose later statements may be too large begins here.
-func (m *Machine) fitsOwner(r *request) bool {
+// placeLargeRequest makes a request that no message to the owner can carry run at this host instead,
+// which any host may do. A transaction stays where it has begun, so that one whose later statements
+// may be too large begins here. It returns false for a statement of one that has begun elsewhere.
+func (m *Machine) placeLargeRequest(r *request) bool {
+	if r.host == m.settings.Host {
+		return true
+	}
 	size := r.messageBytes()
 	if r.opensTx {
 		size = max(size, r.sessionBytes()+maxStatementBytes)
 	}
-	if r.host == m.settings.Host || size <= maxRequestBytes {
+	if size <= maxMessageBytes {
 		return true
 	}
 	if r.continuesTx {
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -29,10 +29,9 @@
 	// idleTxGrace is added to the time limit of idle transactions at the owner, since the
 	// frontend is expected to end them first.
 	idleTxGrace = 2 * time.Second
-	// maxReplyBytes is the largest reply that is sent to another host: a larger message would end
-	// the link, which carries the statements of other callers. replyRowOverhead is the size of a
-	// row's tag and length.
-	maxReplyBytes    = 2<<20 - 64<<10
+	// maxMessageBytes is the largest request or reply that is sent to another host: a larger message
+	// cannot be encoded. replyRowOverhead is the size of a row's tag and length.
+	maxMessageBytes  = 2<<20 - 64<<10
 	replyRowOverhead = 6
 )
 
@@ -297,10 +296,10 @@
 
 func (m *Machine) sendResult(ex *execution, res ExecResult) {
 	res.ID = ex.request.ID
-	if size := replyBytes(&res.Reply); size > maxReplyBytes && ex.from != m.settings.Host {
-		m.log(Warn, "answer too large", field("id", ex.request.Query.ID), field("endpoint", ex.endpoint), field("bytes", size), field("limit", maxReplyBytes))
+	if size := replyBytes(&res.Reply); size > maxMessageBytes && ex.from != m.settings.Host {
+		m.log(Warn, "answer too large", field("id", ex.request.Query.ID), field("endpoint", ex.endpoint), field("bytes", size), field("limit", maxMessageBytes))
 		res.Reply = statement.Reply{
-			Code: statement.CodeFailed, Text: fmt.Sprintf("the answer of %d bytes exceeds the limit of %d bytes", size, maxReplyBytes),
+			Code: statement.CodeFailed, Text: fmt.Sprintf("the answer of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes),
 			State: res.Reply.State, Position: res.Reply.Position,
 		}
 	}
