--- a/review/harness-3/instance.go
+++ b/review/harness-3/instance.go
@@ -32,9 +32,16 @@
 	name      string
 	instances []*instance
 	// lag is the time after which a replica applies a commit.
-	lag   time.Duration
-	store *store
-	rec   *record
+	lag time.Duration
+	// syncReplicas is the number of replicas, 0 or 1, that must have received a commit before it is
+	// acknowledged.
+	syncReplicas int
+	store        *store
+	rec          *record
+	// onLead is called with the lock held when an instance has become the primary; nil for nothing.
+	onLead func(i *instance)
+	// onPromote is called when an instance is named to take over; nil for nothing.
+	onPromote func(id string)
 }
 
 // instance is one database instance. It speaks the line protocol.
@@ -46,12 +53,18 @@
 	term     int
 	held     int
 	paused   bool
+	// deaf is set while a replica receives nothing, down while the instance does not run, and cutOff
+	// while it does not reach the store.
+	deaf, down, cutOff bool
+	open               map[net.Conn]bool
 	// received and applied are the ends of the log that has arrived and that reads see.
 	received, applied position
 	connections       int
 	signed            int
 	// born is the start of the instance in Unix milliseconds.
 	born, seq int64
+	// beatAt is when the store has accepted the last entry.
+	beatAt time.Time
 }
 
 func (s *service) add(id, zone string, primary bool) (*instance, error) {
@@ -59,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{service: s, id: id, zone: zone, listener: l, primary: primary, term: 1, born: time.Now().UnixMilli(), received: position{1, 0}, applied: position{1, 0}}
+	i := &instance{service: s, id: id, zone: zone, listener: l, primary: primary, term: 1, open: map[net.Conn]bool{}, born: time.Now().UnixMilli(), received: position{1, 0}, applied: position{1, 0}}
 	s.instances = append(s.instances, i)
 	s.mu.Lock()
 	i.register()
@@ -77,7 +90,11 @@
 
 // register writes the entry of the instance. The caller holds the lock.
 func (i *instance) register() {
+	if i.down || i.cutOff || i.service.store.isDown() {
+		return
+	}
 	i.seq++
+	i.beatAt = time.Now()
 	i.service.store.put("servers", i.id, map[string]any{
 		"service": i.service.name, "address": i.listener.Addr().String(), "zone": i.zone, "version": "v1", "capacity": 3,
 		"state": "ready", "warmupLeftMs": 0, "dbRole": i.role(), "seq": 1, "born": i.born,
@@ -96,7 +113,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range s.instances {
+		if i.id == id && i.down {
+			return 409
+		}
 		if i.id == id {
+			if s.onPromote != nil {
+				s.onPromote(id)
+			}
 			time.AfterFunc(600*time.Millisecond, func() { s.lead(i) })
 			return 200
 		}
@@ -107,7 +130,7 @@
 func (s *service) lead(i *instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if i.primary {
+	if i.primary || i.down {
 		return
 	}
 	for _, other := range s.instances {
@@ -116,11 +139,15 @@
 	i.term++
 	i.primary, i.paused, i.held, i.applied = true, false, 0, i.received
 	i.register()
+	s.rec.add("instance %s leads term %d with its log up to %s", i.id, i.term, i.received)
+	if s.onLead != nil {
+		s.onLead(i)
+	}
 	time.AfterFunc(time.Second, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		for _, other := range s.instances {
-			if other != i && other.term < i.term {
+			if other != i && !other.down && other.term < i.term {
 				other.primary, other.term, other.received, other.applied = false, i.term, i.received, i.received
 				other.register()
 			}
@@ -128,30 +155,43 @@
 	})
 }
 
-// commit appends a commit to the log and sends it to the replicas. The caller holds the lock.
-func (i *instance) commit() position {
+// parsePosition parses TERM.NUMBER.
+func parsePosition(text string) position {
+	t, n, _ := strings.Cut(text, ".")
+	var p position
+	p.term, _ = strconv.Atoi(t)
+	p.number, _ = strconv.Atoi(n)
+	return p
+}
+
+// commit appends a commit to the log and sends it to the replicas. It returns whether so many have
+// received it that it is acknowledged. The caller holds the lock.
+func (i *instance) commit() bool {
+	copies := 0
 	i.received = position{i.term, i.received.number + 1}
 	i.applied = i.received
 	at := i.received
 	for _, other := range i.service.instances {
-		if other == i || other.primary || other.paused {
+		if other == i || other.primary || other.paused || other.deaf || other.down {
 			continue
 		}
 		other.received = at
+		copies++
 		time.AfterFunc(i.service.lag, func() {
 			i.service.mu.Lock()
 			defer i.service.mu.Unlock()
-			if !other.primary && other.applied.less(at) {
+			if !other.primary && !other.down && other.applied.less(at) {
 				other.applied, other.term = at, at.term
 			}
 		})
 	}
-	return at
+	return copies >= i.service.syncReplicas
 }
 
 func (i *instance) accept() {
+	l := i.listener
 	for {
-		conn, err := i.listener.Accept()
+		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -176,12 +216,18 @@
 		return
 	}
 	i.service.mu.Lock()
+	if i.down {
+		i.service.mu.Unlock()
+		return
+	}
 	i.connections++
+	i.open[conn] = true
 	_, _ = fmt.Fprintf(conn, "READY I %s\r\n", i.applied)
 	i.service.mu.Unlock()
 	defer func() {
 		i.service.mu.Lock()
 		i.connections--
+		delete(i.open, conn)
 		i.service.mu.Unlock()
 	}()
 	c := &dbSession{prepared: map[string]string{}}
@@ -200,6 +246,10 @@
 			time.Sleep(workTime)
 		}
 		i.service.mu.Lock()
+		if i.down {
+			i.service.mu.Unlock()
+			return
+		}
 		reply := i.run(c, id, verb, text)
 		if id != "-" {
 			i.service.rec.add("instance %s (%s of %s, log %s): QUERY %s %s -> %s", i.id, i.role(), i.service.name, i.applied, id, text, strings.ReplaceAll(strings.TrimSpace(reply), "\r\n", " | "))
@@ -229,12 +279,8 @@
 // run executes a statement and returns the whole answer. The caller holds the lock.
 func (i *instance) run(c *dbSession, id, verb, text string) string {
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		var after position
 		at, stmt, _ := strings.Cut(rest, " ")
-		t, n, _ := strings.Cut(at, ".")
-		after.term, _ = strconv.Atoi(t)
-		after.number, _ = strconv.Atoi(n)
-		if i.applied.less(after) {
+		if i.applied.less(parsePosition(at)) {
 			return i.refuse(c, "LAGGING")
 		}
 		text = stmt
@@ -279,14 +325,14 @@
 	}
 	switch {
 	case verb == "COMMIT":
-		if c.wrote {
-			i.commit()
+		if c.wrote && !i.commit() {
+			return "" // not acknowledged before a replica has it
 		}
 		c.inTx, c.wrote = false, false
 	case writes && c.inTx:
 		c.wrote = true
-	case writes:
-		i.commit()
+	case writes && !i.commit():
+		return "" // not acknowledged before a replica has it
 	}
 	i.signed++
 	return fmt.Sprintf("DATAROW row-%s\r\nCOMPLETE %s.%d\r\n", id, i.id, i.signed) + i.ready(c)
@@ -308,3 +354,59 @@
 	}
 	return fmt.Sprintf("DATAROW %s %d %s %d %d 0 %d\r\nCOMPLETE -\r\n", i.role(), i.term, i.received, i.held, i.service.lag.Milliseconds(), i.connections) + i.ready(c)
 }
+
+// crash ends the instance. Its log is kept.
+func (i *instance) crash() {
+	i.service.mu.Lock()
+	defer i.service.mu.Unlock()
+	i.down = true
+	_ = i.listener.Close()
+	for conn := range i.open {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+	i.service.rec.add("instance %s (%s) crashes with its log at %s", i.id, i.role(), i.received)
+}
+
+// setDeaf makes a replica receive nothing.
+func (i *instance) setDeaf(deaf bool) {
+	i.service.mu.Lock()
+	defer i.service.mu.Unlock()
+	i.deaf = deaf
+	i.service.rec.add("instance %s receives nothing: %v; its log is at %s", i.id, deaf, i.received)
+}
+
+// setCutOff cuts the instance from the store, or ends that with an entry.
+func (i *instance) setCutOff(cut bool) {
+	i.service.mu.Lock()
+	defer i.service.mu.Unlock()
+	i.cutOff = cut
+	if !cut {
+		i.register()
+		i.service.rec.add("instance %s (log %s) is back in the store", i.id, i.received)
+	}
+}
+
+// restart starts a crashed instance again, with its log, at its address and under its id. It is a
+// replica if another instance was promoted.
+func (i *instance) restart() {
+	i.service.mu.Lock()
+	defer i.service.mu.Unlock()
+	l, err := net.Listen("tcp", i.listener.Addr().String())
+	if err != nil {
+		i.service.rec.add("instance %s does not start again: %v", i.id, err)
+		return
+	}
+	i.listener, i.down, i.paused, i.held, i.deaf = l, false, false, 0, false
+	i.born = time.Now().UnixMilli()
+	for _, other := range i.service.instances {
+		if other != i && other.primary && other.term > i.term {
+			i.primary, i.term, i.received, i.applied = false, other.term, other.received, other.received
+		}
+	}
+	i.register()
+	go i.accept()
+	i.service.rec.add("instance %s starts again as %s with its log up to %s", i.id, i.role(), i.received)
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -11,7 +11,7 @@
 
 // cases holds the scripts by their names. They return whether the rule was broken.
 var cases = map[string]func(e *environment) (bool, error){
-	"route-change": routeChange,
+	"route-change": routeChange, "lapse": lapse, "candidate-crash": candidateCrash,
 }
 
 // environment is what a script needs.
--- a/review/harness-3/route_change.go
+++ b/review/harness-3/route_change.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -173,13 +172,4 @@
 }
 
 // before reports whether a position is before another one.
-func before(a, b string) bool {
-	parse := func(text string) position {
-		t, n, _ := strings.Cut(text, ".")
-		var p position
-		p.term, _ = strconv.Atoi(t)
-		p.number, _ = strconv.Atoi(n)
-		return p
-	}
-	return parse(a).less(parse(b))
-}
+func before(a, b string) bool { return parsePosition(a).less(parsePosition(b)) }
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -42,6 +44,8 @@
 	promote  func(service, id string) int
 	listener net.Listener
 	rec      *record
+	// down is set while the store does not answer.
+	down bool
 }
 
 func startStore(rec *record, promote func(service, id string) int) (*store, error) {
@@ -104,7 +108,53 @@
 	s.changed = make(chan struct{})
 }
 
+// isDown reports whether the store does not answer.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// setDown begins or ends an outage: calls get no answer, and nothing is done.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.rec.add("platform: store down: %v", down)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes the entry of an instance after three intervals of silence.
+func (s *store) expire(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects["servers"][id]
+	if !ok {
+		return
+	}
+	delete(s.objects["servers"], id)
+	s.revision++
+	s.note(event{kind: "servers", revision: s.revision, Deleted: true, Object: o})
+	s.rec.add("platform: the entry of %s has expired", id)
+}
+
+// hang waits until the caller gives up if the store is down, and reports whether it was.
+func (s *store) hang(r *http.Request) bool {
+	if !s.isDown() {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
+
 func (s *store) serveObjects(w http.ResponseWriter, r *http.Request) {
+	// The context of a call ends with its connection only once its body is read.
+	body, err := io.ReadAll(r.Body)
+	if err != nil || s.hang(r) {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	switch r.Method {
 	case http.MethodGet:
@@ -167,8 +217,12 @@
 				events = append(events, e)
 			}
 		}
-		asOf, changed := s.revision, s.changed
+		asOf, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if len(events) > 0 || last {
 			answer(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
