--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -18,13 +18,18 @@
 }
 
 func connect(rec *record, name, address, database string) (*client, error) {
+	return connectAs(rec, name, address, database, name)
+}
+
+// connectAs opens a session with a key.
+func connectAs(rec *record, name, address, database, key string) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
 	c := &client{conn: conn, r: bufio.NewReader(conn), rec: rec, name: name}
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, name); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key); err != nil {
 		return nil, err
 	}
 	line, err := c.r.ReadString('\n')
--- a/review/harness-3/instance.go
+++ b/review/harness-3/instance.go
@@ -40,6 +40,8 @@
 	rec          *record
 	// onLead is called with the lock held when an instance has become the primary; nil for nothing.
 	onLead func(i *instance)
+	// onRun is called with the lock held when a statement has run; nil for nothing.
+	onRun func(id, who string)
 	// onPromote is called when an instance is named to take over; nil for nothing.
 	onPromote func(id string)
 }
@@ -204,6 +206,8 @@
 	inTx, readOnly, failed bool
 	wrote                  bool
 	prepared               map[string]string
+	// who is who is connecting: the name of the tenant.
+	who string
 }
 
 func (i *instance) serve(conn net.Conn) {
@@ -230,7 +234,7 @@
 		delete(i.open, conn)
 		i.service.mu.Unlock()
 	}()
-	c := &dbSession{prepared: map[string]string{}}
+	c := &dbSession{prepared: map[string]string{}, who: fields[2]}
 	for {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -252,7 +256,7 @@
 		}
 		reply := i.run(c, id, verb, text)
 		if id != "-" {
-			i.service.rec.add("instance %s (%s of %s, log %s): QUERY %s %s -> %s", i.id, i.role(), i.service.name, i.applied, id, text, strings.ReplaceAll(strings.TrimSpace(reply), "\r\n", " | "))
+			i.service.rec.add("instance %s (%s of %s, log %s), to %s: QUERY %s %s -> %s", i.id, i.role(), i.service.name, i.applied, c.who, id, text, strings.ReplaceAll(strings.TrimSpace(reply), "\r\n", " | "))
 		}
 		i.service.mu.Unlock()
 		if _, err := conn.Write([]byte(reply)); err != nil {
@@ -335,6 +339,9 @@
 		return "" // not acknowledged before a replica has it
 	}
 	i.signed++
+	if i.service.onRun != nil {
+		i.service.onRun(id, c.who)
+	}
 	return fmt.Sprintf("DATAROW row-%s\r\nCOMPLETE %s.%d\r\n", id, i.id, i.signed) + i.ready(c)
 }
 
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -12,6 +12,7 @@
 // cases holds the scripts by their names. They return whether the rule was broken.
 var cases = map[string]func(e *environment) (bool, error){
 	"route-change": routeChange, "lapse": lapse, "candidate-crash": candidateCrash,
+	"moved-key": movedKey,
 }
 
 // environment is what a script needs.
