core/proxy: a host looks for other sources of a revision instead of asking a slow one again

Callers at some hosts got a changed configuration after more than 3 s: a host whose only known source has to send a large configuration to its whole data centre over a slow link asked that source again after 700 ms, which adds to what the source has to send, and so on.

Now it asks a few hosts of its data centre whether they know the revision, and repeats the request at the same source only after twice the time.

--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -50,6 +50,8 @@
 	// empty for none.
 	requestedFrom types.Host
 	requestedAt   types.Time
+	// searchedAt is when other sources were last searched for; zero for never.
+	searchedAt types.Time
 	// readByPeerAt is when the last notice of another host's read of the kind arrived.
 	readByPeerAt types.Time
 }
@@ -196,6 +198,10 @@
 			delete(m.gossip.gaps, k)
 			continue
 		}
+		if source == gap.requestedFrom && m.now.Sub(gap.requestedAt) < 2*fetchRetryInterval {
+			m.searchSources(gap)
+			continue
+		}
 		gap.requestedFrom, gap.requestedAt = source, m.now
 		m.log(Debug, "objects asked of another host", field("peer", source), field("kind", string(k)), field("revision", gap.revision.Number()))
 		requests[source] = append(requests[source], Revision{Kind: k, Revision: m.mirror.Newest(k)})
@@ -205,6 +211,20 @@
 	}
 }
 
+// searchSources asks a few hosts of this data centre whether they know a revision, if its only
+// known source is slow to answer. A second request would add to what that host has to send.
+func (m *Machine) searchSources(gap *revisionGap) {
+	if gap.searchedAt != 0 && m.now.Sub(gap.searchedAt) < fetchRetryInterval {
+		return
+	}
+	gap.searchedAt = m.now
+	for _, h := range random.Sample(&m.rng, m.otherHosts(m.settings.DataCentre), digestFanout) {
+		if h != gap.requestedFrom {
+			m.sendToHost(h, Digest{Revisions: m.revisions()})
+		}
+	}
+}
+
 // chooseSource picks a random source, if possible not the one of the last request. Sources in
 // this data centre are preferred, since traffic between data centres is expensive.
 func (m *Machine) chooseSource(gap *revisionGap) (types.Host, bool) {
