core/proxy: a cut-off primary is replaced only after a recent look at its replicas

A few hosts that alone reach the store replaced a primary that served all others: a campaign against the primary of an unreachable data centre compares the positions of the replicas with those from the beginning of the silence, and these did not count any more after 2 s.

--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -61,8 +61,10 @@
 	suspicionSeq          uint64
 	reachabilityResponses int
 	reachableFrom         []types.Host
-	// observed holds the positions of the replicas when the primary became silent.
-	observed map[types.Endpoint]observedPosition
+	// observed holds the positions of the replicas when the primary became silent. They were last
+	// queried for them at observedAt.
+	observed   map[types.Endpoint]observedPosition
+	observedAt types.Time
 }
 
 // observedPosition is the log position that a replica had received at a time.
@@ -80,6 +82,7 @@
 
 // observeReplicas queries the replicas of a service for their positions.
 func (m *Machine) observeReplicas(name types.Service, primary types.Endpoint) {
+	m.serviceFor(name).failover.observedAt = m.now
 	for _, e := range m.catalog.EndpointsOf(name) {
 		if e.ID != primary && m.catalog.IsListed(e.ID) {
 			m.enqueueCommand(lead.Command{Endpoint: e.ID, Op: lead.OpQueryStatus}, purposeObservation)
@@ -87,6 +90,17 @@
 	}
 }
 
+// areReplicasObserved reports whether the replicas were queried for their positions at a time with
+// which a campaign that starts now can compare. Otherwise it queries them, or waits.
+func (m *Machine) areReplicasObserved(s *serviceState, primary types.Endpoint) bool {
+	age := m.now.Sub(s.failover.observedAt)
+	if s.failover.observedAt == 0 || age > maxObservation/2 {
+		m.observeReplicas(s.name, primary)
+		return false
+	}
+	return age >= minObservation
+}
+
 // isReceiving reports whether a replica has received commits since its position was observed,
 // so that its primary serves other hosts.
 func (fs *failoverState) isReceiving(now types.Time, replica types.Endpoint, st lead.Status) bool {
--- a/core/proxy/suspicion.go
+++ b/core/proxy/suspicion.go
@@ -62,7 +62,9 @@
 	e, _ := m.catalog.Endpoint(primary)
 	switch {
 	case m.isCutOff(e):
-		m.startCampaign(s, lead.ReasonUnresponsive, primary)
+		if m.areReplicasObserved(s, primary) {
+			m.startCampaign(s, lead.ReasonUnresponsive, primary)
+		}
 	case e.Leaving && m.ownerOf(primary, nil) == m.settings.Host:
 		m.startCampaign(s, lead.ReasonLeaving, primary)
 	case o == nil, m.now.Before(o.unreachableUntil):
