core/proxy: a new primary that crashes is replaced although its record still shows a campaign

No write was acknowledged for 10 s in TestPrimaryWithOpenRecordIsReplaced when the hosts took other turns: the owner of a crashed primary began one campaign after another to resume paused replicas, which wait for the primary to respond, and so never one to replace it.

Whether the primary is absent or silent is now decided first.

--- a/core/proxy/suspicion.go
+++ b/core/proxy/suspicion.go
@@ -69,12 +69,12 @@
 		m.startCampaign(s, lead.ReasonLeaving, primary)
 	case o == nil, m.now.Before(o.unreachableUntil):
 		fs.primaryMissingSince = 0
-	case m.isLeftFenced(o), m.isHeldUpByRecord(s, o):
-		m.startCampaign(s, lead.ReasonReplicasPaused, primary)
 	case fs.suspect == primary:
 		m.decideSuspicion(s, o)
-	case m.isAbsent(o), o.pool.UnresponsiveFor(m.now) > unresponsiveTimeout || m.hasUnansweredCommand(primary) || o.pool.DialFailures() > 1:
+	case m.isSuspicious(o):
 		m.queryReachability(s, primary)
+	case m.isLeftFenced(o), m.isHeldUpByRecord(s, o):
+		m.startCampaign(s, lead.ReasonReplicasPaused, primary)
 	default:
 		fs.primaryMissingSince = 0
 	}
@@ -84,6 +84,11 @@
 	}
 }
 
+// isSuspicious reports whether a primary appears to be absent or silent.
+func (m *Machine) isSuspicious(o *ownedEndpoint) bool {
+	return m.isAbsent(o) || o.pool.UnresponsiveFor(m.now) > unresponsiveTimeout || m.hasUnansweredCommand(o.id) || o.pool.DialFailures() > 1
+}
+
 // isLeftFenced reports whether this host, as the owner of a primary, has lacked authority for
 // some time since replicas are paused.
 func (m *Machine) isLeftFenced(o *ownedEndpoint) bool {
