core: an endpoint whose record may only have expired counts in authorities and campaigns

Cause: a missing record was taken for the end of the endpoint. A campaign left out a replica whose record had expired and was not back yet, and promoted the other one. An owner that saw the records of no replica needed no confirmation, and went on while cut off. A host that is cut off does not learn that records are back, so that it removed them after 2.5 s as gone.

Change: until an endpoint is removed, campaigns, authorities and planned changes query it at its last address; it is chosen only if no other holds as much. It is removed if a list that is current after the grace period still lacks it, or if its address belongs to another endpoint. With syncReplicas, campaigns wait for it for 10 s instead, together with the other missing copies of the service. A process that starts meanwhile asks the others for endpoints without a record (hosts of earlier builds ignore that); until one has replied, or 2.5 s after its first list, it starts no campaign that fences, and its authorities need a replica that it has watched since a read of the leadership record.

The test of a withdrawn key observed its session only in its own ticks, and missed the end in a tick of the simulation; the bound is the same.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -187,10 +187,15 @@
 // TokenEra returns the era in which a fencing token was granted.
 func TokenEra(token uint64) uint64 { return token >> tokenEraBits }
 
-// removalGracePeriod is the time for which an endpoint is kept after its record has
+// RemovalGracePeriod is the time for which an endpoint is kept after its record has
 // been deleted from the store. Endpoints whose records expire during an outage of
 // the store register again within two seconds of its recovery.
-const removalGracePeriod = 2500 * time.Millisecond
+const RemovalGracePeriod = 2500 * time.Millisecond
+
+// copyRetention is the time for which campaigns wait for an endpoint of a service with
+// SyncReplicas after its record has been deleted. The endpoint may be the only one with the last
+// commits, and may be restarting. Requests no longer use it after RemovalGracePeriod.
+const copyRetention = 10 * time.Second
 
 // Catalog is the current view of the store. It must be used by one task only.
 type Catalog struct {
@@ -200,7 +205,11 @@
 	// workspaceByKey maps each API key to its workspace.
 	workspaceByKey map[string]types.Workspace
 	endpoints      map[types.Endpoint]Endpoint
-	removeAt       map[types.Endpoint]types.Time
+	// missingSince holds when the record of an endpoint was found to be deleted; the endpoint
+	// may be one of endpoints or of formerCopies.
+	missingSince map[types.Endpoint]types.Time
+	// formerCopies holds removed endpoints that campaigns still wait for, see copyRetention.
+	formerCopies map[types.Endpoint]Endpoint
 	// endpointsByService caches the endpoints of each service, ordered by id. A
 	// change of an endpoint deletes the cached list of its service.
 	endpointsByService map[types.Service][]Endpoint
@@ -226,7 +235,8 @@
 		services:           map[types.Service]Service{},
 		workspaceByKey:     map[string]types.Workspace{},
 		endpoints:          map[types.Endpoint]Endpoint{},
-		removeAt:           map[types.Endpoint]types.Time{},
+		missingSince:       map[types.Endpoint]types.Time{},
+		formerCopies:       map[types.Endpoint]Endpoint{},
 		endpointsByService: map[types.Service][]Endpoint{},
 		hosts:              map[types.Host]Host{},
 		leadership:         map[types.Service]Leadership{},
@@ -298,7 +308,8 @@
 
 // SetEndpoint stores an endpoint and cancels its pending removal, if any.
 func (c *Catalog) SetEndpoint(e Endpoint) {
-	delete(c.removeAt, e.ID)
+	delete(c.missingSince, e.ID)
+	delete(c.formerCopies, e.ID)
 	if old, ok := c.endpoints[e.ID]; ok {
 		delete(c.endpointsByService, old.Service)
 	}
@@ -307,49 +318,163 @@
 	c.endpointDataCentres = nil
 }
 
-// ScheduleEndpointRemoval schedules the removal of an endpoint whose record has been
-// deleted from the store. RemoveExpiredEndpoints removes it after the grace period.
-func (c *Catalog) ScheduleEndpointRemoval(now types.Time, id types.Endpoint) {
+// NoteMissing records that the record of an endpoint has been deleted from the store. The
+// endpoint may have ended, or its record may have expired while the endpoint could not renew it.
+// RemoveGoneEndpoints removes it unless the record returns.
+func (c *Catalog) NoteMissing(now types.Time, id types.Endpoint) {
 	if _, ok := c.endpoints[id]; !ok {
 		return
 	}
-	if _, ok := c.removeAt[id]; !ok {
-		c.removeAt[id] = now.Add(removalGracePeriod)
+	if _, ok := c.missingSince[id]; !ok {
+		c.missingSince[id] = now
+	}
+}
+
+// AddMissing adds an endpoint without a record, which another host has known for longer. It has
+// no effect if the endpoint is known.
+func (c *Catalog) AddMissing(e Endpoint, since types.Time) {
+	if _, known := c.Instance(e.ID); known {
+		return
+	}
+	c.SetEndpoint(e)
+	c.missingSince[e.ID] = since
+}
+
+// MissingEndpoint is an endpoint without a record, and when that was found.
+type MissingEndpoint struct {
+	Endpoint Endpoint
+	Since    types.Time
+}
+
+// MissingEndpoints returns the endpoints without a record, ordered by id.
+func (c *Catalog) MissingEndpoints() []MissingEndpoint {
+	var out []MissingEndpoint
+	for id, since := range c.missingSince {
+		e, _ := c.Instance(id)
+		out = append(out, MissingEndpoint{Endpoint: e, Since: since})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Endpoint.ID < out[j].Endpoint.ID })
+	return out
+}
+
+// ListNeededAt returns the earliest time as of which a list of the records decides whether a
+// missing endpoint is removed. It returns false if none is to be removed.
+func (c *Catalog) ListNeededAt() (types.Time, bool) {
+	var earliest types.Time
+	found := false
+	for id, since := range c.missingSince {
+		if _, ok := c.endpoints[id]; !ok {
+			continue
+		}
+		if at := since.Add(RemovalGracePeriod); !found || at.Before(earliest) {
+			earliest, found = at, true
+		}
 	}
+	return earliest, found
 }
 
-// RemoveExpiredEndpoints removes the endpoints whose grace period has ended and
-// returns their ids in order.
-func (c *Catalog) RemoveExpiredEndpoints(now types.Time) []types.Endpoint {
+// RemoveGoneEndpoints removes the endpoints whose records are still missing after the grace
+// period, or whose addresses belong to others, and returns their ids in order. listedAt is the
+// time as of which the known records are current: a host that reads none meanwhile does not learn
+// that a record has returned.
+func (c *Catalog) RemoveGoneEndpoints(listedAt types.Time) []types.Endpoint {
+	if len(c.missingSince) == 0 {
+		return nil
+	}
 	var removed []types.Endpoint
-	for id, at := range c.removeAt {
-		if !now.Before(at) {
-			delete(c.removeAt, id)
-			delete(c.endpointsByService, c.endpoints[id].Service)
-			delete(c.endpoints, id)
-			c.endpointDataCentres = nil
-			removed = append(removed, id)
+	for id, since := range c.missingSince {
+		e, ok := c.endpoints[id]
+		superseded := ok && c.isSuperseded(e)
+		if !ok || (listedAt.Before(since.Add(RemovalGracePeriod)) && !superseded) {
+			continue
+		}
+		delete(c.endpointsByService, e.Service)
+		delete(c.endpoints, id)
+		c.endpointDataCentres = nil
+		removed = append(removed, id)
+		// An endpoint that ends as announced passes its log on to the next one at its address.
+		if superseded || e.Leaving || c.services[e.Service].SyncReplicas == 0 {
+			delete(c.missingSince, id)
+			continue
 		}
+		c.formerCopies[id] = e
 	}
 	slices.Sort(removed)
 	return removed
 }
 
+// RemoveLostCopies forgets the removed endpoints that campaigns no longer wait for, and returns
+// their ids in order. Those of one service are forgotten together: each may be the only one with
+// the last commits.
+func (c *Catalog) RemoveLostCopies(listedAt types.Time) []types.Endpoint {
+	if len(c.formerCopies) == 0 {
+		return nil
+	}
+	newest := map[types.Service]types.Time{}
+	for id, since := range c.missingSince {
+		e, _ := c.Instance(id)
+		newest[e.Service] = max(newest[e.Service], since)
+	}
+	var lost []types.Endpoint
+	for id, e := range c.formerCopies {
+		if c.isSuperseded(e) || !listedAt.Before(newest[e.Service].Add(copyRetention)) {
+			delete(c.formerCopies, id)
+			delete(c.missingSince, id)
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
+
+// isSuperseded reports whether the address of a missing endpoint belongs to another one.
+func (c *Catalog) isSuperseded(missing Endpoint) bool {
+	for id, e := range c.endpoints {
+		if id != missing.ID && e.Address == missing.Address && e.Address != "" && c.IsListed(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Endpoint returns an endpoint by id.
 func (c *Catalog) Endpoint(id types.Endpoint) (Endpoint, bool) {
 	e, ok := c.endpoints[id]
 	return e, ok
 }
 
+// Instance returns an endpoint by id, also one that has been removed but that campaigns still
+// wait for.
+func (c *Catalog) Instance(id types.Endpoint) (Endpoint, bool) {
+	if e, ok := c.endpoints[id]; ok {
+		return e, true
+	}
+	e, ok := c.formerCopies[id]
+	return e, ok
+}
+
+// InstancesOf returns the endpoints that a campaign for a service has to consider, ordered by id:
+// those of EndpointsOf, and the removed ones that may hold the last commits.
+func (c *Catalog) InstancesOf(service types.Service) []Endpoint {
+	out := slices.Clone(c.EndpointsOf(service))
+	for _, e := range c.formerCopies {
+		if e.Service == service {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 // IsListed reports whether the store holds a record of the endpoint.
 func (c *Catalog) IsListed(id types.Endpoint) bool {
 	_, known := c.endpoints[id]
-	_, removalPending := c.removeAt[id]
-	return known && !removalPending
+	_, missing := c.missingSince[id]
+	return known && !missing
 }
 
-// EndpointsOf returns a service's endpoints, ordered by id. The result must not be
-// changed.
+// EndpointsOf returns a service's endpoints, ordered by id, also those whose records may only
+// have expired. The result must not be changed.
 func (c *Catalog) EndpointsOf(service types.Service) []Endpoint {
 	if out, ok := c.endpointsByService[service]; ok {
 		return out
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -32,13 +32,61 @@
 	is.Equal(endpointIDs(c, "s"), []types.Endpoint{"e2"})
 	is.Equal(endpointIDs(c, "t"), []types.Endpoint{"e1", "other"})
 	now := types.Time(time.Second)
-	c.ScheduleEndpointRemoval(now, "e2")
+	c.NoteMissing(now, "e2")
 	is.Equal(endpointIDs(c, "s"), []types.Endpoint{"e2"}) // kept during the grace period
 	is.True(!c.IsListed("e2"))
-	is.Equal(c.RemoveExpiredEndpoints(now.Add(time.Minute)), []types.Endpoint{"e2"})
+	is.Equal(c.RemoveGoneEndpoints(now.Add(time.Minute)), []types.Endpoint{"e2"})
 	is.Equal(endpointIDs(c, "s"), []types.Endpoint{})
 }
 
+// Guards against the removal of endpoints by a host that cannot learn that their records are back.
+func TestMissingEndpointIsRemovedByCurrentList(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	for _, id := range []types.Endpoint{"e1", "e2", "e3"} {
+		c.SetEndpoint(catalog.Endpoint{ID: id, Service: "s", Address: "address of " + string(id)})
+	}
+	now := types.Time(time.Minute)
+	for _, id := range []types.Endpoint{"e1", "e2", "e3"} {
+		c.NoteMissing(now, id)
+	}
+	due, needed := c.ListNeededAt()
+	is.True(needed)
+	is.Equal(due, now.Add(catalog.RemovalGracePeriod))
+	is.Equal(len(c.RemoveGoneEndpoints(due-1)), 0)
+	c.SetEndpoint(catalog.Endpoint{ID: "e1", Service: "s"}) // its record is back
+	// An endpoint whose address belongs to another one has ended.
+	c.SetEndpoint(catalog.Endpoint{ID: "e4", Service: "t", Address: "address of e2"})
+	is.Equal(c.RemoveGoneEndpoints(now), []types.Endpoint{"e2"})
+	is.Equal(c.RemoveGoneEndpoints(due), []types.Endpoint{"e3"})
+	is.Equal(len(c.InstancesOf("s")), 1)
+	_, needed = c.ListNeededAt()
+	is.True(!needed)
+}
+
+// Guards against a copy that is forgotten while another one of its service is still waited for: either
+// may be the only one with the last commits.
+func TestCopiesOfServiceAreLostTogether(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	is.True(c.SetConfig(catalog.Config{Version: 1, Services: []catalog.Service{{Name: "s", SyncReplicas: 1}}}))
+	for _, id := range []types.Endpoint{"e1", "e2", "e3"} {
+		c.SetEndpoint(catalog.Endpoint{ID: id, Service: "s", Leaving: id == "e3"})
+	}
+	first := types.Time(time.Minute)
+	second := first.Add(6 * time.Second)
+	c.NoteMissing(first, "e1")
+	c.NoteMissing(first, "e3")
+	is.Equal(len(c.RemoveGoneEndpoints(first.Add(5*time.Second))), 2)
+	is.Equal(endpointIDs(c, "s"), []types.Endpoint{"e2"})
+	is.Equal(len(c.InstancesOf("s")), 2) // not the one that has ended as announced
+	c.NoteMissing(second, "e2")
+	is.Equal(len(c.RemoveLostCopies(second.Add(9*time.Second))), 0)
+	c.RemoveGoneEndpoints(second.Add(9 * time.Second))
+	is.Equal(c.RemoveLostCopies(second.Add(10*time.Second)), []types.Endpoint{"e1", "e2"})
+	is.Equal(len(c.InstancesOf("s")), 0)
+}
+
 func TestPrimaryOfPrefersRecordedPrimary(t *testing.T) {
 	is := is.New(t)
 	c := catalog.New()
--- a/core/lead/authority.go
+++ b/core/lead/authority.go
@@ -38,11 +38,13 @@
 
 // AuthorityRules is the version of the rules by which an Authority lets its owner use a primary.
 // Version 1 needs more than a majority on new connections, version 2 also recent replies of the
-// primary. Hosts of version 2 accept a request to release a primary that has stepped down.
+// primary. Hosts of version 2 accept a request to release a primary that has stepped down. Version 3
+// counts replicas whose records may only have expired, and its hosts tell each other of them.
 const (
-	MajorityRules     = 1
-	PrimaryLeaseRules = 2
-	AuthorityRules    = PrimaryLeaseRules
+	MajorityRules        = 1
+	PrimaryLeaseRules    = 2
+	MissingEndpointRules = 3
+	AuthorityRules       = MissingEndpointRules
 )
 
 const (
@@ -79,8 +81,9 @@
 	// primaryConfirmedAt is when the newest command was sent whose reply showed that the
 	// endpoint was the primary.
 	primaryConfirmedAt types.Time
-	// replicas are the service's other listed endpoints.
+	// replicas are the service's other known endpoints. complete is set if there are no others.
 	replicas []types.Endpoint
+	complete bool
 	// confirmations holds, by replica, the newest confirmation of the primary. watched also holds
 	// those that were discarded.
 	confirmations, watched map[types.Endpoint]confirmation
@@ -119,26 +122,35 @@
 	watchedSince types.Time
 }
 
-// NewAuthority returns an authority without any confirmation.
-func NewAuthority(primary types.Endpoint, replicas []types.Endpoint) *Authority {
+// NewAuthority returns an authority without any confirmation. complete is set if the replicas are
+// all that may run.
+func NewAuthority(primary types.Endpoint, replicas []types.Endpoint, complete bool) *Authority {
 	return &Authority{
-		Primary: primary, replicas: replicas,
+		Primary: primary, replicas: replicas, complete: complete,
 		confirmations: map[types.Endpoint]confirmation{}, watched: map[types.Endpoint]confirmation{}, queriedAt: map[types.Endpoint]types.Time{},
 		failedAt: map[types.Endpoint]types.Time{},
 	}
 }
 
-// SetReplicas replaces the list of the service's other endpoints.
-func (a *Authority) SetReplicas(replicas []types.Endpoint) {
-	a.replicas = replicas
+// SetReplicas replaces the list of the service's other endpoints. complete is set if they are all
+// that may run.
+func (a *Authority) SetReplicas(replicas []types.Endpoint, complete bool) {
+	a.replicas, a.complete = replicas, complete
 	if !slices.Contains(replicas, a.requiredReplica) {
 		a.requiredReplica = ""
 	}
 }
 
 // requiredConfirmations returns the number of replicas that form a majority together
-// with the primary.
-func (a *Authority) requiredConfirmations() int { return (len(a.replicas) + 1) / 2 }
+// with the primary. Without a complete list it is at least one: a campaign has paused at least one
+// replica, and all unless the primary did not run.
+func (a *Authority) requiredConfirmations() int {
+	required := (len(a.replicas) + 1) / 2
+	if !a.complete {
+		required = max(required, 1)
+	}
+	return required
+}
 
 // Valid reports whether the primary may be used.
 func (a *Authority) Valid(now types.Time) bool {
@@ -157,7 +169,7 @@
 			}
 		}
 	}
-	return fresh == len(a.replicas) || covered >= a.requiredConfirmations()
+	return (a.complete && fresh == len(a.replicas)) || covered >= a.requiredConfirmations()
 }
 
 // ConfirmedSince returns the latest time by which a connection to the primary must have been
@@ -169,6 +181,7 @@
 	if len(a.replicas) == 0 {
 		return a.primaryConfirmedAt
 	}
+	var since types.Time
 	var all, covered []types.Time
 	for _, r := range a.replicas {
 		all = append(all, a.confirmations[r].sentAt)
@@ -176,7 +189,9 @@
 			covered = append(covered, a.confirmations[r].sentAt)
 		}
 	}
-	since := slices.Min(all)
+	if a.complete {
+		since = slices.Min(all)
+	}
 	if n := len(covered) - a.requiredConfirmations(); n >= 0 {
 		slices.Sort(covered)
 		since = max(since, min(covered[n], a.claimFreeAt))
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/types"
@@ -140,6 +141,14 @@
 // connections.
 func (c *Campaign) LeaveOutSilentReplicas() { c.leavesOutSilent = true }
 
+// Replicas returns the replicas that the campaign considers. The result must not be changed.
+func (c *Campaign) Replicas() []types.Endpoint { return c.replicas }
+
+// RemoveReplica removes a replica that has ended. The next Tick goes on without it.
+func (c *Campaign) RemoveReplica(replica types.Endpoint) {
+	c.replicas = slices.DeleteFunc(slices.Clone(c.replicas), func(r types.Endpoint) bool { return r == replica })
+}
+
 // FinishPromotion makes the campaign choose the candidate of an earlier campaign whose
 // result is not known. The platform may still promote that endpoint, so that any other
 // candidate, or the old primary, would be used alongside it.
--- a/core/lead/command.go
+++ b/core/lead/command.go
@@ -32,6 +32,10 @@
 	ReasonNoPrimary Reason = "no endpoint is the primary"
 )
 
+// NeedsFence reports whether a campaign for this reason may pause replicas in order to replace a
+// primary that may still run.
+func (r Reason) NeedsFence() bool { return r != ReasonLeaving && r != ReasonReplicasPaused }
+
 // PromotionOutcome is what is known of one request for a promotion.
 type PromotionOutcome uint8
 
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -16,7 +16,7 @@
 
 func TestAuthorityRequiresMajorityWithinLease(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	is.Equal(a.DueQueries(startTime), []types.Endpoint{"a"})
@@ -34,7 +34,7 @@
 func TestMajorityIsNotEnoughOnNewConnections(t *testing.T) {
 	is := is.New(t)
 	newAuthority := func() *lead.Authority {
-		a := lead.NewAuthority("a", replicas)
+		a := lead.NewAuthority("a", replicas, true)
 		a.RecordUse(startTime)
 		a.RequireConfirmedAfter(startTime)
 		a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -72,9 +72,32 @@
 	is.Equal(a.ConfirmedSince(), later)
 }
 
+// Guards against an owner that takes the replicas it knows for all. One that it does not know may be
+// the only one that a campaign has paused.
+func TestIncompleteListNeedsCoveredReplica(t *testing.T) {
+	is := is.New(t)
+	alone := lead.NewAuthority("a", nil, false)
+	alone.RecordUse(startTime)
+	alone.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	alone.RecordClaimFree(startTime)
+	is.True(!alone.Valid(startTime))
+	alone.SetReplicas(nil, true)
+	is.True(alone.Valid(startTime))
+
+	a := lead.NewAuthority("a", []types.Endpoint{"b"}, false)
+	a.RecordUse(startTime)
+	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
+	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
+	is.True(!a.Valid(startTime))
+	is.Equal(a.ConfirmedSince(), types.Time(0))
+	a.RecordClaimFree(startTime)
+	is.True(a.Valid(startTime))
+	is.Equal(a.ConfirmedSince(), startTime)
+}
+
 func TestPausedReplicaEndsAuthority(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -87,7 +110,7 @@
 
 func TestAuthorityQueriesPrimaryAfterDiscard(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -213,7 +236,7 @@
 // one, and each adds to its load.
 func TestFailedQueryIsRetriedAfterDelay(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", []types.Endpoint{"b"})
+	a := lead.NewAuthority("a", []types.Endpoint{"b"}, true)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
 	is.Equal(len(a.DueQueries(startTime)), 1)
@@ -226,7 +249,7 @@
 // restarted since, so it needs a new confirmation.
 func TestConfirmationCoversOnlyEarlierConnections(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -245,7 +268,7 @@
 	is.Equal(a.ConfirmedSince(), startTime)
 	a.HandleStatus("a", later, startTime, lead.Status{Primary: true, Term: 3})
 	is.Equal(a.ConfirmedSince(), later)
-	alone := lead.NewAuthority("a", nil)
+	alone := lead.NewAuthority("a", nil, true)
 	is.True(alone.ConfirmedSince() < startTime)
 	alone.HandleStatus("a", later, startTime, lead.Status{Primary: true, Term: 3})
 	is.Equal(alone.ConfirmedSince(), later)
@@ -446,7 +469,7 @@
 // another replica's confirmation alone is not enough.
 func TestRequiredReplicaMustConfirm(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime.Add(-1))
 	a.RequireReplica(startTime, "c")
 	a.RecordUse(startTime)
@@ -465,7 +488,7 @@
 // a read shows that the campaign is over.
 func TestReplicaIsNotRequiredAfterCampaign(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RequireReplica(startTime, "c")
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -745,7 +768,7 @@
 // the primary's own replies show that it has not stepped down.
 func TestAuthorityEndsWithoutReplyOfPrimary(t *testing.T) {
 	is := is.New(t)
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordClaimFree(startTime)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
@@ -856,7 +879,7 @@
 // newWatchedAuthority returns an authority that replica "b" has confirmed since the last read
 // without a campaign. Replica "c" is silent.
 func newWatchedAuthority() *lead.Authority {
-	a := lead.NewAuthority("a", replicas)
+	a := lead.NewAuthority("a", replicas, true)
 	a.RecordUse(startTime)
 	a.HandleStatus("a", startTime, startTime, lead.Status{Primary: true, Term: 3})
 	a.HandleStatus("b", startTime, startTime, lead.Status{Term: 3})
--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -59,6 +59,8 @@
 	refused  bool
 	lost     bool
 	position int
+	// entry is the id of the log entry of the commit.
+	entry string
 	// replaced is set if another endpoint was the primary of a later term at the commit.
 	replaced bool
 }
@@ -431,7 +433,7 @@
 			continue
 		}
 		write.commits++
-		write.position = len(e.log)
+		write.position, write.entry = len(e.log), ids[0]
 		for _, other := range c.sim.sortedEndpoints() {
 			write.replaced = write.replaced || (other.primary && other.term > e.term)
 		}
@@ -444,6 +446,24 @@
 	}
 }
 
+// checkAcknowledgedWrites checks that a new primary holds all acknowledged writes if a commit is
+// acknowledged once a replica holds it.
+func (c *callers) checkAcknowledgedWrites(e *endpointSim) {
+	if c.sim.syncReplicas == 0 {
+		return
+	}
+	held := map[string]bool{}
+	for _, entry := range e.log {
+		held[entry.id] = true
+	}
+	for _, write := range c.acked {
+		if write.commits > 0 && !write.lost && !held[write.entry] {
+			c.sim.recordViolation("endpoint %s became the primary without write %s, acknowledged %v before", e.id, write.id, c.sim.now.Sub(write.ackedAt))
+			return
+		}
+	}
+}
+
 // markLostWrites marks the commits that a promotion has rolled back as lost.
 func (c *callers) markLostWrites(e *endpointSim) {
 	kept := map[string]bool{}
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -96,7 +96,7 @@
 }
 
 func (m *Machine) dialControl(c *controlConn) {
-	e, ok := m.catalog.Endpoint(c.endpoint)
+	e, ok := m.catalog.Instance(c.endpoint)
 	if !ok {
 		m.failCommands(c, true)
 		return
@@ -217,7 +217,7 @@
 // connection was opened.
 func (m *Machine) handleStatus(cmd *controlCommand, openedAt types.Time, st lead.Status) {
 	id := cmd.command.Endpoint
-	e, ok := m.catalog.Endpoint(id)
+	e, ok := m.catalog.Instance(id)
 	if !ok {
 		return
 	}
@@ -292,7 +292,7 @@
 // not run at its address.
 func (m *Machine) handleCommandFailure(cmd *controlCommand, absent bool) {
 	id := cmd.command.Endpoint
-	e, known := m.catalog.Endpoint(id)
+	e, known := m.catalog.Instance(id)
 	if !known {
 		return
 	}
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -43,6 +43,13 @@
 	applyLag   time.Duration
 	appliedLen int
 	receipts   []receipt
+	// deaf makes the endpoint, as a replica, receive nothing. silentCommands makes it answer no
+	// control command.
+	deaf, silentCommands bool
+	// confirmedLen is the length of the primary's log that one replica has received, in the term of
+	// the log. unconfirmed holds the replies that wait for it, with the lengths that they need.
+	confirmedLen int
+	unconfirmed  []unconfirmedReply
 	// replyLossPercent is the percentage of replies that are lost.
 	replyLossPercent int
 	// statusDelay is the time that a control command waits for a slot.
@@ -67,6 +74,29 @@
 
 const testSlots = 3
 
+// unconfirmedReply is the reply to a commit that no replica has received yet.
+type unconfirmedReply struct {
+	length int
+	send   func()
+}
+
+// confirm sends the replies to the commits that a replica has received.
+func (e *endpointSim) confirm(length int) {
+	e.confirmedLen = max(e.confirmedLen, length)
+	waiting := e.unconfirmed
+	e.unconfirmed = nil
+	for _, r := range waiting {
+		if r.length > e.confirmedLen {
+			e.unconfirmed = append(e.unconfirmed, r)
+			continue
+		}
+		r.send()
+	}
+}
+
+// expire removes the record of the endpoint from the store, as after its silence.
+func (e *endpointSim) expire() { e.sim.store.remove(proxy.KindEndpoints, string(e.id)) }
+
 func (sim *simulation) addEndpoint(id types.Endpoint, dc types.DataCentre, primary bool) *endpointSim {
 	e := &endpointSim{
 		sim: sim, id: id, dc: dc, alive: true, primary: primary, term: 1, lag: 20 * time.Millisecond, startedAt: int64(sim.now), conns: map[*connSim]bool{},
@@ -145,7 +175,7 @@
 // crash ends the process. Afterwards its address refuses connections.
 func (e *endpointSim) crash() {
 	e.alive = false
-	e.running, e.waiting = 0, nil
+	e.running, e.waiting, e.unconfirmed, e.confirmedLen = 0, nil, nil, 0
 	for _, h := range e.sim.sortedHosts() {
 		for _, c := range h.sortedConns() {
 			if c.endpoint == e {
@@ -255,6 +285,7 @@
 			if !e.alive {
 				return
 			}
+			before := len(e.log)
 			reply := e.run(c, cmd)
 			e.running--
 			if len(e.waiting) > 0 {
@@ -262,9 +293,15 @@
 				e.waiting = e.waiting[1:]
 				next()
 			}
-			if e.sim.rng.IntN(100) >= e.replyLossPercent {
-				c.sendReply(reply)
+			if e.sim.rng.IntN(100) < e.replyLossPercent {
+				return
 			}
+			if len(e.log) > before && e.sim.syncReplicas > 0 {
+				e.unconfirmed = append(e.unconfirmed, unconfirmedReply{length: len(e.log), send: func() { c.sendReply(reply) }})
+				e.confirm(0)
+				return
+			}
+			c.sendReply(reply)
 		})
 	}
 	if e.running < testSlots {
@@ -369,7 +406,12 @@
 		if other == e {
 			continue
 		}
-		e.sim.schedule(remoteDelay+other.lag, func() { other.receive(e, term, log) })
+		e.sim.schedule(remoteDelay+other.lag, func() {
+			other.receive(e, term, log)
+			if other.alive && e.primary && e.term == term && !other.isCutFrom(e) && len(other.log) >= len(log) && other.log[len(log)-1] == log[len(log)-1] {
+				e.confirm(len(log))
+			}
+		})
 	}
 }
 
@@ -381,7 +423,7 @@
 // receive replaces the replica's log by a newer one of the primary.
 func (e *endpointSim) receive(from *endpointSim, term types.Term, log []logEntry) {
 	isCut := e.isCutFrom(from)
-	if !e.alive || e.paused || e.primary || isCut || term < e.term || len(log) <= len(e.log) && term == e.term {
+	if !e.alive || e.paused || e.primary || e.deaf || isCut || term < e.term || len(log) <= len(e.log) && term == e.term {
 		return
 	}
 	e.term = term
@@ -403,7 +445,7 @@
 		return
 	}
 	sim.schedule(delayBetween(h.dc, c.endpoint.dc)+c.endpoint.statusDelay, func() {
-		if !c.open || !c.endpoint.alive || sim.isCut(h.id, h.dc, string(c.endpoint.id), c.endpoint.dc) {
+		if !c.open || !c.endpoint.alive || c.endpoint.silentCommands || sim.isCut(h.id, h.dc, string(c.endpoint.id), c.endpoint.dc) {
 			return
 		}
 		st := c.endpoint.execute(cmd.Op, cmd.Term)
@@ -430,6 +472,7 @@
 	case lead.OpStepDown:
 		if e.primary && term > e.term {
 			e.primary, e.fencedTerm, e.appliedLen, e.receipts = false, term, len(e.log), nil
+			e.unconfirmed, e.confirmedLen = nil, 0
 			e.register()
 		}
 	}
@@ -484,6 +527,8 @@
 	}
 	e.term++
 	e.primary, e.paused = true, false
+	e.confirmedLen, e.unconfirmed = len(e.log), nil
+	e.sim.callers.checkAcknowledgedWrites(e)
 	e.sim.callers.markLostWrites(e)
 	e.register()
 	e.sim.schedule(time.Second, func() { e.attachReplicas() })
@@ -499,13 +544,13 @@
 		if other == e || !other.alive {
 			continue
 		}
-		if e.isCutFrom(other) {
+		if e.isCutFrom(other) || other.deaf {
 			retry = true
 			continue
 		}
 		if other.term < e.term {
 			if other.primary {
-				other.primary = false
+				other.primary, other.unconfirmed, other.confirmedLen = false, nil, 0
 				other.register()
 			}
 			other.term = e.term
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -84,7 +84,7 @@
 func (m *Machine) observeReplicas(name types.Service, primary types.Endpoint) {
 	m.serviceFor(name).failover.observedAt = m.now
 	for _, e := range m.catalog.EndpointsOf(name) {
-		if e.ID != primary && m.catalog.IsListed(e.ID) {
+		if e.ID != primary {
 			m.enqueueCommand(lead.Command{Endpoint: e.ID, Op: lead.OpQueryStatus}, purposeObservation)
 		}
 	}
@@ -132,6 +132,7 @@
 				continue
 			}
 			m.avoidLeavingCandidates(c)
+			m.removeLostReplicas(c)
 			m.applyActions(s, c.Tick(m.now))
 			m.checkWritesDrained(s)
 			m.requestPromotion(s)
@@ -148,15 +149,14 @@
 func (m *Machine) startCampaign(s *serviceState, reason lead.Reason, oldPrimary types.Endpoint) {
 	fs := &s.failover
 	record := m.catalog.Leadership(s.name)
-	if !m.mayClaim(fs, record) {
+	if !m.mayClaim(fs, record) || (reason.NeedsFence() && !m.knowsAllEndpoints()) {
 		return
 	}
 	var replicas []types.Endpoint
-	for _, e := range m.catalog.EndpointsOf(s.name) {
-		if e.ID == oldPrimary || !m.catalog.IsListed(e.ID) {
-			continue
+	for _, e := range m.catalog.InstancesOf(s.name) {
+		if e.ID != oldPrimary {
+			replicas = append(replicas, e.ID)
 		}
-		replicas = append(replicas, e.ID)
 	}
 	if len(replicas) == 0 {
 		return
@@ -183,11 +183,24 @@
 }
 
 // avoidLeavingCandidates marks the endpoints that leave, also those that have announced it since
-// the campaign has begun.
+// the campaign has begun, and those without a record.
 func (m *Machine) avoidLeavingCandidates(c *lead.Campaign) {
-	for _, e := range m.catalog.EndpointsOf(c.Service) {
-		if e.Leaving {
+	for _, e := range m.catalog.InstancesOf(c.Service) {
+		switch {
+		case e.Leaving:
 			c.AvoidCandidate(e.ID, m.leavingSince[c.OldPrimary].Before(m.leavingSince[e.ID]))
+		case !m.catalog.IsListed(e.ID):
+			c.AvoidCandidate(e.ID, true)
+		}
+	}
+}
+
+// removeLostReplicas removes the replicas from a campaign that are no longer waited for.
+func (m *Machine) removeLostReplicas(c *lead.Campaign) {
+	for _, id := range c.Replicas() {
+		if _, known := m.catalog.Instance(id); !known {
+			m.log(Warn, "campaign goes on without a replica", field("service", c.Service), field("endpoint", id), field("phase", c.Phase().String()))
+			c.RemoveReplica(id)
 		}
 	}
 }
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -89,6 +89,9 @@
 func (m *Machine) applyChanges(c feed.Changes) {
 	m.noteEra(c.AsOf)
 	changed := m.mirror.Apply(c)
+	if c.Full && c.Kind == KindEndpoints && m.missing.firstListAt == 0 {
+		m.missing.firstListAt = m.now
+	}
 	for _, o := range changed {
 		m.applyObject(o)
 	}
@@ -149,7 +152,7 @@
 func (m *Machine) applyDeletion(o feed.Object) {
 	switch o.Kind {
 	case KindEndpoints:
-		m.catalog.ScheduleEndpointRemoval(m.now, types.Endpoint(o.Name))
+		m.catalog.NoteMissing(m.now, types.Endpoint(o.Name))
 	case KindHosts:
 		if types.Host(o.Name) == m.settings.Host {
 			m.checkOwnRecord(o.Revision, nil)
--- a/core/proxy/identity_test.go
+++ b/core/proxy/identity_test.go
@@ -152,7 +152,8 @@
 	drainedAt := types.Time(0)
 	for start := sim.now; sim.now.Sub(start) < 2*maxConfigDelay && drainedAt == 0; {
 		sim.runFor(100 * time.Millisecond)
-		if step(proxy.Tick{}) {
+		// The host may have ended the session in a tick of the simulation.
+		if step(proxy.Tick{}) || sim.hosts["h-a0"].drained[9] {
 			drainedAt = sim.now
 			is.True(sim.now.Sub(start) <= maxConfigDelay)
 		}
--- a/core/proxy/machine.go
+++ b/core/proxy/machine.go
@@ -104,6 +104,7 @@
 	peers   map[types.Host]*peer
 	gossip  gossipState
 	refresh refreshState
+	missing missingState
 	restore restoreState
 	stop    stopState
 	limits  limitState
@@ -279,11 +280,8 @@
 		m.handleResume(m.now.Sub(m.lastTickAt))
 	}
 	m.tickRequested, m.lastTickAt = false, m.now
-	for _, id := range m.catalog.RemoveExpiredEndpoints(m.now) {
-		m.log(Info, "endpoint removed", field("endpoint", id))
-		m.dropEndpoint(id)
-		m.clearOwnerCache()
-	}
+	m.removeGoneEndpoints()
+	m.tickMissing()
 	m.tickSessions()
 	m.tickRequests()
 	m.tickRemoteReads()
--- a/core/proxy/message.go
+++ b/core/proxy/message.go
@@ -20,7 +20,7 @@
 // Message is a message between hosts: Hello, ExecRequest, ExecResult, EndTx, PositionRequest,
 // PositionResponse, Ping, Pong, ReopenLink, OutstandingRequests, RequestsNotReceived, Leaving,
 // Digest, ChangesRequest, ChangesResponse, ReachabilityRequest, ReachabilityResponse,
-// ReleasePrimary, LimitReport or LimitGrant.
+// ReleasePrimary, MissingEndpointsRequest, MissingEndpointsResponse, LimitReport or LimitGrant.
 type Message interface{ isMessage() }
 
 // Hello introduces the sender. It is the first message on every link, since the sender's
--- a/core/proxy/owner.go
+++ b/core/proxy/owner.go
@@ -331,7 +331,7 @@
 	}
 	for id, o := range ordered(m.owned) {
 		if o.authority != nil {
-			o.authority.SetReplicas(m.replicasOf(o))
+			o.authority.SetReplicas(m.replicasOf(o), m.knowsAllEndpoints())
 			m.sendAuthorityQueries(o)
 			m.sendTrustQuery(o)
 			if o.authority.Valid(m.now) {
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -99,6 +99,10 @@
 		m.markPeerLeaving(from)
 	case Digest, ChangesRequest, ChangesResponse:
 		m.handleGossip(from, msg)
+	case MissingEndpointsRequest:
+		m.handleMissingEndpointsRequest(from)
+	case MissingEndpointsResponse:
+		m.handleMissingEndpointsResponse(from, msg)
 	case ReleasePrimary:
 		m.handleReleasePrimary(from, msg)
 	case LimitReport, LimitGrant:
--- a/core/proxy/primary.go
+++ b/core/proxy/primary.go
@@ -110,18 +110,19 @@
 		o.authority = nil
 	}
 	if o.authority == nil {
-		o.authority = lead.NewAuthority(o.id, m.replicasOf(o))
+		o.authority = lead.NewAuthority(o.id, m.replicasOf(o), m.knowsAllEndpoints())
 		o.authority.RequireReplica(m.now, fencedBy)
 		o.authority.RecordClaimFree(m.serviceFor(o.service).claimFreeAt)
 	}
 	return o.authority
 }
 
-// replicasOf returns the other listed endpoints of an endpoint's service.
+// replicasOf returns the other endpoints of an endpoint's service, also those whose records may only
+// have expired.
 func (m *Machine) replicasOf(o *ownedEndpoint) []types.Endpoint {
 	var out []types.Endpoint
 	for _, e := range m.catalog.EndpointsOf(o.service) {
-		if e.ID != o.id && m.catalog.IsListed(e.ID) {
+		if e.ID != o.id {
 			out = append(out, e.ID)
 		}
 	}
@@ -140,7 +141,13 @@
 	}
 	readAt := m.refresh.readAt[KindLeadership]
 	interval := claimFreeReadInterval
-	if readAt.Before(since) && !o.authority.Valid(m.now) {
+	switch isWaiting := !o.authority.Valid(m.now); {
+	case !readAt.Before(since):
+	case isWaiting && !m.knowsAllEndpoints():
+		// The confirmations of all known replicas are not enough. A read before theirs does not
+		// cover them.
+		interval = 0
+	case isWaiting || !m.knowsAllEndpoints():
 		interval = urgentRefreshInterval
 	}
 	if m.now.Sub(readAt) >= interval {
--- a/core/proxy/refresh.go
+++ b/core/proxy/refresh.go
@@ -181,13 +181,23 @@
 	}
 	stagger := m.stagger(order.rank)
 	for _, k := range Kinds {
-		due := m.now.Sub(r.currentAt[k]) >= m.refreshInterval(k)+stagger
+		due := m.now.Sub(r.currentAt[k]) >= m.refreshInterval(k)+stagger || (k == KindEndpoints && m.isListNeeded(stagger))
 		if due && len(r.pendingReads[k]) == 0 && m.now.Sub(r.readAt[k]) >= refreshRetryInterval+stagger {
 			m.requestRead(k)
 		}
 	}
 }
 
+// isListNeeded reports whether a list of the endpoints decides whether missing ones are removed, or
+// whether this process knows all.
+func (m *Machine) isListNeeded(stagger time.Duration) bool {
+	at, needed := m.catalog.ListNeededAt()
+	if first := m.missing.firstListAt.Add(firstListGrace); !m.missing.confirmed && m.missing.firstListAt != 0 && (!needed || first.Before(at)) {
+		at, needed = first, true
+	}
+	return needed && m.refresh.currentAt[KindEndpoints].Before(at) && !m.now.Before(at.Add(stagger))
+}
+
 // stagger returns how long a host of a given rank waits for the hosts that precede it.
 func (m *Machine) stagger(rank int) time.Duration {
 	switch {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -91,7 +91,9 @@
 	linkFreeAt   map[types.Host]types.Time
 	// promoteTime is the platform's time for a promotion. promoteCallDelay makes the calls that
 	// request one reach the platform that much later and without an answer.
-	promoteTime      time.Duration
+	promoteTime time.Duration
+	// syncReplicas is that of the service in the next configuration.
+	syncReplicas     int
 	promoteCallDelay time.Duration
 	promotions       []promotionSim
 	// verbose prints log lines and violations while the simulation runs.
@@ -129,6 +131,8 @@
 	conns          map[uint64]*connSim
 	logs           []proxy.Log
 	counters       map[string]int
+	// drained holds the sessions that the machine has asked to drain.
+	drained map[proxy.SessionID]bool
 }
 
 var dataCentres = []types.DataCentre{"a", "b", "c"}
@@ -217,7 +221,7 @@
 			sim.workspaceOfKey[key] = w.Name
 		}
 	}
-	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: testMaxConnections}}}
+	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: testMaxConnections, SyncReplicas: sim.syncReplicas}}}
 	for i, db := range databases {
 		cfg.Routes = append(cfg.Routes, catalog.Route{
 			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
@@ -231,7 +235,7 @@
 func (sim *simulation) startHost(id types.Host, dc types.DataCentre) {
 	h := sim.hosts[id]
 	if h == nil {
-		h = &hostSim{id: id, dc: dc, workspaceRules: catalog.WorkspaceRules, counters: map[string]int{}}
+		h = &hostSim{id: id, dc: dc, workspaceRules: catalog.WorkspaceRules, counters: map[string]int{}, drained: map[proxy.SessionID]bool{}}
 		sim.hosts[id] = h
 	}
 	h.incarnation++
@@ -418,7 +422,10 @@
 		sim.recordLog(h, e)
 	case proxy.Metric:
 		h.recordMetric(e)
-	case proxy.CallerReady, proxy.CallerReply, proxy.CallerDrain, proxy.CallerResume, proxy.CallerClose:
+	case proxy.CallerDrain:
+		h.drained[e.Session] = true
+		sim.callers.handleEffect(h, e)
+	case proxy.CallerReady, proxy.CallerReply, proxy.CallerResume, proxy.CallerClose:
 		sim.callers.handleEffect(h, e)
 	}
 }
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/pool"
 	"baobabfield.example/core/proxy"
@@ -60,6 +62,10 @@
 		return proxy.ChangesResponse{Kinds: kinds}, err
 	case *meshpb.ProxyMessage_AskReach, *meshpb.ProxyMessage_Reach, *meshpb.ProxyMessage_ReleasePrimary:
 		return decodeEndpointMessage(f.GetProxy()), nil
+	case *meshpb.ProxyMessage_AskMissing:
+		return proxy.MissingEndpointsRequest{}, nil
+	case *meshpb.ProxyMessage_Missing:
+		return decodeMissingEndpoints(b.Missing), nil
 	case *meshpb.ProxyMessage_LimitReport:
 		return decodeLimitReport(b.LimitReport)
 	case *meshpb.ProxyMessage_LimitGrant:
@@ -82,6 +88,23 @@
 	return proxy.ReleasePrimary{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), Term: types.Term(r.GetTerm())}
 }
 
+// maxMissingUs bounds the time for which a record has been missing, in microseconds.
+const maxMissingUs = uint64(time.Hour / time.Microsecond)
+
+func decodeMissingEndpoints(m *meshpb.MissingEndpoints) proxy.Message {
+	var out proxy.MissingEndpointsResponse
+	for _, e := range m.GetEndpoints() {
+		out.Endpoints = append(out.Endpoints, proxy.MissingEndpoint{
+			Endpoint: catalog.Endpoint{
+				ID: types.Endpoint(e.GetId()), Service: types.Service(e.GetService()), Address: e.GetAddress(), DataCentre: types.DataCentre(e.GetDataCentre()),
+				Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), StartedUnixMs: e.GetStarted(),
+			},
+			MissingFor: microseconds(min(e.GetMissingUs(), maxMissingUs)),
+		})
+	}
+	return out
+}
+
 func decodePoint(p *meshpb.LogPoint) types.LogPoint {
 	return types.LogPoint{Term: types.Term(p.GetTerm()), Position: types.Position(p.GetPosition())}
 }
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -67,6 +67,10 @@
 		p.Body = &meshpb.ProxyMessage_Changes{Changes: enc.encodeChanges(m.Kinds)}
 	case proxy.ReachabilityRequest, proxy.ReachabilityResponse, proxy.ReleasePrimary:
 		encodeEndpointMessage(p, msg)
+	case proxy.MissingEndpointsRequest:
+		p.Body = &meshpb.ProxyMessage_AskMissing{AskMissing: true}
+	case proxy.MissingEndpointsResponse:
+		p.Body = &meshpb.ProxyMessage_Missing{Missing: encodeMissingEndpoints(&m)}
 	case proxy.LimitReport:
 		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
 	case proxy.LimitGrant:
@@ -95,6 +99,17 @@
 	}
 }
 
+func encodeMissingEndpoints(m *proxy.MissingEndpointsResponse) *meshpb.MissingEndpoints {
+	out := &meshpb.MissingEndpoints{}
+	for _, e := range m.Endpoints {
+		out.Endpoints = append(out.Endpoints, &meshpb.MissingEndpoint{
+			Id: string(e.Endpoint.ID), Service: string(e.Endpoint.Service), Address: e.Endpoint.Address, DataCentre: string(e.Endpoint.DataCentre),
+			Slots: uint32(max(e.Endpoint.Slots, 0)), Leaving: e.Endpoint.Leaving, Started: e.Endpoint.StartedUnixMs, MissingUs: uint64(max(e.MissingFor, 0).Microseconds()),
+		})
+	}
+	return out
+}
+
 // convertIDs converts between the IDs of requests and their numbers.
 func convertIDs[T, F ~uint64](ids []F) []T {
 	var out []T
--- a/wire/peerwire/peerwire_test.go
+++ b/wire/peerwire/peerwire_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/limits"
 	"baobabfield.example/core/pool"
@@ -57,6 +58,11 @@
 		proxy.ReachabilityRequest{Seq: 3, Service: "s", Endpoint: "e"},
 		proxy.ReachabilityResponse{Seq: 3, Service: "s", Endpoint: "e", IsPrimary: true},
 		proxy.ReleasePrimary{Service: "s", Endpoint: "e", Term: 3},
+		proxy.MissingEndpointsRequest{},
+		proxy.MissingEndpointsResponse{Endpoints: []proxy.MissingEndpoint{{
+			Endpoint:   catalog.Endpoint{ID: "e", Service: "s", Address: "1.2.3.4:5", DataCentre: "a", Slots: 3, Leaving: true, StartedUnixMs: 7},
+			MissingFor: 4 * time.Second,
+		}}},
 		proxy.LimitReport{
 			Seq: 7, Group: 3, AllocatorProcess: 1 << 63, AllocatorClock: types.Time(-5), LendFor: time.Second, Share: 1.0 / 30, Hosts: 30,
 			Demands: []limits.Demand{{Workspace: "w", Rate: 0.5, Need: 2, Returned: 3, Ahead: 4, Held: 5}},
