core/lead: a candidate that stops is not replaced by a replica without its commits

The primary crashed, the replica with the commits was named to take over and crashed as well, and the hosts promoted the one that had received nothing, although both others returned within seconds.

Cause: a campaign that needs all replicas before it chooses one did not need them any more once the platform answered that the candidate does not run.

Change: with syncReplicas another replica is promoted in its place only if it holds as much, or if the candidate is no longer waited for. Otherwise the campaign ends and resumes the replicas: the next one waits for the candidate, and the old primary, which has all commits, is used again if it returns first. A planned change waits for whichever of the candidate and the old primary returns first. An answer that a candidate does not run settles the accepted requests before it, and does not replace the candidate if it has been requested again since: that request may have been accepted.

--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -92,9 +92,13 @@
 	oldAbsentAfterFence  bool
 	promotionRequestedAt types.Time
 	promotionAccepted    bool
-	// unsettledRequests is the number of promotion requests that the platform has neither
-	// refused nor answered with PromotionNotRunning.
-	unsettledRequests int
+	// requests holds, by their numbers, the promotion requests that may still take effect.
+	// lastRequest is the number of the newest one.
+	requests    map[uint64]promotionRequest
+	lastRequest uint64
+	// notRunningAt is when the platform has answered an earlier request for the candidate with
+	// PromotionNotRunning; zero for never.
+	notRunningAt types.Time
 	// inherited is the candidate that an earlier campaign may have requested to be
 	// promoted; empty for none.
 	inherited types.Endpoint
@@ -120,7 +124,7 @@
 		Service: service, Reason: reason, OldPrimary: oldPrimary, replicas: replicas, highestTerm: term,
 		phaseStartedAt: now,
 		statuses:       map[types.Endpoint]Status{}, paused: map[types.Endpoint]bool{}, pauseTerms: map[types.Endpoint]types.Term{}, excluded: map[types.Endpoint]bool{},
-		leaving: map[types.Endpoint]bool{}, leavesLater: map[types.Endpoint]bool{},
+		leaving: map[types.Endpoint]bool{}, leavesLater: map[types.Endpoint]bool{}, requests: map[uint64]promotionRequest{},
 	}
 }
 
@@ -156,7 +160,7 @@
 
 // IsPromotionUnsettled reports whether the platform may still promote an endpoint at the
 // request of this campaign or an earlier one.
-func (c *Campaign) IsPromotionUnsettled() bool { return c.inherited != "" || c.unsettledRequests > 0 }
+func (c *Campaign) IsPromotionUnsettled() bool { return c.inherited != "" || len(c.requests) > 0 }
 
 // LastPhase returns the phase in which the campaign ended, or the current one before.
 func (c *Campaign) LastPhase() Phase {
@@ -359,6 +363,9 @@
 		return c.handleFencingStatus(now, cmd, status)
 	case PhaseCatchingUp:
 		c.statuses[cmd.Endpoint] = status
+		if c.requiresAllReplicas {
+			delete(c.excluded, cmd.Endpoint) // it runs again
+		}
 		return c.promoteIfCaughtUp(now)
 	case PhasePromoting:
 		return c.endIfPromoted(now, cmd, status)
@@ -479,7 +486,7 @@
 	switch {
 	case !st.Primary:
 		c.oldUnused = c.oldUnused || isUnused(st)
-	case c.unsettledRequests == 0:
+	case len(c.requests) == 0:
 		c.oldSteppedDown = false
 		c.enterPhase(now, PhaseSteppingDown)
 		return c.handleStepDownStatus(now, Command{Endpoint: c.OldPrimary}, st)
@@ -588,7 +595,10 @@
 	allResponded := true
 	for _, r := range c.replicas {
 		_, ok := c.statuses[r]
-		allResponded = allResponded && (ok || c.excluded[r])
+		if c.excluded[r] {
+			ok = !c.requiresAllReplicas
+		}
+		allResponded = allResponded && ok
 	}
 	if a := c.promoteIfCaughtUp(now); c.phase != PhaseCatchingUp {
 		return a
@@ -601,7 +611,11 @@
 	case waited > returnTimeout && !c.requiresAllReplicas:
 		return c.promoteMostAdvanced(now)
 	}
-	return c.pollIfDue(now, append(c.queryReplicas(), c.queryOldIfInUse(now)...))
+	commands := append(c.queryReplicas(), c.queryOldIfInUse(now)...)
+	if c.excluded[c.OldPrimary] {
+		commands = append(commands, c.queryOldPrimary()...)
+	}
+	return c.pollIfDue(now, commands)
 }
 
 // queryOldIfInUse returns the status query for the old primary if an owner may still use it.
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -318,19 +318,100 @@
 	c.HandleStatus(startTime, lead.Command{Endpoint: "b", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
 	c.HandleStatus(startTime, lead.Command{Endpoint: "c", Op: lead.OpPause}, lead.Status{Term: 3, FencedTerm: 4})
 	first := reportOldPrimaryAbsent(c, startTime).Promote
-	second := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning).Promote
+	second := c.HandlePromotionResult(startTime, c.RecordPromotionRequest(first), lead.PromotionNotRunning).Promote
 	is.True(second != "" && second != first)
 }
 
+// requestSyncPromotion advances a campaign against "a" that must lose no commit to a promotion of "b",
+// which holds more of the log than "c".
+func requestSyncPromotion(t *testing.T) *lead.Campaign {
+	t.Helper()
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonAbsent, "a", replicas, 3)
+	c.RequireAllReplicas()
+	advanceToClaim(c)
+	for _, cmd := range c.HandleClaimResult(startTime, 1).Commands {
+		st := lead.Status{Term: 3, FencedTerm: 4, Received: types.LogPoint{Term: 3, Position: 7}}
+		if cmd.Endpoint == "b" {
+			st.Received.Position = 20
+		}
+		c.HandleStatus(startTime, cmd, st)
+	}
+	is.Equal(reportOldPrimaryAbsent(c, startTime).Promote, types.Endpoint("b"))
+	is.Equal(c.RecordPromotionRequest("b"), uint64(firstRequest))
+	return c
+}
+
+// Guards against the promotion of a replica without the acknowledged commits in place of a candidate that
+// has crashed. The campaign ends, so that the candidate or the old primary can return.
+func TestCrashedCandidateIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	c := requestSyncPromotion(t)
+	c.HandlePromotionResult(startTime, firstRequest, lead.PromotionAccepted)
+	a := c.HandlePromotionResult(startTime, c.RecordPromotionRequest("b"), lead.PromotionNotRunning)
+	is.True(a.Ended)
+	is.Equal(a.NewPrimary, types.Endpoint(""))
+	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
+	// One that is no longer waited for is replaced.
+	c = requestSyncPromotion(t)
+	c.RemoveReplica("b")
+	is.Equal(c.HandlePromotionResult(startTime, firstRequest, lead.PromotionNotRunning).Promote, types.Endpoint("c"))
+}
+
+// Guards against the promotion of a second candidate while the first one, which runs again, has been
+// requested anew: the answer to the earlier request came late.
+func TestLateAnswerDoesNotReplaceCandidate(t *testing.T) {
+	is := is.New(t)
+	c, first := requestPromotion(t)
+	second := c.RecordPromotionRequest(first)
+	a := c.HandlePromotionResult(startTime, firstRequest, lead.PromotionNotRunning)
+	is.True(!a.Ended && a.Promote == "")
+	is.Equal(c.Tick(startTime.Add(900*time.Millisecond)).Promote, types.Endpoint("")) // the later answer decides
+	is.Equal(c.Tick(startTime.Add(1100*time.Millisecond)).Promote, first)
+	c.HandlePromotionResult(startTime, second, lead.PromotionAccepted)
+	is.Equal(c.HandleStatus(startTime.Add(2*time.Second), lead.Command{Endpoint: first}, lead.Status{Primary: true, Term: 4}).NewPrimary, first)
+}
+
+// Guards against a planned change that promotes a replica without the last commits after its candidate
+// and the old primary have crashed. Whichever returns first has them.
+func TestPlannedChangeAwaitsCrashedCandidate(t *testing.T) {
+	is := is.New(t)
+	c := lead.NewCampaign(startTime, "s", lead.ReasonLeaving, "a", replicas, 3)
+	c.RequireAllReplicas()
+	held := types.LogPoint{Term: 3, Position: 20}
+	behind := types.LogPoint{Term: 3, Position: 7}
+	c.Start()
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a"}, lead.Status{Primary: true, Term: 3, Received: held})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3, Received: behind})
+	is.True(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held}).ClaimToken)
+	c.HandleClaimResult(startTime, 1)
+	c.HandleWritesDrained(startTime)
+	c.HandleStatus(startTime, lead.Command{Endpoint: "a", Op: lead.OpStepDown}, lead.Status{Term: 3, Received: held, Connections: 1})
+	c.HandleStatus(startTime, lead.Command{Endpoint: "c"}, lead.Status{Term: 3, Received: behind})
+	is.Equal(c.HandleStatus(startTime, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held}).Promote, types.Endpoint("b"))
+	is.Equal(c.HandlePromotionResult(startTime, c.RecordPromotionRequest("b"), lead.PromotionNotRunning).Promote, types.Endpoint(""))
+	at := startTime
+	for ; at.Before(startTime.Add(4 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		is.Equal(c.Tick(at).Promote, types.Endpoint(""))
+	}
+	at = at.Add(100 * time.Millisecond)
+	is.Equal(c.Tick(at).Promote, types.Endpoint("a"))
+	is.Equal(c.HandlePromotionResult(at, c.RecordPromotionRequest("a"), lead.PromotionNotRunning).Promote, types.Endpoint(""))
+	for end := at.Add(10 * time.Second); at.Before(end); at = at.Add(100 * time.Millisecond) {
+		is.Equal(c.Tick(at).Promote, types.Endpoint(""))
+	}
+	is.Equal(c.HandleStatus(at, lead.Command{Endpoint: "b"}, lead.Status{Term: 3, Received: held}).Promote, types.Endpoint("b"))
+}
+
 // Requests are repeated, so that the platform can still answer one for a candidate that has been
 // replaced. The answer says nothing about the next candidate.
 func TestAnswerAboutEarlierCandidateDoesNotExcludeNext(t *testing.T) {
 	is := is.New(t)
 	c, first := requestPromotion(t)
-	c.RecordPromotionRequest()
-	second := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning).Promote
-	c.RecordPromotionRequest()
-	a := c.HandlePromotionResult(startTime, first, lead.PromotionNotRunning)
+	later := c.RecordPromotionRequest(first)
+	second := c.HandlePromotionResult(startTime, later, lead.PromotionNotRunning).Promote
+	c.RecordPromotionRequest(second)
+	a := c.HandlePromotionResult(startTime, firstRequest, lead.PromotionNotRunning)
 	is.True(!a.Ended && a.Promote == "")
 	is.True(c.IsPromotionUnsettled())
 	a = c.HandleStatus(startTime, lead.Command{Endpoint: second}, lead.Status{Primary: true, Term: 4})
@@ -347,16 +428,19 @@
 		c.HandleStatus(startTime, cmd, lead.Status{Term: 3, FencedTerm: 4})
 	}
 	candidate := reportOldPrimaryAbsent(c, startTime).Promote
-	c.RecordPromotionRequest()
+	c.RecordPromotionRequest(candidate)
 	return c, candidate
 }
 
+// firstRequest is the number of the first promotion request of a campaign.
+const firstRequest = 1
+
 // The platform may carry out a request that it has not answered at any later time, so that the
 // replicas must not confirm the old primary again.
 func TestUnansweredPromotionIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
 	c, candidate := requestPromotion(t)
-	c.HandlePromotionResult(startTime, candidate, lead.PromotionUnknown)
+	c.HandlePromotionResult(startTime, firstRequest, lead.PromotionUnknown)
 	requests := 0
 	for at := startTime; at.Before(startTime.Add(20 * time.Second)); at = at.Add(40 * time.Millisecond) {
 		a := c.Tick(at)
@@ -375,8 +459,8 @@
 // and resume the replicas.
 func TestRefusedPromotionIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	c, candidate := requestPromotion(t)
-	c.HandlePromotionResult(startTime, candidate, lead.PromotionRefused)
+	c, _ := requestPromotion(t)
+	c.HandlePromotionResult(startTime, firstRequest, lead.PromotionRefused)
 	a := c.Tick(startTime.Add(3100 * time.Millisecond))
 	is.True(a.Ended && a.NewPrimary == "")
 	is.Equal(resumed(a), map[types.Endpoint]bool{"b": true, "c": true})
@@ -551,7 +635,7 @@
 		c.HandleStatus(startTime, cmd, lead.Status{Term: 3, FencedTerm: 4})
 	}
 	candidate := reportOldPrimaryAbsent(c, startTime).Promote
-	c.HandlePromotionResult(startTime.Add(2900*time.Millisecond), candidate, lead.PromotionAccepted)
+	c.HandlePromotionResult(startTime.Add(2900*time.Millisecond), c.RecordPromotionRequest(candidate), lead.PromotionAccepted)
 	is.True(!c.Tick(startTime.Add(3500 * time.Millisecond)).Ended)
 }
 
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"baobabfield.example/core/types"
@@ -42,23 +43,44 @@
 func (c *Campaign) requestPromotion(now types.Time, candidate types.Endpoint) Actions {
 	c.candidate = candidate
 	c.promotionAccepted = false
-	c.promotionRequestedAt = now
+	c.promotionRequestedAt, c.notRunningAt = now, 0
 	c.lastPollAt = now
 	c.enterPhase(now, PhasePromoting)
 	return Actions{Promote: candidate}
 }
 
-// RecordPromotionRequest records that the platform has been sent a request for the
-// candidate.
-func (c *Campaign) RecordPromotionRequest() { c.unsettledRequests++ }
+// promotionRequest is a request to the platform to promote an endpoint.
+type promotionRequest struct {
+	endpoint types.Endpoint
+	accepted bool
+}
+
+// RecordPromotionRequest records that the platform is sent a request for an endpoint, and returns the
+// number of the request.
+func (c *Campaign) RecordPromotionRequest(endpoint types.Endpoint) uint64 {
+	c.lastRequest++
+	c.requests[c.lastRequest] = promotionRequest{endpoint: endpoint}
+	return c.lastRequest
+}
 
 // HandlePromotionResult processes the outcome of a request to promote an endpoint, which may no
 // longer be the candidate.
-func (c *Campaign) HandlePromotionResult(now types.Time, endpoint types.Endpoint, outcome PromotionOutcome) Actions {
-	if outcome == PromotionRefused || outcome == PromotionNotRunning {
-		c.unsettledRequests = max(0, c.unsettledRequests-1)
+func (c *Campaign) HandlePromotionResult(now types.Time, number uint64, outcome PromotionOutcome) Actions {
+	request, known := c.requests[number]
+	if !known {
+		return Actions{}
 	}
-	if c.phase != PhasePromoting || endpoint != c.candidate {
+	switch outcome {
+	case PromotionAccepted:
+		request.accepted = true
+		c.requests[number] = request
+	case PromotionNotRunning:
+		c.settleRequests(number, request.endpoint)
+	case PromotionRefused:
+		delete(c.requests, number)
+	case PromotionUnknown:
+	}
+	if c.phase != PhasePromoting || request.endpoint != c.candidate {
 		return Actions{}
 	}
 	switch outcome {
@@ -68,11 +90,37 @@
 		c.promotionAccepted = true
 		c.enterPhase(now, PhasePromoting)
 	case PromotionNotRunning:
+		if c.isRequestedAgain(number) {
+			c.notRunningAt = now
+			return Actions{}
+		}
 		return c.replaceCandidate(now)
 	}
 	return Actions{}
 }
 
+// settleRequests removes the requests that can have no effect any more, since the endpoint did not
+// run when the platform received the one with the given number. An earlier one without an answer may
+// reach the platform later.
+func (c *Campaign) settleRequests(number uint64, endpoint types.Endpoint) {
+	for n, r := range c.requests {
+		if n == number || (n < number && r.endpoint == endpoint && r.accepted) {
+			delete(c.requests, n)
+		}
+	}
+}
+
+// isRequestedAgain reports whether the candidate has been requested again after a request, so that it
+// may be promoted although it did not run before.
+func (c *Campaign) isRequestedAgain(number uint64) bool {
+	for n, r := range c.requests {
+		if n > number && r.endpoint == c.candidate {
+			return true
+		}
+	}
+	return false
+}
+
 // replaceCandidate chooses another candidate in place of one that does not run.
 func (c *Campaign) replaceCandidate(now types.Time) Actions {
 	c.excluded[c.candidate] = true
@@ -81,9 +129,27 @@
 		c.enterPhase(now, PhaseCatchingUp)
 		return c.promoteIfCaughtUp(now)
 	}
+	if c.requiresAllReplicas && !c.isReplaceable(c.candidate) {
+		// The next campaign waits for the replica. If the old primary returns first, it has all
+		// commits.
+		return c.endCampaign("")
+	}
 	return c.promoteMostAdvanced(now)
 }
 
+// isReplaceable reports whether another replica holds as much of the log as one that does not run, or
+// that one is no longer waited for.
+func (c *Campaign) isReplaceable(candidate types.Endpoint) bool {
+	if !slices.Contains(c.replicas, candidate) {
+		return true
+	}
+	held, ok := c.statuses[candidate]
+	return ok && slices.ContainsFunc(c.replicas, func(r types.Endpoint) bool {
+		st, responded := c.statuses[r]
+		return responded && !c.excluded[r] && c.isFenced(r) && !st.Received.Less(held.Received)
+	})
+}
+
 // endIfPromoted ends the campaign once the candidate is the primary.
 func (c *Campaign) endIfPromoted(_ types.Time, cmd Command, st Status) Actions {
 	if cmd.Endpoint == c.candidate && st.Primary {
@@ -114,8 +180,9 @@
 		return c.endCampaign("")
 	}
 	retryDue := !c.promotionAccepted && now.Sub(c.promotionRequestedAt) > promotionRetryInterval
-	if late {
-		retryDue = now.Sub(c.promotionRequestedAt) > lateRetryInterval
+	if late || c.notRunningAt != 0 {
+		// The candidate may have stopped, or the answer to a later request decides.
+		retryDue = now.Sub(max(c.promotionRequestedAt, c.notRunningAt)) > lateRetryInterval
 	}
 	var a Actions
 	if now.Sub(c.phaseStartedAt) >= promotionPollDelay {
--- a/core/proxy/effect.go
+++ b/core/proxy/effect.go
@@ -83,11 +83,12 @@
 type Claim struct{ Record catalog.Leadership }
 
 // Promote requests that the platform make an endpoint the primary of its service.
-// FencingToken is that of the campaign.
+// FencingToken is that of the campaign, and Request the number of the request in it.
 type Promote struct {
 	Service      types.Service
 	Endpoint     types.Endpoint
 	FencingToken uint64
+	Request      uint64
 }
 
 // StoreHostRecord writes this host's record to the store, as leaving or not.
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -486,7 +486,7 @@
 	late := sim.promoteCallDelay
 	sim.schedule(storeDelay+late, func() {
 		e := sim.endpoints[p.Endpoint]
-		result := proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Outcome: lead.PromotionNotRunning}
+		result := proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Request: p.Request, Outcome: lead.PromotionNotRunning}
 		sim.promotions = append(sim.promotions, promotionSim{at: sim.now, holder: h.id, endpoint: p.Endpoint})
 		for _, other := range sim.sortedEndpoints() {
 			if other.token > p.FencingToken {
--- a/core/proxy/event.go
+++ b/core/proxy/event.go
@@ -126,9 +126,10 @@
 // PromoteResult carries the platform's reply to a promotion request.
 type PromoteResult struct {
 	Service types.Service
-	// Endpoint and FencingToken are those of the request.
+	// Endpoint, FencingToken and Request are those of the Promote.
 	Endpoint     types.Endpoint
 	FencingToken uint64
+	Request      uint64
 	Outcome      lead.PromotionOutcome
 }
 
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -345,8 +345,7 @@
 		return
 	}
 	m.log(Warn, "promotion requested", field("service", s.name), field("endpoint", fs.candidateStored), field("token", c.FencingToken))
-	c.RecordPromotionRequest()
-	m.emit(Promote{Service: s.name, Endpoint: fs.candidateStored, FencingToken: c.FencingToken})
+	m.emit(Promote{Service: s.name, Endpoint: fs.candidateStored, FencingToken: c.FencingToken, Request: c.RecordPromotionRequest(fs.candidateStored)})
 	fs.candidateStored = ""
 }
 
@@ -356,7 +355,7 @@
 	m.log(Info, "promotion answered", field("service", s.name), field("accepted", ev.Outcome == lead.PromotionAccepted),
 		field("not_running", ev.Outcome == lead.PromotionNotRunning), field("outcome", ev.Outcome.String()))
 	if c := s.failover.campaign; c != nil && c.FencingToken == ev.FencingToken {
-		m.applyActions(s, c.HandlePromotionResult(m.now, ev.Endpoint, ev.Outcome))
+		m.applyActions(s, c.HandlePromotionResult(m.now, ev.Request, ev.Outcome))
 	}
 }
 
--- a/node/gateway/store.go
+++ b/node/gateway/store.go
@@ -218,5 +218,5 @@
 			{Key: "endpoint", Value: p.Endpoint}, {Key: "outcome", Value: outcome.String()}, {Key: "error", Value: err.Error()},
 		}})
 	}
-	g.post(proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Outcome: outcome})
+	g.post(proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Request: p.Request, Outcome: outcome})
 }
