core/proxy: a session remembers its last commit at each service

Cause: a session kept the position of one commit, at one service. A commit elsewhere replaced it, and so did the COMMIT of a transaction that had only read, at a replica that may lag.

Change: the latest position is kept for each service.

The simulation has a second service, routes that move, and sessions that write and read in turn.

--- a/core/proxy/callers_test.go
+++ b/core/proxy/callers_test.go
@@ -59,6 +59,7 @@
 	refused  bool
 	lost     bool
 	position int
+	service  types.Service
 	// entry is the id of the log entry of the commit.
 	entry string
 	// replaced is set if another endpoint was the primary of a later term at the commit.
@@ -97,6 +98,8 @@
 	// refused for the limit of the workspace, and lastLimited the text of the last such refusal.
 	okAt, limitedAt []types.Time
 	lastLimited     string
+	// operations is the number of operations of a session of kind "mixed".
+	operations int
 }
 
 func newCallers(sim *simulation) *callers {
@@ -110,7 +113,8 @@
 }
 
 // openSession opens a session at a host. It repeats operations of one kind: "read", "write",
-// "tx", "readtx" or "set".
+// "tx", "readtx", "set", or "mixed", which are writes and reads in turn. A session of kind "idle" runs
+// only the operations of runOperation.
 func (c *callers) openSession(h types.Host, db types.Database, kind string) *callerSim {
 	return c.openSessionWithKey(h, db, kind, "")
 }
@@ -262,6 +266,14 @@
 		s.remaining = []string{"WRITE " + item + " x"}
 	case "tx":
 		s.remaining = []string{"BEGIN", "READ " + item, "WRITE " + item + " x", "READ " + item, "COMMIT"}
+	case "idle":
+		return
+	case "mixed":
+		s.operations++
+		s.remaining = []string{"READ " + item}
+		if s.operations%2 == 1 {
+			s.remaining = []string{"WRITE " + item + " x"}
+		}
 	case "readtx":
 		s.remaining = []string{"BEGIN READ", "READ " + item, "READ " + item, "COMMIT"}
 	case "set":
@@ -271,6 +283,13 @@
 	c.sendNext(s)
 }
 
+// runOperation runs one operation of an idle session.
+func (c *callers) runOperation(s *callerSim, texts []string) {
+	s.sentIDs, s.beganAt, s.isRollingBack = nil, c.sim.now, false
+	s.remaining = texts
+	c.sendNext(s)
+}
+
 // sendNext sends the next statement of the operation.
 func (c *callers) sendNext(s *callerSim) {
 	text := s.remaining[0]
@@ -434,7 +453,8 @@
 		}
 		write.commits++
 		write.position, write.entry = len(e.log), ids[0]
-		for _, other := range c.sim.sortedEndpoints() {
+		write.service = e.service
+		for _, other := range e.others() {
 			write.replaced = write.replaced || (other.primary && other.term > e.term)
 		}
 		if write.commits > 1 {
@@ -457,7 +477,7 @@
 		held[entry.id] = true
 	}
 	for _, write := range c.acked {
-		if write.commits > 0 && !write.lost && !held[write.entry] {
+		if write.commits > 0 && write.service == e.service && !write.lost && !held[write.entry] {
 			c.sim.recordViolation("endpoint %s became the primary without write %s, acknowledged %v before", e.id, write.id, c.sim.now.Sub(write.ackedAt))
 			return
 		}
@@ -471,7 +491,7 @@
 		kept[entry.id] = true
 	}
 	for _, write := range c.writes {
-		if write.commits > 0 && !kept[write.id] {
+		if write.commits > 0 && write.service == e.service && !kept[write.entry] {
 			write.lost = true
 		}
 	}
@@ -520,7 +540,7 @@
 	}
 	for _, write := range c.acked {
 		own := s.db == "own-db" && write.caller == s.name && write.ackedAt.Before(began)
-		if write.lost || held[write.id] || (!write.ackedAt.Before(limit) && !own) {
+		if write.lost || write.service != e.service || held[write.entry] || (!write.ackedAt.Before(limit) && !own) {
 			continue
 		}
 		c.sim.recordViolation("read %s of %s at %s lacks write %s, acknowledged %v before", id, s.db, e.id, write.id, began.Sub(write.ackedAt))
--- a/core/proxy/endpoint_test.go
+++ b/core/proxy/endpoint_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -23,6 +24,7 @@
 type endpointSim struct {
 	sim        *simulation
 	id         types.Endpoint
+	service    types.Service
 	dc         types.DataCentre
 	alive      bool
 	primary    bool
@@ -98,8 +100,12 @@
 func (e *endpointSim) expire() { e.sim.store.remove(proxy.KindEndpoints, string(e.id)) }
 
 func (sim *simulation) addEndpoint(id types.Endpoint, dc types.DataCentre, primary bool) *endpointSim {
+	return sim.addEndpointOf(testService, id, dc, primary)
+}
+
+func (sim *simulation) addEndpointOf(service types.Service, id types.Endpoint, dc types.DataCentre, primary bool) *endpointSim {
 	e := &endpointSim{
-		sim: sim, id: id, dc: dc, alive: true, primary: primary, term: 1, lag: 20 * time.Millisecond, startedAt: int64(sim.now), conns: map[*connSim]bool{},
+		sim: sim, id: id, service: service, dc: dc, alive: true, primary: primary, term: 1, lag: 20 * time.Millisecond, startedAt: int64(sim.now), conns: map[*connSim]bool{},
 	}
 	sim.endpoints[id] = e
 	e.register()
@@ -111,7 +117,7 @@
 		e.leavingAt = e.sim.now
 	}
 	e.sim.store.put(proxy.KindEndpoints, string(e.id), proxy.Change{Endpoint: &catalog.Endpoint{
-		ID: e.id, Service: testService, Address: string(e.id), DataCentre: e.dc, Slots: testSlots,
+		ID: e.id, Service: e.service, Address: string(e.id), DataCentre: e.dc, Slots: testSlots,
 		Leaving: e.leaving, ClaimsPrimary: e.primary, StartedUnixMs: e.startedAt,
 	}})
 }
@@ -163,6 +169,11 @@
 	return out
 }
 
+// others returns the other endpoints of an endpoint's service.
+func (e *endpointSim) others() []*endpointSim {
+	return slices.DeleteFunc(e.sim.sortedEndpoints(), func(other *endpointSim) bool { return other == e || other.service != e.service })
+}
+
 func (h *hostSim) sortedConns() []*connSim {
 	out := make([]*connSim, 0, len(h.conns))
 	for _, c := range h.conns {
@@ -402,10 +413,7 @@
 	e.sim.callers.recordCommits(e, ids)
 	log := append([]logEntry(nil), e.log...)
 	term := e.term
-	for _, other := range e.sim.sortedEndpoints() {
-		if other == e {
-			continue
-		}
+	for _, other := range e.others() {
 		e.sim.schedule(remoteDelay+other.lag, func() {
 			other.receive(e, term, log)
 			if other.alive && e.primary && e.term == term && !other.isCutFrom(e) && len(other.log) >= len(log) && other.log[len(log)-1] == log[len(log)-1] {
@@ -489,6 +497,9 @@
 		result := proxy.PromoteResult{Service: p.Service, Endpoint: p.Endpoint, FencingToken: p.FencingToken, Request: p.Request, Outcome: lead.PromotionNotRunning}
 		sim.promotions = append(sim.promotions, promotionSim{at: sim.now, holder: h.id, endpoint: p.Endpoint})
 		for _, other := range sim.sortedEndpoints() {
+			if other.service != p.Service {
+				continue
+			}
 			if other.token > p.FencingToken {
 				sim.recordViolation("promotion with token %d after token %d", p.FencingToken, other.token)
 			}
@@ -522,7 +533,7 @@
 	if !e.alive || e.primary {
 		return
 	}
-	for _, other := range e.sim.sortedEndpoints() {
+	for _, other := range e.others() {
 		e.term = max(e.term, other.term)
 	}
 	e.term++
@@ -540,8 +551,8 @@
 		return
 	}
 	retry := false
-	for _, other := range e.sim.sortedEndpoints() {
-		if other == e || !other.alive {
+	for _, other := range e.others() {
+		if !other.alive {
 			continue
 		}
 		if e.isCutFrom(other) || other.deaf {
--- a/core/proxy/frontend.go
+++ b/core/proxy/frontend.go
@@ -155,8 +155,8 @@
 		begin := r.session.tx.begin
 		exec.Begin = &begin
 	}
-	if !r.atPrimary && r.session.lastCommitService == r.route.Service && r.route.Consistency == catalog.ConsistencyReadYourWrites {
-		exec.After = r.session.lastCommit
+	if !r.atPrimary && r.route.Consistency == catalog.ConsistencyReadYourWrites {
+		exec.After = r.session.commits[r.route.Service]
 	}
 	m.expectReply(r.host)
 	m.sendToHost(r.host, exec)
@@ -248,8 +248,8 @@
 			s.tx = nil
 		}
 	}
-	if r.mayCommit() && res.Reply.Position != (types.LogPoint{}) {
-		s.lastCommit, s.lastCommitService = res.Reply.Position, r.route.Service
+	if r.mayCommit() {
+		s.recordCommit(r.route.Service, res.Reply.Position)
 	}
 	m.finishRequest(r, res.Reply)
 }
--- a/core/proxy/schedule_test.go
+++ b/core/proxy/schedule_test.go
@@ -116,14 +116,14 @@
 		return
 	}
 	e.alive, e.paused, e.fencedTerm, e.startedAt = true, false, 0, int64(e.sim.now)
-	for _, other := range e.sim.sortedEndpoints() {
-		if other != e && other.alive && other.primary && other.term > e.term {
+	for _, other := range e.others() {
+		if other.alive && other.primary && other.term > e.term {
 			e.primary = false
 		}
 	}
 	e.register()
-	for _, other := range e.sim.sortedEndpoints() {
-		if other.primary && other != e {
+	for _, other := range e.others() {
+		if other.primary {
 			other.attachReplicas()
 		}
 	}
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -23,10 +23,10 @@
 	withdrawnAt types.Time
 	variables   statement.SessionVariables
 	prepared    map[string]statement.Template
-	// lastCommit is the position of the session's last commit, at lastCommitService.
-	lastCommit        types.LogPoint
-	lastCommitService types.Service
-	tx                *transaction
+	// commits holds, by service, the latest position that the session has committed at. A session is
+	// at several services if its route changes, and may return to an earlier one.
+	commits map[types.Service]types.LogPoint
+	tx      *transaction
 	// currentRequest is the statement in flight; backlog holds those received after it.
 	currentRequest *request
 	backlog        []pool.Query
@@ -101,6 +101,7 @@
 	}
 	s := &session{
 		id: ev.Session, database: ev.Database, key: ev.Key, workspace: workspace, prepared: map[string]statement.Template{},
+		commits: map[types.Service]types.LogPoint{},
 	}
 	if !m.resizeState(s, len(ev.Database)+len(ev.Key)) {
 		m.emit(CallerClose{Session: ev.Session, Code: statement.CodeBusy, Text: "host has no memory for the session"})
@@ -226,6 +227,14 @@
 	s.tx = nil
 }
 
+// recordCommit records the position of a commit. That of a transaction that has only read at a replica
+// may be earlier than the session's last one.
+func (s *session) recordCommit(service types.Service, position types.LogPoint) {
+	if s.commits[service].Less(position) {
+		s.commits[service] = position
+	}
+}
+
 // state returns the transaction state of the session.
 func (s *session) state() statement.TransactionState {
 	switch {
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -92,6 +92,12 @@
 	// promoteTime is the platform's time for a promotion. promoteCallDelay makes the calls that
 	// request one reach the platform that much later and without an answer.
 	promoteTime time.Duration
+	// hasSecondService is set if the next configuration names the second service, movedRoutes holds the
+	// databases that it leads there.
+	hasSecondService bool
+	movedRoutes      map[types.Database]bool
+	// consistencies are those of the databases whose routes differ from the usual ones.
+	consistencies map[types.Database]catalog.Consistency
 	// syncReplicas is that of the service in the next configuration.
 	syncReplicas     int
 	promoteCallDelay time.Duration
@@ -139,6 +145,26 @@
 
 const testService = types.Service("ramp-logs")
 
+// secondService is a further service, see simulation.addSecondService.
+const secondService = types.Service("ramp-logs-2")
+
+// addSecondService adds an endpoint of a second service to each data centre, that of the second one as
+// the primary. The next configuration names it.
+func (sim *simulation) addSecondService() {
+	sim.hasSecondService = true
+	for i, dc := range dataCentres {
+		sim.addEndpointOf(secondService, types.Endpoint("f-"+string(dc)), dc, i == 1)
+	}
+}
+
+// moveRoutes makes the next configuration lead databases to the second service.
+func (sim *simulation) moveRoutes(databases ...types.Database) {
+	sim.movedRoutes = map[types.Database]bool{}
+	for _, db := range databases {
+		sim.movedRoutes[db] = true
+	}
+}
+
 // newSimulation returns three data centres with one endpoint and hostsPerDataCentre hosts
 // each. The endpoint of the first data centre is the primary.
 func newSimulation(t *testing.T, seed uint64, hostsPerDataCentre int) *simulation {
@@ -222,9 +248,20 @@
 		}
 	}
 	cfg := catalog.Config{Version: version, Workspaces: sim.workspaces, TxIdleTimeout: testTxIdleTimeout, Services: []catalog.Service{{Name: testService, MaxConnections: testMaxConnections, SyncReplicas: sim.syncReplicas}}}
+	if sim.hasSecondService {
+		cfg.Services = append(cfg.Services, catalog.Service{Name: secondService, MaxConnections: testMaxConnections, SyncReplicas: sim.syncReplicas})
+	}
 	for i, db := range databases {
+		service := testService
+		if sim.movedRoutes[db] {
+			service = secondService
+		}
+		consistency, ok := sim.consistencies[db]
+		if !ok {
+			consistency = catalog.Consistency(i % 3)
+		}
 		cfg.Routes = append(cfg.Routes, catalog.Route{
-			Database: db, Service: testService, Consistency: catalog.Consistency(i % 3), MaxStaleness: 1500 * time.Millisecond,
+			Database: db, Service: service, Consistency: consistency, MaxStaleness: 1500 * time.Millisecond,
 			StatementTimeout: 800 * time.Millisecond, TargetLatency: 250 * time.Millisecond, Rank: i % 3,
 		})
 	}
