core/proxy: a transaction ends after its caller's key has moved to another workspace

Cause: transactions were checked for keys that are no longer valid, not for those that belong to another workspace. Statements run on the connection of the first one, which is that workspace's.

The session goes on for the workspace that holds the key.

--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -119,6 +119,7 @@
 // more. The others are closed after their statement or transaction.
 func (m *Machine) closeWithdrawnSessions() {
 	for _, s := range ordered(m.sessions) {
+		m.noteMovedKey(s)
 		if !m.isWithdrawn(s) {
 			s.withdrawnAt = 0
 			continue
@@ -158,6 +159,9 @@
 	}
 	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
+		if s.currentRequest == nil && m.mustEndMovedTransaction(s) {
+			m.failTransaction(s, "key moved")
+		}
 		if s.withdrawnAt != 0 && s.tx != nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
 			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
 			s.endsTx = true
@@ -166,6 +170,28 @@
 	}
 }
 
+// noteMovedKey records whether the caller's key belongs to another workspace than the one that its
+// open transaction runs for.
+func (m *Machine) noteMovedKey(s *session) {
+	if s.tx == nil {
+		return
+	}
+	w, ok := m.authenticate(s.key, &s.tx.route)
+	switch {
+	case !ok, w == s.workspace:
+		s.tx.keyMovedAt = 0
+	case s.tx.keyMovedAt == 0:
+		s.tx.keyMovedAt = m.now
+		m.log(Info, "key moved", field("session", s.id), field("workspace", s.workspace), field("to", w), field("config", m.catalog.ConfigVersion()))
+	}
+}
+
+// mustEndMovedTransaction reports whether a transaction that an endpoint holds has gone on for long
+// after the caller's key has moved. Its statements can only run on the connection of its workspace.
+func (m *Machine) mustEndMovedTransaction(s *session) bool {
+	return s.tx != nil && s.tx.open && s.tx.keyMovedAt != 0 && m.now.Sub(s.tx.keyMovedAt) >= m.configBound()*withdrawnTxPercent/100
+}
+
 // mayRunFor reports whether this owner knows for whom a request runs. A host that does not know
 // workspaces sends none. A transaction that this owner has begun goes on: it may have begun before the
 // configuration had workspaces, and its frontend ends it if the key is not valid.
--- a/core/proxy/identity_test.go
+++ b/core/proxy/identity_test.go
@@ -161,6 +161,28 @@
 	is.True(drainedAt != 0)
 }
 
+// Guards against a transaction that goes on for the workspace that its caller's key has left.
+func TestTransactionEndsAfterKeyHasMoved(t *testing.T) {
+	is := is.New(t)
+	sim := newWorkspaceSimulation(t, 67)
+	s := sim.callers.openSessionWithKey("h-a0", "own-db", "idle", "key-n2")
+	sim.runFor(100 * time.Millisecond)
+	s.statementPause = 900 * time.Millisecond
+	sim.callers.runOperation(s, []string{"BEGIN", "WRITE 1 x", "WRITE 2 x", "WRITE 3 x", "WRITE 4 x", "WRITE 5 x", "WRITE 6 x", "COMMIT"})
+	sim.runFor(time.Second)
+	sim.workspaces = []catalog.Workspace{{Name: "north", Keys: []string{"key-n1"}}, {Name: "south", Keys: []string{"key-s1", "key-n2"}}}
+	sim.configure(3)
+	sim.runFor(8 * time.Second)
+	sim.reportViolations()
+	is.Equal(len(sim.callers.acked), 0)
+	// The session goes on for the other workspace.
+	s.statementPause = 0
+	sim.callers.runOperation(s, []string{"WRITE 1 x"})
+	sim.runFor(time.Second)
+	sim.reportViolations()
+	is.Equal(len(sim.callers.acked), 1)
+}
+
 // Guards against a drained session that is removed twice when its last statement is refused for the
 // withdrawn key: the memory of all sessions then counts too little.
 func TestDrainedSessionOfWithdrawnKeyIsClosedOnce(t *testing.T) {
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -69,6 +69,9 @@
 	// failed is set if the transaction accepts only COMMIT and ROLLBACK, which both roll back.
 	failed    bool
 	idleSince types.Time
+	// keyMovedAt is when the caller's key was found to belong to another workspace than the one that
+	// the transaction runs for; zero if it does not.
+	keyMovedAt types.Time
 }
 
 func (m *Machine) handleCallerStarted(ev CallerStarted) {
@@ -129,6 +132,9 @@
 
 // runStatement serves a statement locally if it needs no endpoint, and forwards it otherwise.
 func (m *Machine) runStatement(s *session, q pool.Query) {
+	if m.mustEndMovedTransaction(s) {
+		m.failTransaction(s, "key moved")
+	}
 	if s.tx != nil && s.tx.failed {
 		m.runInFailedTx(s, q)
 		return
@@ -380,8 +386,14 @@
 		if s.tx == nil || s.currentRequest != nil || !s.tx.open || m.now.Sub(s.tx.idleSince) < limit {
 			continue
 		}
-		m.log(Info, "transaction ended", field("session", s.id), field("reason", "idle"), field("limit", limit))
-		m.sendToHost(s.tx.host, EndTx{Tx: s.tx.id})
-		s.tx.open, s.tx.failed = false, true
+		m.failTransaction(s, "idle")
 	}
 }
+
+// failTransaction rolls back an open transaction without a statement in flight. The caller learns of it
+// with its next statement.
+func (m *Machine) failTransaction(s *session, reason string) {
+	m.log(Info, "transaction ended", field("session", s.id), field("reason", reason), field("workspace", s.workspace))
+	m.sendToHost(s.tx.host, EndTx{Tx: s.tx.id})
+	s.tx.open, s.tx.failed = false, true
+}
