--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -68,6 +68,9 @@
 	// oldResponded is set once it is known.
 	oldReceived  types.LogPoint
 	oldResponded bool
+	// oldWasReplica is set if the old primary of a planned change had stepped down before. An earlier
+	// change has then got no further, or has put another endpoint in its place.
+	oldWasReplica bool
 	// leaving holds the replicas that are about to stop. One of them is chosen only if
 	// no other candidate holds as much of the log, and in a planned change only if it is in
 	// leavesLater: it has announced its end after the old primary. Otherwise endpoints that
@@ -216,7 +219,7 @@
 
 // mayLeaveOutSilent reports whether the campaign goes on without the replicas that have not
 // responded in the current phase. A planned change needs only the candidate, since the old
-// primary steps down by itself. The primary of ReasonReplicasPaused stays. An absent primary that
+// primary steps down by itself, unless it has done so before. The primary of ReasonReplicasPaused stays. An absent primary that
 // restarts is not used without the paused replicas. One that is silent may still be confirmed by
 // any replica that is not paused, and one replica may be the only one with the newest commits if
 // requiresAllReplicas is set.
@@ -225,7 +228,9 @@
 		return false
 	}
 	switch c.Reason {
-	case ReasonLeaving, ReasonReplicasPaused:
+	case ReasonLeaving:
+		return !c.oldWasReplica
+	case ReasonReplicasPaused:
 		return true
 	case ReasonAbsent:
 		return c.leavesOutSilent && !c.requiresAllReplicas
@@ -362,6 +367,9 @@
 	case PhaseFencing:
 		return c.handleFencingStatus(now, cmd, status)
 	case PhaseCatchingUp:
+		if status.Primary && cmd.Endpoint != c.OldPrimary && len(c.requests) == 0 && status.Term >= c.highestTerm {
+			return c.endCampaign(cmd.Endpoint)
+		}
 		c.statuses[cmd.Endpoint] = status
 		if c.requiresAllReplicas {
 			delete(c.excluded, cmd.Endpoint) // it runs again
@@ -418,7 +426,7 @@
 	case cmd.Endpoint != c.OldPrimary:
 		c.statuses[cmd.Endpoint] = st
 	case !c.oldResponded:
-		c.oldResponded, c.oldReceived = true, st.Received
+		c.oldResponded, c.oldReceived, c.oldWasReplica = true, st.Received, !st.Primary
 	}
 	if c.Reason == ReasonLeaving && c.oldResponded {
 		for _, r := range c.replicas {
--- a/core/proxy/control.go
+++ b/core/proxy/control.go
@@ -247,7 +247,7 @@
 		}
 		m.resumePausedReplica(o, id, st)
 		before := o.authority.Fenced()
-		if m.restartedRecently(id, openedAt) {
+		if m.restartedRecently(id, openedAt) && !m.isClaimFreeSinceRestart(o, id, openedAt, st) {
 			o.authority.HandleQueryFailure(m.now, id)
 		} else {
 			o.authority.HandleStatus(id, cmd.sentAt, openedAt, st)
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -29,6 +29,8 @@
 // primary.
 type failoverState struct {
 	campaign *lead.Campaign
+	// primaryAtStart and candidateAtStart are those that were known when the campaign began.
+	primaryAtStart, candidateAtStart types.Endpoint
 	// claimRecord is the last record that the store has confirmed as this host's claim.
 	claimRecord catalog.Leadership
 	// claimIDs holds the writes of the campaign, the latest last. It also holds those of earlier
@@ -131,7 +133,7 @@
 				m.applyActions(s, c.Abandon())
 				continue
 			}
-			m.avoidLeavingCandidates(c)
+			m.updateCandidates(c)
 			m.removeLostReplicas(c)
 			m.applyActions(s, c.Tick(m.now))
 			m.checkWritesDrained(s)
@@ -167,13 +169,12 @@
 	}
 	fs.releaseRequested = false
 	fs.campaign = lead.NewCampaign(m.now, s.name, reason, oldPrimary, replicas, term)
-	if primary, _ := m.catalog.PrimaryOf(s.name); record.Candidate != "" && record.Candidate != primary {
+	primary, _ := m.catalog.PrimaryOf(s.name)
+	fs.primaryAtStart, fs.candidateAtStart = primary, record.Candidate
+	if record.Candidate != "" && record.Candidate != primary {
 		fs.campaign.FinishPromotion(record.Candidate)
 	}
-	m.avoidLeavingCandidates(fs.campaign)
-	if spec, ok := m.catalog.Service(s.name); ok && spec.SyncReplicas > 0 {
-		fs.campaign.RequireAllReplicas()
-	}
+	m.updateCandidates(fs.campaign)
 	if m.allHostsNeedMajorities() {
 		fs.campaign.LeaveOutSilentReplicas()
 	}
@@ -182,9 +183,12 @@
 	m.applyActions(s, fs.campaign.Start())
 }
 
-// avoidLeavingCandidates marks the endpoints that leave, also those that have announced it since
-// the campaign has begun, and those without a record.
-func (m *Machine) avoidLeavingCandidates(c *lead.Campaign) {
+// updateCandidates marks the endpoints that leave, also those that have announced it since the campaign
+// has begun, and those without a record, and whether all replicas are needed.
+func (m *Machine) updateCandidates(c *lead.Campaign) {
+	if spec, ok := m.catalog.Service(c.Service); ok && spec.SyncReplicas > 0 {
+		c.RequireAllReplicas()
+	}
 	for _, e := range m.catalog.InstancesOf(c.Service) {
 		switch {
 		case e.Leaving:
@@ -229,6 +233,16 @@
 	return !heldByOther || fs.recordChangedAt == 0 || m.now.Sub(fs.recordChangedAt) >= rivalClaimTimeout || m.holderHasRestarted(record)
 }
 
+// isCampaignCurrent reports whether the claim of a campaign may still be written. While it has queried
+// the replicas, another host may have begun a campaign or replaced the primary. What changes later makes
+// the claim fail, which has the revision of the known record as its condition.
+func (m *Machine) isCampaignCurrent(s *serviceState) bool {
+	fs := &s.failover
+	record := m.catalog.Leadership(s.name)
+	primary, _ := m.catalog.PrimaryOf(s.name)
+	return primary == fs.primaryAtStart && record.Candidate == fs.candidateAtStart && m.mayClaim(fs, record)
+}
+
 // holderHasRestarted reports whether the process that holds a claim has ended.
 func (m *Machine) holderHasRestarted(record catalog.Leadership) bool {
 	holder, ok := m.catalog.Host(record.Holder)
@@ -239,6 +253,11 @@
 func (m *Machine) applyActions(s *serviceState, a lead.Actions) {
 	fs := &s.failover
 	c := fs.campaign
+	if a.ClaimToken && !m.isCampaignCurrent(s) {
+		m.log(Info, "campaign outdated", field("service", s.name), field("old", c.OldPrimary), field("holder", m.catalog.Leadership(s.name).Holder))
+		m.endCampaign(s, "")
+		return
+	}
 	if a.ClaimToken {
 		m.claimLeadership(s, "")
 	}
--- a/core/proxy/promotion_test.go
+++ b/core/proxy/promotion_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/lead"
 	"baobabfield.example/core/proxy"
 	"baobabfield.example/core/types"
@@ -275,3 +278,45 @@
 		})
 	}
 }
+
+// Guards against a campaign that goes on after another host has replaced the primary: the record of that
+// arrives while the campaign queries the replicas, and its claim follows that record.
+func TestCampaignEndsIfPrimaryWasReplacedBeforeClaim(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprintf("planned=%v", planned), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, 47, 2)
+			openAll(sim)
+			sim.runFor(3 * time.Second)
+			sim.endpoints["e-b"].statusDelay = 250 * time.Millisecond
+			sim.endpoints["e-c"].statusDelay = 400 * time.Millisecond
+			old := sim.endpoints["e-a"]
+			if planned {
+				old.leaving = true
+				old.register()
+			} else {
+				old.crash()
+			}
+			started := func() bool {
+				for _, h := range sim.sortedHosts() {
+					for _, l := range h.logs {
+						if l.Event == "campaign started" {
+							return true
+						}
+					}
+				}
+				return false
+			}
+			for start := sim.now; !started() && sim.now.Sub(start) < 3*time.Second; {
+				sim.runFor(time.Millisecond)
+			}
+			old.execute(lead.OpStepDown, old.term+1)
+			sim.endpoints["e-b"].becomePrimary()
+			record := catalog.Leadership{Service: testService, FencingToken: 9, Holder: "h-b0", Primary: "e-b", WriteID: 1}
+			sim.store.put(proxy.KindLeadership, string(testService), proxy.Change{Leadership: &record})
+			sim.runFor(2 * time.Second)
+			is.Equal(sim.leadershipHolder(), types.Host("h-b0"))
+			is.Equal(len(sim.promotions), 0)
+		})
+	}
+}
--- a/core/proxy/restart.go
+++ b/core/proxy/restart.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"baobabfield.example/core/lead"
 	"baobabfield.example/core/types"
 )
 
@@ -34,6 +35,13 @@
 	return r.certain || stale || m.refresh.ownReadAt[KindEndpoints].Before(max(r.at, openedAt))
 }
 
+// isClaimFreeSinceRestart reports whether an endpoint is the primary of an authority, and no campaign was in
+// progress when this host read the leadership record after it had connected to the restarted process. No
+// campaign has made that process step down then, and its replicas still have to confirm it.
+func (m *Machine) isClaimFreeSinceRestart(o *ownedEndpoint, id types.Endpoint, openedAt types.Time, st lead.Status) bool {
+	return id == o.id && st.Primary && !m.serviceFor(o.service).claimFreeAt.Before(max(m.restarts[id].at, openedAt))
+}
+
 // notePossibleRestart records that an endpoint has restarted or may have restarted.
 func (m *Machine) notePossibleRestart(id types.Endpoint, certain bool) {
 	if old, ok := m.restarts[id]; ok && old.certain && m.now.Sub(old.at) < restartWindow && !certain {
