core/lead: a candidate that may have led before it stopped is not taken for one that has not

The answer that it does not run then counted as if it had never led, so that the campaign closed its record, and the old primary was used again when it returned without those commits.

An accepted request stays unsettled: the record goes on naming the candidate, and with syncReplicas it is waited for. Once it is given up, the old primary is chosen if it responds and holds more than the replicas: then a lost copy may have been the only other one.

TestReplicaWithoutCommitsDoesNotReplaceCandidate has this case ('candidate led'), and the one whose candidate never returns runs until it is given up.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -404,9 +404,9 @@
 }
 
 // RemoveLostCopies forgets the removed endpoints that campaigns no longer wait for, and returns
-// their ids in order. Those of one service are forgotten together: each may be the only one with
+// them in order. Those of one service are forgotten together: each may be the only one with
 // the last commits.
-func (c *Catalog) RemoveLostCopies(listedAt types.Time) []types.Endpoint {
+func (c *Catalog) RemoveLostCopies(listedAt types.Time) []Endpoint {
 	if len(c.formerCopies) == 0 {
 		return nil
 	}
@@ -415,15 +415,15 @@
 		e, _ := c.Instance(id)
 		newest[e.Service] = max(newest[e.Service], since)
 	}
-	var lost []types.Endpoint
+	var lost []Endpoint
 	for id, e := range c.formerCopies {
 		if c.isSuperseded(e) || !listedAt.Before(newest[e.Service].Add(copyRetention)) {
 			delete(c.formerCopies, id)
 			delete(c.missingSince, id)
-			lost = append(lost, id)
+			lost = append(lost, e)
 		}
 	}
-	slices.Sort(lost)
+	sort.Slice(lost, func(i, j int) bool { return lost[i].ID < lost[j].ID })
 	return lost
 }
 
--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -95,9 +95,10 @@
 	oldAbsentAfterFence  bool
 	promotionRequestedAt types.Time
 	promotionAccepted    bool
-	// requests holds, by their numbers, the promotion requests that may still take effect.
+	// requests holds, by their numbers, the endpoints of the promotion requests that the platform has
+	// neither refused nor answered with PromotionNotRunning.
 	// lastRequest is the number of the newest one.
-	requests    map[uint64]promotionRequest
+	requests    map[uint64]types.Endpoint
 	lastRequest uint64
 	// notRunningAt is when the platform has answered an earlier request for the candidate with
 	// PromotionNotRunning; zero for never.
@@ -115,6 +116,11 @@
 	oldUnused      bool
 	// existingPrimary is another endpoint that is the primary already.
 	existingPrimary types.Endpoint
+	// replicaLost is set if a replica is no longer waited for, which may have been the only one with
+	// commits of the old primary.
+	replicaLost bool
+	// oldStatus is the last status of the old primary in the campaign; nil for none.
+	oldStatus *Status
 	// oldIsPrimary is set once the old primary has responded that it still is the
 	// primary.
 	oldIsPrimary bool
@@ -127,7 +133,7 @@
 		Service: service, Reason: reason, OldPrimary: oldPrimary, replicas: replicas, highestTerm: term,
 		phaseStartedAt: now,
 		statuses:       map[types.Endpoint]Status{}, paused: map[types.Endpoint]bool{}, pauseTerms: map[types.Endpoint]types.Term{}, excluded: map[types.Endpoint]bool{},
-		leaving: map[types.Endpoint]bool{}, leavesLater: map[types.Endpoint]bool{}, requests: map[uint64]promotionRequest{},
+		leaving: map[types.Endpoint]bool{}, leavesLater: map[types.Endpoint]bool{}, requests: map[uint64]types.Endpoint{},
 	}
 }
 
@@ -151,8 +157,12 @@
 // Replicas returns the replicas that the campaign considers. The result must not be changed.
 func (c *Campaign) Replicas() []types.Endpoint { return c.replicas }
 
-// RemoveReplica removes a replica that has ended. The next Tick goes on without it.
+// NoteLostReplica records that a replica of the service is no longer waited for.
+func (c *Campaign) NoteLostReplica() { c.replicaLost = true }
+
+// RemoveReplica removes a replica that is no longer waited for. The next Tick goes on without it.
 func (c *Campaign) RemoveReplica(replica types.Endpoint) {
+	c.replicaLost = true
 	c.replicas = slices.DeleteFunc(slices.Clone(c.replicas), func(r types.Endpoint) bool { return r == replica })
 }
 
@@ -353,6 +363,9 @@
 // HandleStatus processes the status that an endpoint returned for a command.
 func (c *Campaign) HandleStatus(now types.Time, cmd Command, status Status) Actions {
 	c.highestTerm = max(c.highestTerm, status.Term)
+	if cmd.Endpoint == c.OldPrimary {
+		c.oldStatus = &status
+	}
 	if cmd.Endpoint == c.OldPrimary && status.Primary && c.mayKeepOldPrimary() {
 		return c.handleOldPrimaryReachable(now)
 	}
@@ -419,6 +432,9 @@
 // otherwise keep the wrong primary.
 func (c *Campaign) handleReplicaStatus(now types.Time, cmd Command, st Status) Actions {
 	otherIsPrimary := cmd.Endpoint != c.OldPrimary && st.Primary && st.Term >= c.highestTerm
+	if c.requiresAllReplicas && c.inherited != "" && cmd.Endpoint != c.inherited {
+		otherIsPrimary = false // the candidate may have led since
+	}
 	if otherIsPrimary && (c.OldPrimary == "" || c.Reason == ReasonReplicasPaused || cmd.Endpoint == c.inherited) {
 		return c.recordExistingPrimary(now, cmd.Endpoint)
 	}
--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -37,6 +37,10 @@
 	if best == "" {
 		return c.endCampaign("")
 	}
+	if c.requiresAllReplicas && c.replicaLost && c.oldStatus != nil && c.statuses[best].Received.Less(c.oldStatus.Received) {
+		// A replica that held as much is not waited for any more.
+		best = c.OldPrimary
+	}
 	return c.requestPromotion(now, best)
 }
 
@@ -49,38 +53,25 @@
 	return Actions{Promote: candidate}
 }
 
-// promotionRequest is a request to the platform to promote an endpoint.
-type promotionRequest struct {
-	endpoint types.Endpoint
-	accepted bool
-}
-
 // RecordPromotionRequest records that the platform is sent a request for an endpoint, and returns the
 // number of the request.
 func (c *Campaign) RecordPromotionRequest(endpoint types.Endpoint) uint64 {
 	c.lastRequest++
-	c.requests[c.lastRequest] = promotionRequest{endpoint: endpoint}
+	c.requests[c.lastRequest] = endpoint
 	return c.lastRequest
 }
 
 // HandlePromotionResult processes the outcome of a request to promote an endpoint, which may no
 // longer be the candidate.
 func (c *Campaign) HandlePromotionResult(now types.Time, number uint64, outcome PromotionOutcome) Actions {
-	request, known := c.requests[number]
+	endpoint, known := c.requests[number]
 	if !known {
 		return Actions{}
 	}
-	switch outcome {
-	case PromotionAccepted:
-		request.accepted = true
-		c.requests[number] = request
-	case PromotionNotRunning:
-		c.settleRequests(number, request.endpoint)
-	case PromotionRefused:
+	if outcome == PromotionNotRunning || outcome == PromotionRefused {
 		delete(c.requests, number)
-	case PromotionUnknown:
 	}
-	if c.phase != PhasePromoting || request.endpoint != c.candidate {
+	if c.phase != PhasePromoting || endpoint != c.candidate {
 		return Actions{}
 	}
 	switch outcome {
@@ -99,22 +90,11 @@
 	return Actions{}
 }
 
-// settleRequests removes the requests that can have no effect any more, since the endpoint did not
-// run when the platform received the one with the given number. An earlier one without an answer may
-// reach the platform later.
-func (c *Campaign) settleRequests(number uint64, endpoint types.Endpoint) {
-	for n, r := range c.requests {
-		if n == number || (n < number && r.endpoint == endpoint && r.accepted) {
-			delete(c.requests, n)
-		}
-	}
-}
-
 // isRequestedAgain reports whether the candidate has been requested again after a request, so that it
 // may be promoted although it did not run before.
 func (c *Campaign) isRequestedAgain(number uint64) bool {
-	for n, r := range c.requests {
-		if n > number && r.endpoint == c.candidate {
+	for n, endpoint := range c.requests {
+		if n > number && endpoint == c.candidate {
 			return true
 		}
 	}
@@ -125,13 +105,14 @@
 func (c *Campaign) replaceCandidate(now types.Time) Actions {
 	c.excluded[c.candidate] = true
 	c.inherited = ""
+	c.replicaLost = c.replicaLost || !slices.Contains(c.replicas, c.candidate)
 	if c.Reason == ReasonLeaving {
 		c.enterPhase(now, PhaseCatchingUp)
 		return c.promoteIfCaughtUp(now)
 	}
 	if c.requiresAllReplicas && !c.isReplaceable(c.candidate) {
-		// The next campaign waits for the replica. If the old primary returns first, it has all
-		// commits.
+		// The next campaign waits for the replica, which may have led before it stopped if an
+		// earlier request was accepted. Otherwise the old primary is used again if it returns first.
 		return c.endCampaign("")
 	}
 	return c.promoteMostAdvanced(now)
--- a/core/proxy/candidate_test.go
+++ b/core/proxy/candidate_test.go
@@ -22,10 +22,23 @@
 			sim.endpoints["e-a"].expire()
 			sim.endpoints["e-c"].expire()
 		},
-		// The old primary returns first, and the candidate not at all.
+		// The old primary returns, and the candidate not at all.
 		"candidate lost": func(sim *simulation) {
 			sim.runFor(2 * time.Second)
 			sim.endpoints["e-a"].restart()
+			sim.runFor(1600 * time.Millisecond)
+			sim.endpoints["e-c"].expire()
+			sim.runFor(8 * time.Second)
+		},
+		// The candidate has led for a moment when it crashes, and its host has not learned of it.
+		"candidate led": func(sim *simulation) {
+			candidate := sim.endpoints["e-c"]
+			candidate.restart()
+			candidate.silentCommands = true
+			sim.runFor(900 * time.Millisecond)
+			candidate.crash()
+			candidate.silentCommands = false
+			sim.endpoints["e-a"].restart()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/proxy/failover.go
+++ b/core/proxy/failover.go
@@ -20,6 +20,9 @@
 	// usually unavailable or unreachable for seconds.
 	campaignInterval   = 300 * time.Millisecond
 	claimRetryInterval = time.Second
+	// lostCopyMemory is the time after the loss of a copy in which the other replicas may not have caught
+	// up with the primary.
+	lostCopyMemory = time.Minute
 	// holderChangeInterval is the time after another host's change of primary in which this host
 	// starts none. The platform allows the duty to change hands once in three seconds.
 	holderChangeInterval = 3200 * time.Millisecond
@@ -51,6 +54,8 @@
 	// primaryMissingSince is when the service was first seen without a usable primary; zero if
 	// it has one.
 	primaryMissingSince types.Time
+	// copyLostAt is when campaigns last ceased to wait for an endpoint without a record.
+	copyLostAt types.Time
 	// resumes holds the replicas that are to be resumed.
 	resumes map[types.Endpoint]pendingResume
 	// replicaResumedAt is when this host last resumed a replica that had been left paused.
@@ -175,6 +180,9 @@
 		fs.campaign.FinishPromotion(record.Candidate)
 	}
 	m.updateCandidates(fs.campaign)
+	if isRecent(m.now, fs.copyLostAt, lostCopyMemory) {
+		fs.campaign.NoteLostReplica()
+	}
 	if m.allHostsNeedMajorities() {
 		fs.campaign.LeaveOutSilentReplicas()
 	}
--- a/core/proxy/missing.go
+++ b/core/proxy/missing.go
@@ -114,8 +114,10 @@
 		m.dropEndpoint(id)
 		m.clearOwnerCache()
 	}
-	for _, id := range m.catalog.RemoveLostCopies(listedAt) {
-		m.log(Warn, "endpoint lost", field("endpoint", id), field("reason", "its record has been missing for too long"))
-		m.removeControl(id)
+	for _, e := range m.catalog.RemoveLostCopies(listedAt) {
+		m.log(Warn, "endpoint lost", field("endpoint", e.ID), field("service", e.Service), field("reason", "its record has been missing for too long"))
+		m.incrementCounter("baobab_copies_lost_total")
+		m.serviceFor(e.Service).failover.copyLostAt = m.now
+		m.removeControl(e.ID)
 	}
 }
