model, core/lead: expiry, syncReplicas and candidates that crash in the model of campaigns

lead.pml with EXPIRY: an owner that has started meanwhile may not know a replica. lead.pml with SYNC (lead_sync.pml): the logs if a commit is acknowledged once a replica holds it; three endpoints, three crashes, also of candidates before and after they lead.

Writing the model showed two more ways by which a candidate that may have led was passed over with syncReplicas: by a replica that holds as much as the candidate did before, and in a planned change. Now the campaign ends and its record goes on naming the candidate, which the next campaign waits for.

--- a/core/lead/promotion.go
+++ b/core/lead/promotion.go
@@ -106,18 +106,33 @@
 	c.excluded[c.candidate] = true
 	c.inherited = ""
 	c.replicaLost = c.replicaLost || !slices.Contains(c.replicas, c.candidate)
+	if c.requiresAllReplicas && c.mayHaveLed(c.candidate) {
+		// The record goes on naming the candidate, and the next campaign waits for it.
+		return c.endCampaign("")
+	}
 	if c.Reason == ReasonLeaving {
 		c.enterPhase(now, PhaseCatchingUp)
 		return c.promoteIfCaughtUp(now)
 	}
 	if c.requiresAllReplicas && !c.isReplaceable(c.candidate) {
-		// The next campaign waits for the replica, which may have led before it stopped if an
-		// earlier request was accepted. Otherwise the old primary is used again if it returns first.
+		// The next campaign waits for the replica. The old primary is used again if it returns first.
 		return c.endCampaign("")
 	}
 	return c.promoteMostAdvanced(now)
 }
 
+// mayHaveLed reports whether an endpoint that does not run may have led before, and is still waited for:
+// the platform has accepted an earlier request for it, or has not answered it.
+func (c *Campaign) mayHaveLed(candidate types.Endpoint) bool {
+	isKnown := candidate == c.OldPrimary || slices.Contains(c.replicas, candidate)
+	for _, endpoint := range c.requests {
+		if isKnown && endpoint == candidate {
+			return true
+		}
+	}
+	return false
+}
+
 // isReplaceable reports whether another replica holds as much of the log as one that does not run, or
 // that one is no longer waited for.
 func (c *Campaign) isReplaceable(candidate types.Endpoint) bool {
--- a/model/lead.pml
+++ b/model/lead.pml
@@ -21,6 +21,13 @@
  * replicas are not paused, and confirm the old primary to its owner all the while. The owner does not
  * hear of the change: it queries the old primary, opens and closes its connection, and reads.
  *
+ * With EXPIRY the records of replicas expire. An owner that has started meanwhile may not know a
+ * replica; one that has known it goes on to count it, as the campaign does.
+ *
+ * With SYNC the model is that of the logs if a commit is acknowledged once a replica holds it. Any endpoint
+ * may crash and return with its log, also a candidate before or after it leads; a replica may receive
+ * nothing for any time. The old primary is endpoint 0.
+ *
  * Each of these switches removes a safeguard, so that a check must fail:
  *   NOWAIT        the campaign does not wait for the lease to expire
  *   ONEPAUSE      the fence counts as complete with one paused replica
@@ -41,6 +48,12 @@
  *   NEWCONN       the owner uses a connection opened after such a query (with PLANNED)
  *   NOROLEWAIT    a planned change does not wait for such replies to expire (with PLANNED)
  *   EARLYUNUSED   the old primary's connections are counted before it steps down (with PLANNED)
+ *   FORGETOWNER   the owner takes a replica whose record has expired for gone (with EXPIRY)
+ *   FORGETCAMPAIGN the campaign does so (with EXPIRY)
+ *   ALLOFKNOWN    to an owner that may not know all replicas, those that it knows are all (with EXPIRY)
+ *   FORGETCOPY    the campaign chooses without a replica whose record has expired (with SYNC)
+ *   ANYREPLACEMENT a crashed candidate is replaced by any replica (with SYNC)
+ *   NEVERLED      a crashed candidate counts as one that has never led (with SYNC)
  */
 #define W 2             /* LeaseDuration */
 #define G 3             /* maxWatchGap */
@@ -86,10 +99,25 @@
 bool oldRefusedAfterFence;  /* the old primary refused a connection after the fence */
 byte candidate;
 
+#ifdef EXPIRY
+bool unknownToOwner[REPLICAS];  /* the owner has started after the record had expired */
+bool restarted;
+bool expired[REPLICAS];         /* the campaign's host has no record */
+#endif
+
 /* Scratch variables. */
 byte i;
 bool ok;
 
+/* The replicas that the owner knows count as all. */
+#if defined(FORGETOWNER)
+#define ALLKNOWN true
+#elif defined(ALLOFKNOWN)
+#define ALLKNOWN (!unknownToOwner[0] || !unknownToOwner[1])
+#else
+#define ALLKNOWN (!unknownToOwner[0] && !unknownToOwner[1])
+#endif
+
 /*
  * Authority.Valid: the primary and one replica are a majority, which is enough if the replica's
  * connection is covered. Otherwise all replicas have to confirm.
@@ -97,6 +125,10 @@
 inline checkAuthority() {
 #ifdef ANYCONN
 	ok = (confirmationAge[0] < W || confirmationAge[1] < W)
+#elif defined(EXPIRY)
+	ok = ((ALLKNOWN && (unknownToOwner[0] || confirmationAge[0] < W) && (unknownToOwner[1] || confirmationAge[1] < W))
+		|| (!unknownToOwner[0] && confirmationAge[0] < W && replicaCovered[0])
+		|| (!unknownToOwner[1] && confirmationAge[1] < W && replicaCovered[1]))
 #else
 	ok = ((confirmationAge[0] < W && confirmationAge[1] < W)
 		|| (confirmationAge[0] < W && replicaCovered[0])
@@ -109,6 +141,10 @@
 	if
 #ifdef ANYCONN
 	:: connConfirmed[0] || connConfirmed[1] -> connTrusted = true
+#elif defined(EXPIRY)
+	:: ALLKNOWN && (unknownToOwner[0] || connConfirmed[0]) && (unknownToOwner[1] || connConfirmed[1]) -> connTrusted = true
+	:: connRead && !unknownToOwner[0] && connConfirmed[0] && replicaCovered[0] -> connTrusted = true
+	:: connRead && !unknownToOwner[1] && connConfirmed[1] && replicaCovered[1] -> connTrusted = true
 #else
 	:: connConfirmed[0] && connConfirmed[1] -> connTrusted = true
 	:: connRead && connConfirmed[0] && replicaCovered[0] -> connTrusted = true
@@ -226,6 +262,8 @@
 	if
 #ifdef ONEPAUSE
 	:: paused[0] || paused[1] ->
+#elif defined(FORGETCAMPAIGN)
+	:: (paused[0] || expired[0]) && (paused[1] || expired[1]) ->
 #else
 	:: paused[0] && paused[1] ->
 #endif
@@ -293,7 +331,23 @@
 /* One atomic step. It resets the scratch variables, so that they add no states. */
 #define STEP(guard, act) :: d_step { guard -> act; i = 0; ok = false }
 
-#ifndef PLANNED
+#ifdef EXPIRY
+/* The owner's process ends and another one takes its place. */
+inline Restart() {
+	restarted = true;
+	connected = false;
+	hasOlderTrustedConn = false;
+	connTrusted = false;
+	opState = 0;
+	opRanAfterChange = false;
+	confirmationAge[0] = EXPIRED;
+	confirmationAge[1] = EXPIRED;
+	replicaCovered[0] = false;
+	replicaCovered[1] = false
+}
+#endif
+
+#if !defined(PLANNED) && !defined(SYNC)
 init {
 	do
 	/* the owner */
@@ -330,11 +384,24 @@
 	STEP(campaignState == 3, paused[1 - candidate] = false)
 #else
 	STEP(campaignState == 3 && fenceAge >= W + D, paused[1 - candidate] = false)
+#endif
+#ifdef EXPIRY
+	/* the owner's process ends once, and the next one may not know a replica */
+	STEP(!restarted, Restart(); unknownToOwner[0] = true)
+	STEP(!restarted, Restart(); unknownToOwner[1] = true)
+	STEP(!restarted, Restart(); unknownToOwner[0] = true; unknownToOwner[1] = true)
+#ifdef FORGETCAMPAIGN
+	STEP(!expired[0], expired[0] = true)
+	STEP(!expired[1], expired[1] = true)
+#endif
 #endif
 	STEP(true, Tick())
 	od
 }
 
+#elif defined(SYNC)
+#include "lead_sync.pml"
+
 #else
 #define WRITES 3
 
