--- a/core/proxy/candidate_test.go
+++ b/core/proxy/candidate_test.go
@@ -43,7 +43,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(800); seed < 804; seed++ {
-				sim := newSyncSimulation(t, seed, 2)
+				sim := newSyncSimulation(t, seed)
 				primary, deaf, candidate := sim.endpoints["e-a"], sim.endpoints["e-b"], sim.endpoints["e-c"]
 				deaf.deaf = true
 				sim.schedule(6*time.Second, func() { deaf.deaf = false })
@@ -71,7 +71,7 @@
 // With SyncReplicas a replica that has announced its end is waited for like any other until it ends.
 func TestLeavingReplicaWithCommitsIsWaitedFor(t *testing.T) {
 	for seed := uint64(820); seed < 824; seed++ {
-		sim := newSyncSimulation(t, seed, 2)
+		sim := newSyncSimulation(t, seed)
 		primary, deaf, leaving := sim.endpoints["e-a"], sim.endpoints["e-b"], sim.endpoints["e-c"]
 		deaf.deaf = true
 		sim.runFor(time.Second)
--- a/core/proxy/endpoints.go
+++ b/core/proxy/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/types"
@@ -60,9 +61,16 @@
 		delete(m.leavingSince, e.ID)
 	case !noted || old.StartedUnixMs != e.StartedUnixMs:
 		m.leavingSince[e.ID] = m.now
+		if !m.knowsAllEndpoints() {
+			m.leavingSince[e.ID] = m.now.Add(-initialLeavingAge)
+		}
 	}
 }
 
+// initialLeavingAge is added to the time for which an endpoint has left, as far as a process knows that has
+// just started: the endpoint has announced it before.
+const initialLeavingAge = 500 * time.Millisecond
+
 // mayStartWork reports whether a primary may get new work. One that leaves goes on until it is
 // replaced, but only for a part of the bound: other hosts may have learned earlier that it leaves.
 func (m *Machine) mayStartWork(primary types.Endpoint) bool {
--- a/core/proxy/gossip.go
+++ b/core/proxy/gossip.go
@@ -113,6 +113,9 @@
 		m.applyDeletion(o)
 		return
 	}
+	if o.Kind == KindEndpoints && len(o.Data) > maxEndpointRecordBytes {
+		o.Data = nil // as other hosts receive it
+	}
 	change, err := m.settings.Decoder.Decode(o)
 	if err != nil {
 		m.log(Warn, "object not usable", field("kind", string(o.Kind)), field("name", o.Name), field("revision", o.Revision.Number()), field("error", err.Error()))
@@ -358,15 +361,23 @@
 	}
 }
 
-// handleChangesRequest sends another host the objects that it lacks.
+// maxEndpointRecordBytes is the size above which the record of an endpoint is not usable. Other writers
+// may store large ones, of which a few would make a message that cannot be sent.
+const maxEndpointRecordBytes = 64 << 10
+
+// handleChangesRequest sends another host the objects that it lacks, each kind in a message of its own: one
+// that is too large to be sent does not hold up the others.
 func (m *Machine) handleChangesRequest(from types.Host, req ChangesRequest) {
-	var out ChangesResponse
 	for _, r := range req.Since {
-		if c := m.mirror.Since(r.Kind, r.Revision); len(c.Objects) > 0 || c.AsOf > r.Revision {
-			out.Kinds = append(out.Kinds, c)
+		c := m.mirror.Since(r.Kind, r.Revision)
+		if len(c.Objects) == 0 && c.AsOf <= r.Revision {
+			continue
 		}
-	}
-	if len(out.Kinds) > 0 {
-		m.sendToHost(from, out)
+		for i := range c.Objects {
+			if o := &c.Objects[i]; c.Kind == KindEndpoints && len(o.Data) > maxEndpointRecordBytes {
+				o.Data = nil
+			}
+		}
+		m.sendToHost(from, ChangesResponse{Kinds: []feed.Changes{c}})
 	}
 }
--- a/core/proxy/missing_test.go
+++ b/core/proxy/missing_test.go
@@ -8,8 +8,8 @@
 
 // newSyncSimulation returns a simulation whose commits are acknowledged once a replica holds them,
 // with callers and complete lists of endpoints at all hosts.
-func newSyncSimulation(t *testing.T, seed uint64, hostsPerDataCentre int) *simulation {
-	sim := newSimulation(t, seed, hostsPerDataCentre)
+func newSyncSimulation(t *testing.T, seed uint64) *simulation {
+	sim := newSimulation(t, seed, 2)
 	sim.syncReplicas = 1
 	sim.configure(2)
 	openAll(sim)
@@ -37,7 +37,7 @@
 	for _, restarted := range []bool{false, true} {
 		t.Run(fmt.Sprintf("restarted=%v", restarted), func(t *testing.T) {
 			for seed := uint64(700); seed < 706; seed++ {
-				sim := newSyncSimulation(t, seed, 2)
+				sim := newSyncSimulation(t, seed)
 				primary, deaf, current := sim.endpoints["e-a"], sim.endpoints["e-b"], sim.endpoints["e-c"]
 				sim.expireAll()
 				deaf.deaf = true
@@ -134,7 +134,7 @@
 // Guards against a wait for endpoints that have ended. With SyncReplicas the service is without a primary
 // until the copies count as lost, and not for longer.
 func TestServiceGoesOnWithoutLostCopies(t *testing.T) {
-	sim := newSyncSimulation(t, 760, 2)
+	sim := newSyncSimulation(t, 760)
 	sim.endpoints["e-c"].crash()
 	sim.runFor(time.Second)
 	sim.endpoints["e-a"].crash()
@@ -150,3 +150,31 @@
 		t.Error("no replica was promoted")
 	}
 }
+
+// Guards against a process that starts while a primary leaves, and gives it new work for as long as if it had
+// announced that just then.
+func TestRestartedHostEndsWorkAtLeavingPrimary(t *testing.T) {
+	sim := newSimulation(t, 770, 2)
+	for _, h := range sim.sortedHosts() {
+		sim.callers.openSession(h.id, "primary-db", "write")
+	}
+	sim.runFor(3 * time.Second)
+	sim.endpoints["e-b"].deaf, sim.endpoints["e-c"].deaf = true, true // nothing can replace the primary
+	sim.runFor(100 * time.Millisecond)
+	sim.endpoints["e-a"].leaving = true
+	sim.endpoints["e-a"].register()
+	sim.runFor(time.Second)
+	for _, h := range sim.sortedHosts() {
+		sim.killHost(h.id)
+		sim.startHost(h.id, h.dc)
+	}
+	sim.runFor(inTouchTime)
+	before := len(sim.callers.acked)
+	if sim.now.Sub(sim.callers.lastWrite) > 2*time.Second {
+		t.Error("the primary got no work after the start")
+	}
+	sim.runFor(2 * time.Second)
+	if got := len(sim.callers.acked) - before; got > 0 {
+		t.Errorf("%d writes were acknowledged after the hosts had been in touch", got)
+	}
+}
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"baobabfield.example/core/catalog"
 	"baobabfield.example/core/feed"
 	"baobabfield.example/core/types"
@@ -15,6 +17,10 @@
 	// era is the latest known era of the store; firstEra is the first known one.
 	era, firstEra uint64
 	known         bool
+	// ownRecordSeen is set once the store was seen to hold this process's record, and ownRecordWrittenAt
+	// is when this host has last written it again for another reason than a restore.
+	ownRecordSeen      bool
+	ownRecordWrittenAt types.Time
 	// recordStoredIn is the era in which this host has last written its record again.
 	recordStoredIn uint64
 	// rewrittenAt holds, by service, when this host has last written a known leadership record
@@ -34,10 +40,24 @@
 	}
 }
 
+// ownRecordInterval is the minimum time between two writes of this host's record after late writes of
+// an earlier process.
+const ownRecordInterval = time.Second
+
 // checkOwnRecord writes this host's record again if a restored store does not have it, or has
-// an earlier one. A nil record is one that does not exist.
+// an earlier one, or if the store has carried out a write of an earlier process late. A nil record is
+// one that does not exist.
 func (m *Machine) checkOwnRecord(r types.Revision, record *catalog.Host) {
 	s := &m.restore
+	isOwn := record != nil && record.StartedUnixMs == m.settings.StartedUnixMs
+	if isOwn {
+		s.ownRecordSeen = true
+	} else if record != nil && s.ownRecordSeen && !isRecent(m.now, s.ownRecordWrittenAt, ownRecordInterval) {
+		s.ownRecordWrittenAt = m.now
+		m.log(Info, "host record written again", field("reason", "late write of an earlier process"), field("leaving", m.stop.begun))
+		m.emit(StoreHostRecord{Leaving: m.stop.begun})
+		return
+	}
 	if r.Era() == s.firstEra || s.recordStoredIn == r.Era() {
 		return
 	}
--- a/core/proxy/restore_test.go
+++ b/core/proxy/restore_test.go
@@ -212,3 +212,48 @@
 	}
 	is.Equal(last.Fields[0], proxy.Field{Key: "era", Value: uint64(3)})
 }
+
+// Guards against a host that counts as leaving until it restarts, since the store has carried out the last
+// write of its earlier process late.
+func TestLateRecordOfEarlierProcessIsReplaced(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 870, 2)
+	sim.runFor(2 * time.Second)
+	h := sim.hosts["h-b0"]
+	earlier := catalog.Host{ID: h.id, DataCentre: h.dc, MeshAddress: string(h.id), StartedUnixMs: h.startedUnixMs() - 1, Leaving: true}
+	sim.store.put(proxy.KindHosts, string(h.id), proxy.Change{Host: &earlier})
+	sim.runFor(2 * time.Second)
+	o := sim.store.current[string(proxy.KindHosts)+"/"+string(h.id)]
+	is.Equal(sim.store.values[string(o.Data)].Host.StartedUnixMs, h.startedUnixMs())
+	is.True(!sim.store.values[string(o.Data)].Host.Leaving)
+}
+
+// Guards against changes of the configuration that do not reach a host without the store, since large
+// records of another writer make the message that carries them too large.
+func TestLargeRecordsDoNotHoldUpOtherKinds(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 871, 1)
+	m := sim.hosts["h-a0"].machine
+	var objects []feed.Object
+	for _, name := range []string{"x1", "x2", "x3"} {
+		objects = append(objects, feed.Object{Kind: proxy.KindEndpoints, Name: name, Revision: 900, Data: make([]byte, 1<<20)})
+	}
+	m.Step(sim.now, proxy.StoreChanges{Changes: feed.Changes{Kind: proxy.KindEndpoints, AsOf: 900, Objects: objects}})
+	var kinds []feed.Kind
+	for _, e := range m.Step(sim.now, proxy.PeerMessage{From: "h-b0", Message: proxy.ChangesRequest{Since: []proxy.Revision{{Kind: proxy.KindEndpoints}, {Kind: proxy.KindConfig}}}}) {
+		send, ok := e.(proxy.PeerSend)
+		if !ok {
+			continue
+		}
+		if response, ok := send.Message.(proxy.ChangesResponse); ok {
+			is.Equal(len(response.Kinds), 1)
+			kinds = append(kinds, response.Kinds[0].Kind)
+			size := 0
+			for _, o := range response.Kinds[0].Objects {
+				size += len(o.Data)
+			}
+			is.True(size < 1<<20)
+		}
+	}
+	is.Equal(kinds, []feed.Kind{proxy.KindEndpoints, proxy.KindConfig})
+}
--- a/wire/peerwire/decode.go
+++ b/wire/peerwire/decode.go
@@ -60,12 +60,8 @@
 	case *meshpb.ProxyMessage_Changes:
 		kinds, err := decodeChanges(b.Changes)
 		return proxy.ChangesResponse{Kinds: kinds}, err
-	case *meshpb.ProxyMessage_AskReach, *meshpb.ProxyMessage_Reach, *meshpb.ProxyMessage_ReleasePrimary:
+	case *meshpb.ProxyMessage_AskReach, *meshpb.ProxyMessage_Reach, *meshpb.ProxyMessage_ReleasePrimary, *meshpb.ProxyMessage_AskMissing, *meshpb.ProxyMessage_Missing:
 		return decodeEndpointMessage(f.GetProxy()), nil
-	case *meshpb.ProxyMessage_AskMissing:
-		return proxy.MissingEndpointsRequest{}, nil
-	case *meshpb.ProxyMessage_Missing:
-		return decodeMissingEndpoints(b.Missing), nil
 	case *meshpb.ProxyMessage_LimitReport:
 		return decodeLimitReport(b.LimitReport)
 	case *meshpb.ProxyMessage_LimitGrant:
@@ -74,7 +70,7 @@
 	return nil, fmt.Errorf("frame holds %T, not a proxy message", f.GetBody())
 }
 
-// decodeEndpointMessage returns a message about the role of an endpoint.
+// decodeEndpointMessage returns a message about the roles of endpoints, or about which there are.
 func decodeEndpointMessage(p *meshpb.ProxyMessage) proxy.Message {
 	switch b := p.GetBody().(type) {
 	case *meshpb.ProxyMessage_AskReach:
@@ -83,6 +79,10 @@
 	case *meshpb.ProxyMessage_Reach:
 		r := b.Reach
 		return proxy.ReachabilityResponse{Seq: r.GetNumber(), Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), IsPrimary: r.GetPrimary()}
+	case *meshpb.ProxyMessage_AskMissing:
+		return proxy.MissingEndpointsRequest{}
+	case *meshpb.ProxyMessage_Missing:
+		return decodeMissingEndpoints(b.Missing)
 	}
 	r := p.GetReleasePrimary()
 	return proxy.ReleasePrimary{Service: types.Service(r.GetService()), Endpoint: types.Endpoint(r.GetEndpoint()), Term: types.Term(r.GetTerm())}
--- a/wire/peerwire/encode.go
+++ b/wire/peerwire/encode.go
@@ -65,12 +65,8 @@
 		p.Body = &meshpb.ProxyMessage_AskChanges{AskChanges: encodeRevisions(m.Since)}
 	case proxy.ChangesResponse:
 		p.Body = &meshpb.ProxyMessage_Changes{Changes: enc.encodeChanges(m.Kinds)}
-	case proxy.ReachabilityRequest, proxy.ReachabilityResponse, proxy.ReleasePrimary:
+	case proxy.ReachabilityRequest, proxy.ReachabilityResponse, proxy.ReleasePrimary, proxy.MissingEndpointsRequest, proxy.MissingEndpointsResponse:
 		encodeEndpointMessage(p, msg)
-	case proxy.MissingEndpointsRequest:
-		p.Body = &meshpb.ProxyMessage_AskMissing{AskMissing: true}
-	case proxy.MissingEndpointsResponse:
-		p.Body = &meshpb.ProxyMessage_Missing{Missing: encodeMissingEndpoints(&m)}
 	case proxy.LimitReport:
 		p.Body = &meshpb.ProxyMessage_LimitReport{LimitReport: encodeLimitReport(&m)}
 	case proxy.LimitGrant:
@@ -81,7 +77,7 @@
 	return &meshpb.Frame{Body: &meshpb.Frame_Proxy{Proxy: p}}
 }
 
-// encodeEndpointMessage encodes a message about the role of an endpoint.
+// encodeEndpointMessage encodes a message about the roles of endpoints, or about which there are.
 func encodeEndpointMessage(p *meshpb.ProxyMessage, msg proxy.Message) {
 	switch m := msg.(type) {
 	case proxy.ReachabilityRequest:
@@ -96,6 +92,10 @@
 		p.Body = &meshpb.ProxyMessage_ReleasePrimary{ReleasePrimary: &meshpb.SteppedDown{
 			Service: string(m.Service), Endpoint: string(m.Endpoint), Term: uint64(m.Term),
 		}}
+	case proxy.MissingEndpointsRequest:
+		p.Body = &meshpb.ProxyMessage_AskMissing{AskMissing: true}
+	case proxy.MissingEndpointsResponse:
+		p.Body = &meshpb.ProxyMessage_Missing{Missing: encodeMissingEndpoints(&m)}
 	}
 }
 
