--- a/core/lead/campaign.go
+++ b/core/lead/campaign.go
@@ -229,10 +229,11 @@
 
 // mayLeaveOutSilent reports whether the campaign goes on without the replicas that have not
 // responded in the current phase. A planned change needs only the candidate, since the old
-// primary steps down by itself, unless it has done so before. The primary of ReasonReplicasPaused stays. An absent primary that
-// restarts is not used without the paused replicas. One that is silent may still be confirmed by
-// any replica that is not paused, and one replica may be the only one with the newest commits if
-// requiresAllReplicas is set.
+// primary steps down by itself, unless it has done so before: then one of them may be the new
+// primary. The primary of ReasonReplicasPaused stays. An absent primary that restarts is not used
+// without the paused replicas. One that is silent may still be confirmed by any replica that is
+// not paused, and one replica may be the only one with the newest commits if requiresAllReplicas
+// is set.
 func (c *Campaign) mayLeaveOutSilent(now types.Time) bool {
 	if now.Sub(c.phaseStartedAt) < silentTimeout {
 		return false
