core/config: a database that another service has is refused

Callers and session tokens name databases alone. With two services of which each has a database of the same name, a token held one log point for both. TestDatabaseOfOtherServiceIsRefused fails without the check.

--- a/core/config/build.go
+++ b/core/config/build.go
@@ -13,6 +13,9 @@
 	if err := CheckService(spec); err != nil {
 		return err
 	}
+	if err := checkDatabasesUnique(spec, b.snapshot.Services()); err != nil {
+		return err
+	}
 	key := ServiceObject{Spec: spec}.Key()
 	old, exists := b.storedService(spec.Name)
 	spec, err := numberEndpointSets(old, spec)
@@ -31,6 +34,22 @@
 	return nil
 }
 
+// checkDatabasesUnique checks that no other service has a database of the same name. Callers and session
+// tokens name databases alone.
+func checkDatabasesUnique(spec types.ServiceSpec, services []types.ServiceSpec) error {
+	for _, other := range services {
+		if other.Name == spec.Name {
+			continue
+		}
+		for _, db := range spec.Databases {
+			if _, ok := findDatabase(other, db.ID); ok {
+				return fmt.Errorf("database %q of service %q belongs to service %q already", db.ID, spec.Name, other.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // storedService returns a service as it is stored, without the leaving marks that
 // the snapshot derives from retirements.
 func (b *builder) storedService(name types.Service) (types.ServiceSpec, bool) {
--- a/core/config/plan_test.go
+++ b/core/config/plan_test.go
@@ -164,6 +164,19 @@
 	}
 }
 
+// Guards against two services that name the same database: a session token holds one log point for it.
+func TestDatabaseOfOtherServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newStoreOf(ServiceObject{Spec: testServiceSpec(3)})
+	other := testServiceSpec(3)
+	other.Name = "catalogue-db"
+	_, err := buildTestPlan(PutService{Spec: other}, s)
+	is.True(err != nil && strings.Contains(err.Error(), `database "orders" of service "catalogue-db" belongs to service "pedidos-db" already`))
+	other.Databases[0].ID = "catalogue"
+	_, err = buildTestPlan(PutService{Spec: other}, s)
+	is.NoErr(err)
+}
+
 func TestUseTrackerIsBounded(t *testing.T) {
 	is := is.New(t)
 	tracker := NewUseTracker("a", 2)
