core/proxy: the line about an idle transaction names its limit again; one comparison of the own record

The line that a transaction has ended for its idle time had lost the key 'limit' when its end became a function of its own. checkOwnRecord compared the start time twice. No other change of behaviour. Tests of keys, sessions, transactions, workspaces and records pass.

--- a/core/proxy/identity.go
+++ b/core/proxy/identity.go
@@ -150,9 +150,9 @@
 	return !ok
 }
 
-// abortWithdrawnTransactions ends the transactions that have gone on for long after the key of
-// their caller was withdrawn, after the statements that have been read: a caller can always have one
-// in flight.
+// abortWithdrawnTransactions ends the transactions that have gone on for long after the key of their
+// caller has moved to another workspace or was withdrawn. In the second case the statements that have
+// been read are answered first: a caller can always have one in flight.
 func (m *Machine) abortWithdrawnTransactions() {
 	if !m.catalog.HasWorkspaces() {
 		return // no key is withdrawn, and the sessions need not be sorted at each tick
@@ -160,7 +160,7 @@
 	limit := m.configBound() * withdrawnTxPercent / 100
 	for _, s := range ordered(m.sessions) {
 		if s.currentRequest == nil && m.mustEndMovedTransaction(s) {
-			m.failTransaction(s, "key moved")
+			m.failTransaction(s, field("reason", "key moved"), field("workspace", s.workspace))
 		}
 		if s.withdrawnAt != 0 && s.tx != nil && !s.endsTx && m.now.Sub(s.withdrawnAt) >= limit {
 			m.log(Info, "transaction ended", field("session", s.id), field("reason", "key withdrawn"), field("workspace", s.workspace))
--- a/core/proxy/restore.go
+++ b/core/proxy/restore.go
@@ -61,7 +61,7 @@
 	if r.Era() == s.firstEra || s.recordStoredIn == r.Era() {
 		return
 	}
-	if record == nil || record.StartedUnixMs != m.settings.StartedUnixMs || record.Leaving != m.stop.begun {
+	if !isOwn || record.Leaving != m.stop.begun {
 		s.recordStoredIn = r.Era()
 		m.log(Info, "host record written again", field("era", r.Era()), field("leaving", m.stop.begun))
 		m.emit(StoreHostRecord{Leaving: m.stop.begun})
--- a/core/proxy/session.go
+++ b/core/proxy/session.go
@@ -133,7 +133,7 @@
 // runStatement serves a statement locally if it needs no endpoint, and forwards it otherwise.
 func (m *Machine) runStatement(s *session, q pool.Query) {
 	if m.mustEndMovedTransaction(s) {
-		m.failTransaction(s, "key moved")
+		m.failTransaction(s, field("reason", "key moved"), field("workspace", s.workspace))
 	}
 	if s.tx != nil && s.tx.failed {
 		m.runInFailedTx(s, q)
@@ -386,14 +386,14 @@
 		if s.tx == nil || s.currentRequest != nil || !s.tx.open || m.now.Sub(s.tx.idleSince) < limit {
 			continue
 		}
-		m.failTransaction(s, "idle")
+		m.failTransaction(s, field("reason", "idle"), field("limit", limit))
 	}
 }
 
 // failTransaction rolls back an open transaction without a statement in flight. The caller learns of it
 // with its next statement.
-func (m *Machine) failTransaction(s *session, reason string) {
-	m.log(Info, "transaction ended", field("session", s.id), field("reason", reason), field("workspace", s.workspace))
+func (m *Machine) failTransaction(s *session, reason ...Field) {
+	m.log(Info, "transaction ended", append([]Field{field("session", s.id)}, reason...)...)
 	m.sendToHost(s.tx.host, EndTx{Tx: s.tx.id})
 	s.tx.open, s.tx.failed = false, true
 }
